--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Two commands set up a fresh machine by themselves: make demo, make test.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test check format lock
+
+$(VENV)/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/cranklane-lab demo
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+check: $(VENV)/installed
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+	$(BIN)/python -m cranklane.records.generate --check
+
+format: $(VENV)/installed
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+lock:
+	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- /dev/null
+++ b/src/cranklane/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the product."""
--- /dev/null
+++ b/src/cranklane/common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts shared by the processes: HTTP serving and calling, logs, headers."""
--- /dev/null
+++ b/src/cranklane/common/headers.py
@@ -0,0 +1,58 @@
+"""HTTP header names the product reads and writes."""
+
+from __future__ import annotations
+
+CONTEXT = "Cranklane-Context"
+"""Given to a worker with a request; copied by it into the calls it makes for it."""
+
+OUTCOME = "Cranklane-Outcome"
+"""``answered``, ``not_run`` or ``unknown``; on every answer to a caller."""
+
+REASON = "Cranklane-Reason"
+"""Why a call was not answered; the label of a :class:`~cranklane.outcome.Reason`."""
+
+ATTEMPTS = "Cranklane-Attempts"
+"""Attempts made for this call, the first included."""
+
+RETRY_AFTER_MS = "Cranklane-Retry-After-Ms"
+"""When to come back, in milliseconds; beside the standard ``Retry-After``."""
+
+DEADLINE_MS = "Cranklane-Deadline-Ms"
+"""Time left for the root request, in milliseconds; a client may shorten it."""
+
+IDEMPOTENCY_KEY = "Idempotency-Key"
+"""Names a once-request; a resend carries the same key."""
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+"""Headers of one connection, never passed on."""
+
+
+def is_own(name: str) -> bool:
+    """Return whether a header is the product's, so that callers cannot forge it.
+
+    >>> is_own("cranklane-context"), is_own("Content-Type")
+    (True, False)
+    """
+    return name.lower().startswith("cranklane-")
+
+
+def retry_after_seconds(milliseconds: int) -> str:
+    """Return the standard header's value, whole seconds rounded up.
+
+    >>> retry_after_seconds(1200)
+    '2'
+    """
+    return str(max(1, -(-milliseconds // 1000)))
--- /dev/null
+++ b/src/cranklane/common/http_server.py
@@ -0,0 +1,95 @@
+"""HTTP/1.1 serving on the runtime's connections, by gevent's WSGI server."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from cranklane.errors import AnswerCutError
+from cranklane.runtime.interface import Address, Listener, Runtime
+
+CONNECTION_KEY = "cranklane.connection"
+"""Key of the WSGI environment under which the caller's connection stands."""
+
+IDLE_SECONDS = 60.0
+"""A caller's connection may be silent, or refuse to take bytes, this long."""
+
+
+class _Handler(WSGIHandler):
+    """Serves one connection; an answer cut short ends the connection."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environment = super().get_environ()
+        environment[CONNECTION_KEY] = self.socket
+        return environment
+
+    def run_application(self) -> None:
+        super().run_application()
+        if self.server.stopping:
+            self.close_connection = True
+
+    def finalize_headers(self) -> None:
+        if self.server.stopping:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
+
+    def handle_error(self, kind: Any, value: Any, trace: Any) -> None:
+        if isinstance(value, AnswerCutError | OSError):
+            # Without the last chunk, or with fewer bytes than announced, the
+            # caller's own library sees that the answer is not whole.
+            self.close_connection = True
+            return
+        super().handle_error(kind, value, trace)
+
+    def log_request(self) -> None:
+        pass
+
+
+class _Server(WSGIServer):
+    handler_class = _Handler
+    stopping = False
+
+
+class HttpServer:
+    """A listening HTTP server with one task for each connection.
+
+    :ivar address: where it listens.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        address: Address,
+        application: Any,
+        max_connections: int = 10_000,
+    ) -> None:
+        self._server = _Server(address, application, log=None, error_log=sys.stderr)
+        self._server.set_environ()
+        self._server.environ["SERVER_NAME"] = address[0]
+        self._server.environ["SERVER_PORT"] = str(address[1])
+        self._max_connections = max_connections
+        self.connections = 0
+        self.refused_connections = 0
+        self._listener: Listener = runtime.listen(address, self._serve)
+        self.address = self._listener.address
+
+    def _serve(self, connection: Any, address: Address) -> None:
+        if self.connections >= self._max_connections:
+            self.refused_connections += 1
+            connection.close()
+            return
+        self.connections += 1
+        connection.settimeout(IDLE_SECONDS)
+        try:
+            self._server.handle(connection, address)
+        finally:
+            self.connections -= 1
+            connection.close()
+
+    def stop_accepting(self) -> None:
+        """Close the port; requests in flight go on and then end their connection."""
+        self._server.stopping = True
+        self._listener.close()
--- /dev/null
+++ b/src/cranklane/control/__init__.py
@@ -0,0 +1,1 @@
+"""The processes on the machines with disks: configuration, members, operators."""
--- /dev/null
+++ b/src/cranklane/control/log.py
@@ -0,0 +1,182 @@
+"""Durable log of entries, with a snapshot that replaces the oldest ones.
+
+File ``log`` holds frames: magic, payload length, checksum, the file offset that
+was known to be synced when the frame was written, and a LogEntry. File
+``snapshot`` holds a checksum and a LogSnapshot.
+
+The synced offset tells a torn tail from damage: bytes after the last sync may be
+lost in a crash and are cut; a bad frame below an offset that a later frame
+states as synced means that acknowledged entries are damaged.
+"""
+
+from __future__ import annotations
+
+import zlib
+from struct import Struct
+
+from cranklane.errors import DamagedLogError, MalformedRecordError
+from cranklane.records.messages import LogEntry, LogSnapshot
+from cranklane.runtime.interface import Storage
+
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
+
+_MAGIC = b"CLE1"
+_FRAME = Struct("!4sIIQ")
+_CHECKSUM = Struct("!I")
+
+
+def _frame(entry: LogEntry, synced: int) -> bytes:
+    payload = entry.pack()
+    checksum = zlib.crc32(payload, zlib.crc32(synced.to_bytes(8, "big")))
+    return _FRAME.pack(_MAGIC, len(payload), checksum, synced) + payload
+
+
+def _read_frame(data: bytes, position: int) -> tuple[LogEntry, int, int] | None:
+    """Return (entry, synced offset, next position), or None for a bad frame."""
+    start = position + _FRAME.size
+    if start > len(data):
+        return None
+    magic, size, checksum, synced = _FRAME.unpack_from(data, position)
+    payload = data[start : start + size]
+    if magic != _MAGIC or len(payload) != size:
+        return None
+    if zlib.crc32(payload, zlib.crc32(synced.to_bytes(8, "big"))) != checksum:
+        return None
+    try:
+        return LogEntry.unpack(payload), synced, start + size
+    except MalformedRecordError:
+        return None
+
+
+class Log:
+    """Entries after the snapshot, in memory and on disk.
+
+    :ivar snapshot: the newest snapshot; index 0 when there is none.
+    """
+
+    def __init__(self, storage: Storage) -> None:
+        self._storage = storage
+        self._entries: list[LogEntry] = []
+        self._size = 0
+        self._synced = 0
+        self.syncs = 0
+        self.snapshot = LogSnapshot()
+
+    def open(self) -> int:
+        """Read snapshot and log; return the bytes cut off a torn tail.
+
+        :raises DamagedLogError: when acknowledged entries cannot be read.
+        """
+        self._read_snapshot()
+        data = self._storage.read(LOG_FILE) or b""
+        position = 0
+        while position < len(data):
+            frame = _read_frame(data, position)
+            if frame is None:
+                break
+            entry, _, position = frame
+            self._keep(entry)
+        torn = len(data) - position
+        if torn:
+            self._refuse_damage(data, position)
+            self._storage.truncate(LOG_FILE, position)
+        self._size = self._synced = position
+        return torn
+
+    def _keep(self, entry: LogEntry) -> None:
+        if entry.index <= self.snapshot.index:
+            return
+        # A later frame of an index replaces all from there on: a follower's
+        # conflicting tail is overwritten by appending, never in place.
+        while self._entries and self._entries[-1].index >= entry.index:
+            self._entries.pop()
+        if entry.index != self.last_index + 1:
+            raise DamagedLogError(
+                f"entry {entry.index} follows {self.last_index}: entries are missing; restore "
+                "this replica with an empty data folder so that it rejoins as a new one"
+            )
+        self._entries.append(entry)
+
+    def _read_snapshot(self) -> None:
+        data = self._storage.read(SNAPSHOT_FILE)
+        if data is None:
+            return
+        payload = data[_CHECKSUM.size :]
+        if len(data) < _CHECKSUM.size or _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+            raise DamagedLogError(
+                "the snapshot is damaged; restore this replica with an empty data folder so "
+                "that it rejoins as a new one, or from a back-up when it is the only one"
+            )
+        self.snapshot = LogSnapshot.unpack(payload)
+
+    @staticmethod
+    def _refuse_damage(data: bytes, position: int) -> None:
+        following = data.find(_MAGIC, position + 1)
+        while following >= 0:
+            frame = _read_frame(data, following)
+            if frame is not None and frame[1] > position:
+                raise DamagedLogError(
+                    f"the log is damaged at byte {position} although it was synced up to "
+                    f"{frame[1]}; restore this replica with an empty data folder so that it "
+                    "rejoins as a new one, or from a back-up when it is the only one"
+                )
+            following = data.find(_MAGIC, following + 1)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry."""
+        return self._entries[-1].index if self._entries else self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    @property
+    def size(self) -> int:
+        """Bytes of the log file."""
+        return self._size
+
+    def term_at(self, index: int) -> int | None:
+        """Return an entry's term, or None when it is not held."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        position = index - self.snapshot.index - 1
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        return None
+
+    def between(self, first: int, last: int) -> list[LogEntry]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        base = self.snapshot.index + 1
+        return self._entries[max(0, first - base) : max(0, last - base + 1)]
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Write entries at the end; durable only after :meth:`sync`."""
+        frames = b"".join(_frame(entry, self._synced) for entry in entries)
+        self._storage.append(LOG_FILE, frames)
+        self._size += len(frames)
+        for entry in entries:
+            self._keep(entry)
+
+    def sync(self) -> int:
+        """Make the log durable; return the index that is durable now."""
+        size, index = self._size, self.last_index
+        self._storage.sync(LOG_FILE)
+        self.syncs += 1
+        self._synced = max(self._synced, size)
+        return index
+
+    def compact(self, snapshot: LogSnapshot) -> None:
+        """Replace the entries up to the snapshot's by the snapshot."""
+        kept = self.between(snapshot.index + 1, self.last_index)
+        if snapshot.index > self.last_index or self.term_at(snapshot.index) != snapshot.term:
+            kept = []
+        payload = snapshot.pack()
+        self._storage.replace(SNAPSHOT_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+        self.snapshot = snapshot
+        self._entries = kept
+        data = b"".join(_frame(entry, 0) for entry in kept)
+        self._storage.replace(LOG_FILE, data)
+        self._size = self._synced = len(data)
--- /dev/null
+++ b/src/cranklane/control/publisher.py
@@ -0,0 +1,191 @@
+"""Sends configuration and members to subscribed nodes.
+
+One task for each subscriber sends what it has not seen yet: a subscriber that is
+slow gets one larger delta later, never a queue of small ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from gevent.event import Event
+
+from cranklane.control.membership import Membership
+from cranklane.errors import ConnectionLostError, MalformedRecordError
+from cranklane.records.connection import RecordConnection
+from cranklane.records.messages import (
+    ConfigDelta,
+    ConfigRow,
+    Heartbeat,
+    Hello,
+    Member,
+    MemberDelta,
+    Ping,
+    ServiceRow,
+    Subscribe,
+)
+from cranklane.runtime.interface import Address, Runtime
+
+SILENT_SECONDS = 6.0
+"""Seconds without a heartbeat after which a subscriber counts as lost."""
+
+PING_SECONDS = 2.0
+"""Seconds between pings to a subscriber that there is no news for."""
+
+
+class RowSource(Protocol):
+    """Where configuration comes from: the store, or a relay's copy of it."""
+
+    def delta(self, base: int) -> ConfigDelta:
+        """Return what a subscriber at ``base`` needs to be current."""
+
+    def value(self, key: str) -> bytes:
+        """Return a row's value, empty when there is none."""
+
+
+class Subscriber:
+    """One subscribed node.
+
+    :ivar version: the version in force there, as it last said.
+    """
+
+    def __init__(self, identity: Subscribe, records: RecordConnection) -> None:
+        self.identity = identity
+        self.records = records
+        self.version = identity.version
+        self.sent_version = identity.version
+        self.sent_services: frozenset[str] = frozenset()
+        self.sent_members = 0
+        self.news = Event()
+
+    @property
+    def service(self) -> str:
+        """Full name of the node's service, or empty at an edge."""
+        identity = self.identity
+        return f"{identity.tenant}.{identity.service}" if identity.service else ""
+
+
+class Publisher:
+    """Serves subscribers of one control process.
+
+    :ivar subscribers: by the node's name.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        source: RowSource,
+        membership: Membership,
+        hello: Callable[[], Hello],
+    ) -> None:
+        self._runtime = runtime
+        self._source = source
+        self._membership = membership
+        self._hello = hello
+        self.subscribers: dict[str, Subscriber] = {}
+        self.bytes_sent = 0
+        self.records_sent = 0
+
+    def changed(self) -> None:
+        """Wake the tasks of all subscribers: there is news."""
+        for subscriber in list(self.subscribers.values()):
+            subscriber.news.set()
+
+    def serve(self, connection: Any, _address: Address) -> None:
+        """Serve one subscriber's connection until it ends."""
+        records = RecordConnection(connection, SILENT_SECONDS)
+        subscriber: Subscriber | None = None
+        try:
+            records.greet(self._hello())
+            subscriber = Subscriber(records.expect(Subscribe), records)
+            self._join(subscriber)
+            while True:
+                self._heard(subscriber, records.expect(Heartbeat))
+        except (ConnectionLostError, MalformedRecordError):
+            pass
+        finally:
+            records.close()
+            self.bytes_sent += records.bytes_sent
+            self.records_sent += records.records_sent
+            if subscriber is not None:
+                self._leave(subscriber)
+
+    def _join(self, subscriber: Subscriber) -> None:
+        name = subscriber.identity.node
+        replaced = self.subscribers.get(name)
+        if replaced is not None:
+            replaced.records.close()
+        self.subscribers[name] = subscriber
+        self._membership.joined(subscriber.identity)
+        self._runtime.spawn(self._publish, subscriber)
+
+    def _leave(self, subscriber: Subscriber) -> None:
+        subscriber.news.set()
+        if self.subscribers.get(subscriber.identity.node) is subscriber:
+            del self.subscribers[subscriber.identity.node]
+            self._membership.lost(subscriber.identity)
+
+    def _heard(self, subscriber: Subscriber, heartbeat: Heartbeat) -> None:
+        subscriber.version = heartbeat.version
+        self._membership.heard(subscriber.identity, heartbeat)
+
+    def _publish(self, subscriber: Subscriber) -> None:
+        records = subscriber.records
+        try:
+            while not records.closed:
+                subscriber.news.clear()
+                sent = self._send_configuration(subscriber)
+                sent |= self._send_members(subscriber)
+                if not sent:
+                    records.send(Ping(subscriber.sent_version))
+                subscriber.news.wait(PING_SECONDS)
+        except ConnectionLostError:
+            pass
+
+    def _send_configuration(self, subscriber: Subscriber) -> bool:
+        delta = self._source.delta(subscriber.sent_version)
+        if delta.version <= subscriber.sent_version:
+            return False
+        services = self._services_of(subscriber)
+        if services is not None:
+            if services != subscriber.sent_services:
+                # It now calls services whose rows and members it has never had.
+                subscriber.sent_services = services
+                subscriber.sent_members = 0
+                delta = self._source.delta(0)
+            delta.rows = [row for row in delta.rows if _is_for(row, services)]
+        subscriber.records.send(delta)
+        subscriber.sent_version = delta.version
+        return True
+
+    def _services_of(self, subscriber: Subscriber) -> frozenset[str] | None:
+        """Return the services a node needs to know, or None for all."""
+        if subscriber.identity.everything:
+            return None
+        own = subscriber.identity
+        value = self._source.value(f"service/{own.tenant}/{own.service}")
+        calls = ServiceRow.unpack(value).calls if value else []
+        return frozenset({subscriber.service, *calls})
+
+    def _send_members(self, subscriber: Subscriber) -> bool:
+        changed, position = self._membership.since(subscriber.sent_members)
+        if position == subscriber.sent_members:
+            return False
+        whole = subscriber.sent_members == 0
+        subscriber.sent_members = position
+        members = [member for member in changed if self._needs(subscriber, member)]
+        if not members and not whole:
+            return False
+        subscriber.records.send(MemberDelta(whole, members))
+        return True
+
+    def _needs(self, subscriber: Subscriber, member: Member) -> bool:
+        if subscriber.identity.everything:
+            return True
+        return f"{member.tenant}.{member.service}" in subscriber.sent_services
+
+
+def _is_for(row: ConfigRow, services: frozenset[str]) -> bool:
+    kind, _, rest = row.key.partition("/")
+    return kind == "tenant" or rest.replace("/", ".") in services
--- /dev/null
+++ b/src/cranklane/control/store.py
@@ -0,0 +1,220 @@
+"""The configuration store: documents, compiled rows, history, answered requests.
+
+The store changes only by applying committed commands in order, so that every
+replica comes to the same state.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import IntEnum
+
+from result import Err, Ok, Result
+
+from cranklane.errors import PolicyError
+from cranklane.policy.compiler import compile_policy
+from cranklane.policy.model import Policy
+from cranklane.policy.syntax import parse
+from cranklane.records.messages import (
+    ConfigDelta,
+    ConfigRow,
+    Document,
+    EditCommand,
+    HistoryEntry,
+    RequestAnswer,
+    StoreState,
+)
+
+ROOT = "root"
+"""Name of the document with the settings above all tenants."""
+
+HISTORY_LIMIT = 2000
+"""Accepted edits kept with their texts."""
+
+REQUEST_LIMIT = 10_000
+"""Answers to operators' requests kept for resends: a week at 1,300 a day."""
+
+
+class EditResult(IntEnum):
+    """What became of an edit."""
+
+    ACCEPTED = 0
+    CONFLICT = 1
+    STALE = 2
+    """Compiled against a state that has changed; to be compiled again."""
+
+
+@dataclass(frozen=True)
+class EditAnswer:
+    """Answer to an edit.
+
+    :ivar version: the document's version now; for an accepted edit, the new one.
+    :ivar repeated: whether this is the first answer given again.
+    """
+
+    result: EditResult
+    version: int
+    repeated: bool = False
+
+
+class ConfigurationStore:
+    """State of the configuration at one replica.
+
+    :ivar revision: number of the newest accepted edit, of any document.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._documents: dict[str, Document] = {}
+        # In the order of their revisions, so that a delta reads only what changed.
+        self._rows: OrderedDict[str, ConfigRow] = OrderedDict()
+        self._history: list[HistoryEntry] = []
+        self._requests: OrderedDict[tuple[str, str], RequestAnswer] = OrderedDict()
+
+    def document(self, name: str) -> Document | None:
+        """Return a document, or None."""
+        return self._documents.get(name)
+
+    def documents(self) -> list[Document]:
+        """Return all documents by name."""
+        return [self._documents[name] for name in sorted(self._documents)]
+
+    def history(self, name: str) -> list[HistoryEntry]:
+        """Return a document's accepted edits, newest first."""
+        return [entry for entry in reversed(self._history) if entry.document == name]
+
+    def answered(self, operator: str, request: str) -> EditAnswer | None:
+        """Return the answer given to a request before, or None."""
+        known = self._requests.get((operator, request))
+        if known is None:
+            return None
+        return EditAnswer(EditResult(known.result), known.version, repeated=True)
+
+    def compile(self, name: str, text: str) -> Result[list[ConfigRow], PolicyError]:
+        """Return the rows that a new text of a document changes.
+
+        Nothing of the store changes. A row without a value is a deletion.
+        """
+        texts = {document.name: document.text for document in self._documents.values()}
+        texts[name] = text
+        try:
+            _check_document(name, text)
+            compiled = compile_policy(_merge(texts))
+        except PolicyError as error:
+            return Err(error)
+        changed = [
+            ConfigRow(key=key, value=value)
+            for key, value in compiled.items()
+            if key not in self._rows or self._rows[key].value != value
+        ]
+        gone = [
+            ConfigRow(key=key)
+            for key, row in self._rows.items()
+            if row.value and key not in compiled
+        ]
+        return Ok(changed + gone)
+
+    def apply(self, command: EditCommand) -> EditAnswer:
+        """Apply a committed edit and return its answer."""
+        known = self.answered(command.operator, command.request)
+        if known is not None:
+            return known
+        document = self._documents.get(command.document)
+        version = document.version if document is not None else 0
+        if command.base != version:
+            return self._answer(command, EditResult.CONFLICT, version)
+        if command.compiled_at != self.revision:
+            # Not an answer to the operator: the leader compiles again.
+            return EditAnswer(EditResult.STALE, version)
+        self.revision += 1
+        self._documents[command.document] = Document(self.revision, command.document, command.text)
+        for row in command.rows:
+            self._rows[row.key] = ConfigRow(self.revision, row.key, row.value)
+            self._rows.move_to_end(row.key)
+        self._remember(command)
+        return self._answer(command, EditResult.ACCEPTED, self.revision)
+
+    def _remember(self, command: EditCommand) -> None:
+        self._history.append(
+            HistoryEntry(
+                version=self.revision,
+                base=command.base,
+                when=command.when,
+                document=command.document,
+                operator=command.operator,
+                request=command.request,
+                text=command.text,
+            )
+        )
+        del self._history[:-HISTORY_LIMIT]
+
+    def _answer(self, command: EditCommand, result: EditResult, version: int) -> EditAnswer:
+        self._requests[command.operator, command.request] = RequestAnswer(
+            version, result, command.operator, command.request
+        )
+        while len(self._requests) > REQUEST_LIMIT:
+            self._requests.popitem(last=False)
+        return EditAnswer(result, version)
+
+    def rows_since(self, revision: int) -> list[ConfigRow]:
+        """Return the rows changed after a revision, deletions included."""
+        changed = []
+        for row in reversed(self._rows.values()):
+            if row.revision <= revision:
+                break
+            changed.append(row)
+        changed.reverse()
+        return changed
+
+    def value(self, key: str) -> bytes:
+        """Return a row's value, empty when there is none."""
+        row = self._rows.get(key)
+        return row.value if row is not None else b""
+
+    def delta(self, base: int) -> ConfigDelta:
+        """Return what a subscriber at ``base`` needs to be current."""
+        if base == 0 or base > self.revision:
+            rows = [row for row in self._rows.values() if row.value]
+            return ConfigDelta(0, self.revision, True, rows)
+        return ConfigDelta(base, self.revision, False, self.rows_since(base))
+
+    def pack(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        return StoreState(
+            revision=self.revision,
+            documents=self.documents(),
+            rows=list(self._rows.values()),
+            history=self._history,
+            requests=list(self._requests.values()),
+        ).pack()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot's."""
+        state = StoreState.unpack(data) if data else StoreState()
+        self.revision = state.revision
+        self._documents = {document.name: document for document in state.documents}
+        self._rows = OrderedDict((row.key, row) for row in state.rows)
+        self._history = list(state.history)
+        self._requests = OrderedDict(
+            ((answer.operator, answer.request), answer) for answer in state.requests
+        )
+
+
+def _check_document(name: str, text: str) -> None:
+    policy = parse(text)
+    names = [tenant.name for tenant in policy.tenants]
+    if name == ROOT:
+        if names:
+            raise PolicyError(["the root document holds no tenants; each has a document"])
+        return
+    if names not in ([name], []) or (policy.source and text.strip()):
+        raise PolicyError([f"document {name} holds the tenant {name} and nothing else"])
+
+
+def _merge(texts: dict[str, str]) -> Policy:
+    merged = parse(texts.get(ROOT, ""))
+    for name in sorted(texts):
+        if name != ROOT:
+            merged.tenants += parse(texts[name]).tenants
+    return merged
--- /dev/null
+++ b/src/cranklane/node/inbound.py
@@ -0,0 +1,331 @@
+"""Serves calls from other nodes: admits them, runs them in the worker, answers."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from cranklane.common.headers import HOP_BY_HOP, is_own
+from cranklane.common.http_client import HttpResponse
+from cranklane.errors import AnswerCutError, ConnectionLostError, MalformedRecordError
+from cranklane.node.admission import Admission, Refusal, Slot
+from cranklane.node.allowance import Allowance
+from cranklane.node.configuration import NodeConfiguration, Service
+from cranklane.node.context import CallContext, ContextTable
+from cranklane.node.metrics import NodeMetrics
+from cranklane.node.peer_connection import SILENT_SECONDS
+from cranklane.node.worker import WorkerClient, WorkerFailure
+from cranklane.outcome import Criticality, Outcome, Reason
+from cranklane.records.connection import CONNECTION_CALL, RecordConnection
+from cranklane.records.messages import (
+    AnswerAbort,
+    AnswerBody,
+    AnswerEnd,
+    AnswerHead,
+    CallCancel,
+    CallOpen,
+    Credit,
+    GoingAway,
+    Hello,
+    LoadReport,
+    Message,
+    Ping,
+)
+from cranklane.runtime.interface import Address, Runtime
+
+CREDIT_SECONDS = 30.0
+"""Seconds a caller may leave a full window before its answer is cut."""
+
+
+class InboundCall:
+    """One call from another node, run by a task of its own."""
+
+    def __init__(
+        self, records: RecordConnection, number: int, message: CallOpen, context: CallContext
+    ) -> None:
+        self._records = records
+        self.number = number
+        self.message = message
+        self.context = context
+        self._window = message.window
+        self._credited = Event()
+
+    def send(self, message: Message) -> None:
+        """Send a record of this call's answer.
+
+        :raises ConnectionLostError: when the caller is gone.
+        """
+        self._records.send(message, self.number)
+
+    def queue(self, message: Message) -> None:
+        """Add a record that leaves with the next one sent."""
+        self._records.queue(message, self.number)
+
+    def send_queued(self) -> None:
+        """Send the records added by :meth:`queue`."""
+        self._records.flush()
+
+    def credit(self, size: int) -> None:
+        """Let the answer go on by ``size`` bytes."""
+        self._window += size
+        self._credited.set()
+
+    def cancel(self, reason: Reason) -> None:
+        """Stop the call: nobody waits."""
+        self.context.cancel(reason)
+        self._credited.set()
+
+    def wait_for_window(self, size: int) -> None:
+        """Wait until the caller can take ``size`` bytes, and take them off the window.
+
+        :raises AnswerCutError: when it takes none for too long, or is gone.
+        """
+        while self._window <= 0:
+            self._credited.clear()
+            if not self._credited.wait(CREDIT_SECONDS):
+                raise AnswerCutError("the caller takes no more bytes")
+            if self.context.cancelled is not None:
+                raise AnswerCutError("cancelled")
+        self._window -= size
+
+
+class Inbound:
+    """The serving half of a node.
+
+    :param hello: returns this node's greeting.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        service: str,
+        configuration: NodeConfiguration,
+        admission: Admission,
+        worker: WorkerClient,
+        contexts: ContextTable,
+        metrics: NodeMetrics,
+        hello: Callable[[], Hello],
+    ) -> None:
+        self._runtime = runtime
+        self._service = service
+        self._configuration = configuration
+        self._admission = admission
+        self._worker = worker
+        self._contexts = contexts
+        self._metrics = metrics
+        self._hello = hello
+        self._connections: dict[int, RecordConnection] = {}
+        self._next_connection = 0
+        self.calls = 0
+
+    def serve_connection(self, connection: Any, _address: Address) -> None:
+        """Serve one node's connection until it ends."""
+        records = RecordConnection(connection, SILENT_SECONDS)
+        self._next_connection += 1
+        number = self._next_connection
+        self._connections[number] = records
+        calls: dict[int, InboundCall] = {}
+        try:
+            records.greet(self._hello())
+            while True:
+                call_number, message = records.receive()
+                self._take(records, calls, call_number, message)
+        except ConnectionLostError:
+            pass
+        except MalformedRecordError:
+            self._metrics.event("malformed_record")
+        finally:
+            records.close()
+            del self._connections[number]
+            for call in list(calls.values()):
+                call.cancel(Reason.CANCELLED)
+
+    def _take(
+        self,
+        records: RecordConnection,
+        calls: dict[int, InboundCall],
+        number: int,
+        message: Message,
+    ) -> None:
+        match message:
+            case CallOpen():
+                if number == CONNECTION_CALL or number in calls:
+                    raise MalformedRecordError(f"call {number} is opened twice")
+                call = InboundCall(records, number, message, self._context(message))
+                calls[number] = call
+                self._runtime.spawn(self._run, call, calls)
+            case Credit() if number in calls:
+                calls[number].credit(message.size)
+            case CallCancel() if number in calls:
+                calls[number].cancel(Reason.CANCELLED)
+            case Ping():
+                records.send(self.load_report())
+            case _:
+                self._metrics.event("late_record")
+
+    def load_report(self) -> LoadReport:
+        """Return the node's own word on its worker's load."""
+        admission = self._admission
+        return LoadReport(
+            in_flight=admission.in_flight,
+            queued=admission.queued,
+            limit=admission.concurrency.limit,
+            wait_us=int(admission.expected_wait() * 1_000_000),
+            draining=admission.draining,
+            version=self._configuration.version,
+        )
+
+    def _context(self, message: CallOpen) -> CallContext:
+        try:
+            criticality = Criticality(message.criticality)
+        except ValueError as error:
+            raise MalformedRecordError(f"criticality {message.criticality}") from error
+        return CallContext(
+            root=message.root,
+            tenant=message.tenant,
+            criticality=criticality,
+            deadline=self._runtime.monotonic() + message.deadline_ms / 1000,
+            allowance=Allowance(message.allowance),
+            depth=message.depth,
+        )
+
+    def _run(self, call: InboundCall, calls: dict[int, InboundCall]) -> None:
+        self.calls += 1
+        try:
+            self._admit_and_answer(call)
+        except ConnectionLostError:
+            pass
+        finally:
+            self.calls -= 1
+            calls.pop(call.number, None)
+
+    def _admit_and_answer(self, call: InboundCall) -> None:
+        context = call.context
+        admitted = self._admit(call)
+        if isinstance(admitted, Err):
+            refusal = admitted.err_value
+            self._metrics.admission(context.tenant, context.criticality, refusal.reason)
+            call.send(self._refusal(call, Outcome.NOT_RUN, refusal))
+            return
+        slot = admitted.ok_value
+        self._metrics.admission(context.tenant, context.criticality, Reason.NONE)
+        ran = False
+        self._contexts.add(context)
+        try:
+            ran = self._answer(call)
+        finally:
+            self._contexts.remove(context)
+            self._admission.release(slot, ran)
+
+    def _admit(self, call: InboundCall) -> Result[Slot, Refusal]:
+        reason = self._misdirected(call.message)
+        if reason is not None:
+            return Err(Refusal(reason))
+        context = call.context
+        started = self._runtime.monotonic()
+        admitted = self._admission.admit(
+            context.tenant, context.criticality, context.deadline, on_wait=context.on_cancel
+        )
+        if isinstance(admitted, Ok):
+            self._metrics.queued(self._runtime.monotonic() - started)
+        return admitted
+
+    def _misdirected(self, message: CallOpen) -> Reason | None:
+        service = self._own_service()
+        if service is None or message.service != self._service:
+            return Reason.UNKNOWN_ROUTE
+        if message.caller not in service.callers:
+            return Reason.NOT_GRANTED
+        return None
+
+    def _own_service(self) -> Service | None:
+        tenant, _, name = self._service.partition(".")
+        return self._configuration.service(tenant, name)
+
+    def _refusal(self, call: InboundCall, outcome: Outcome, refusal: Refusal) -> AnswerHead:
+        head = self._head(call, outcome, refusal.reason)
+        head.retry_after_ms = refusal.retry_after_ms
+        head.allowance = call.context.allowance.remaining
+        return head
+
+    def _head(self, call: InboundCall, outcome: Outcome, reason: Reason) -> AnswerHead:
+        admission = self._admission
+        return AnswerHead(
+            outcome=outcome,
+            reason=reason,
+            in_flight=admission.in_flight + admission.queued,
+            limit=admission.concurrency.limit,
+            wait_us=int(admission.expected_wait() * 1_000_000),
+            refused_below=admission.refused_below(call.context.tenant),
+            draining=admission.draining,
+        )
+
+    def _answer(self, call: InboundCall) -> bool:
+        """Run the call in the worker; return whether the worker ran it."""
+        context = call.context
+        started = self._runtime.monotonic()
+
+        def may_start(connection: Any) -> bool:
+            if context.cancelled is not None:
+                return False
+            context.on_cancel(lambda _reason: connection.close())
+            return True
+
+        result = self._worker.run(
+            call.message, context.token, context.deadline - started, may_start
+        )
+        if isinstance(result, Err):
+            return self._worker_failed(call, result.err_value)
+        response = result.ok_value
+        self._metrics.worker(self._runtime.monotonic() - started)
+        try:
+            self._stream(call, response)
+        finally:
+            response.close()
+        return True
+
+    def _worker_failed(self, call: InboundCall, failure: WorkerFailure) -> bool:
+        if failure.reason is Reason.WORKER_SHED:
+            self._admission.concurrency.shed()
+        retry_after_ms = int(self._admission.concurrency.service_time * 1000)
+        refusal = Refusal(failure.reason, retry_after_ms)
+        if call.context.cancelled is None:
+            call.send(self._refusal(call, failure.outcome, refusal))
+        return failure.outcome is Outcome.UNKNOWN
+
+    def _stream(self, call: InboundCall, response: HttpResponse) -> None:
+        head = self._head(call, Outcome.ANSWERED, Reason.NONE)
+        head.status = response.status
+        head.headers = [
+            (name, value)
+            for name, value in response.headers
+            if name.lower() not in HOP_BY_HOP and not is_own(name)
+        ]
+        call.queue(head)
+        sequence = length = checksum = 0
+        try:
+            for data in response.body():
+                call.wait_for_window(len(data))
+                call.queue(AnswerBody(sequence, data))
+                if not response.whole:
+                    call.send_queued()
+                sequence += 1
+                length += len(data)
+                checksum = zlib.crc32(data, checksum)
+        except AnswerCutError:
+            self._metrics.event("answer_cut")
+            call.send(AnswerAbort(Reason.ANSWER_CUT, call.context.allowance.remaining))
+            return
+        call.send(AnswerEnd(length, checksum, call.context.allowance.remaining))
+
+    def announce_stop(self) -> None:
+        """Tell every calling node to open no new calls here."""
+        for records in list(self._connections.values()):
+            try:
+                records.send(GoingAway(Reason.STOPPING))
+            except ConnectionLostError:
+                pass
--- /dev/null
+++ b/src/cranklane/node/subscription.py
@@ -0,0 +1,198 @@
+"""Follows control: configuration and members in, heartbeats out."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Sequence
+from struct import Struct
+from typing import Any
+
+import gevent
+
+from cranklane.errors import ConnectionLostError, MalformedRecordError
+from cranklane.node.configuration import NodeConfiguration
+from cranklane.node.members import MemberState
+from cranklane.records.connection import RecordConnection
+from cranklane.records.messages import (
+    ConfigDelta,
+    ConfigRow,
+    Heartbeat,
+    Hello,
+    MemberDelta,
+    Ping,
+    Subscribe,
+)
+from cranklane.runtime.interface import Address, Runtime, Storage
+
+HEARTBEAT_SECONDS = 2.0
+"""Seconds between heartbeats to control."""
+
+CONTROL_SILENT_SECONDS = 5.0
+"""Seconds without a byte from control after which another one is tried."""
+
+CONNECT_SECONDS = 1.0
+MIN_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 3.0
+
+_FILE = "configuration"
+_CHECKSUM = Struct("!I")
+
+
+class ConfigurationFile:
+    """The adopted configuration on disk, so that a restart never goes back."""
+
+    def __init__(self, storage: Storage) -> None:
+        self._storage = storage
+        self._rows: dict[str, ConfigRow] = {}
+
+    def load(self) -> ConfigDelta | None:
+        """Return what was adopted last, or None when there is nothing usable."""
+        data = self._storage.read(_FILE)
+        if data is None or len(data) < _CHECKSUM.size:
+            return None
+        payload = data[_CHECKSUM.size :]
+        if _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+            return None
+        delta = ConfigDelta.unpack(payload)
+        self._rows = {row.key: row for row in delta.rows}
+        return delta
+
+    def save(self, delta: ConfigDelta) -> None:
+        """Put the state after a delta on disk, synced."""
+        if delta.whole:
+            self._rows.clear()
+        for row in delta.rows:
+            if row.value:
+                self._rows[row.key] = row
+            else:
+                self._rows.pop(row.key, None)
+        whole = ConfigDelta(version=delta.version, whole=True, rows=list(self._rows.values()))
+        payload = whole.pack()
+        self._storage.replace(_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+
+
+class Subscription:
+    """Keeps one connection to one of several control processes.
+
+    :param identity: who this node is; versions are filled in here.
+    :param state: returns the node's own state for its heartbeats.
+    :param on_change: called after a change of configuration is in force.
+    :ivar connected: whether a control process answers now.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        controls: Sequence[Address],
+        identity: Subscribe,
+        configuration: NodeConfiguration,
+        storage: Storage,
+        on_members: Callable[[MemberDelta], None],
+        on_change: Callable[[], None],
+        state: Callable[[], MemberState],
+        log: Any,
+    ) -> None:
+        self._runtime = runtime
+        self._controls = list(controls)
+        self._identity = identity
+        self._configuration = configuration
+        self._file = ConfigurationFile(storage)
+        self._on_members = on_members
+        self._on_change = on_change
+        self._state = state
+        self._log = log
+        self._records: RecordConnection | None = None
+        self.connected = False
+        self.bytes_received = 0
+        self.bytes_sent = 0
+
+    def load(self) -> None:
+        """Put the configuration adopted before the last stop in force."""
+        saved = self._file.load()
+        if saved is not None and self._configuration.adopt(saved):
+            self._on_change()
+
+    def follow(self) -> None:
+        """Follow control until the process ends."""
+        self._runtime.random.shuffle(self._controls)
+        backoff = MIN_BACKOFF_SECONDS
+        while True:
+            for address in self._controls:
+                if self._follow_one(address):
+                    backoff = MIN_BACKOFF_SECONDS
+            gevent.sleep(backoff * (0.5 + self._runtime.random.random()))
+            backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
+
+    def _follow_one(self, address: Address) -> bool:
+        """Follow one control process until it is lost; return whether it answered."""
+        try:
+            connection = self._runtime.connect(address, CONNECT_SECONDS)
+        except OSError:
+            return False
+        records = RecordConnection(connection, CONTROL_SILENT_SECONDS)
+        try:
+            records.greet(Hello(incarnation=self._identity.incarnation, node=self._identity.node))
+            self._identity.version = self._configuration.version
+            records.send(self._identity)
+            self._records = records
+            self._runtime.spawn(self._send_heartbeats, records)
+            while True:
+                self._take(records)
+        except (ConnectionLostError, MalformedRecordError) as error:
+            self._lost(records, error)
+        return True
+
+    def _take(self, records: RecordConnection) -> None:
+        _, message = records.receive()
+        if not self.connected:
+            self.connected = True
+            self._log.info("control_connected")
+        match message:
+            case ConfigDelta():
+                self._adopt(records, message)
+            case MemberDelta():
+                self._on_members(message)
+            case Ping():
+                pass
+            case _:
+                raise MalformedRecordError(f"{type(message).__name__} from control")
+
+    def _adopt(self, records: RecordConnection, delta: ConfigDelta) -> None:
+        if delta.version < self._configuration.version:
+            # An old replica: what is in force here stays.
+            return
+        if not delta.whole and delta.base != self._configuration.version:
+            raise MalformedRecordError("a configuration change is missing in between")
+        self._file.save(delta)
+        self._configuration.adopt(delta)
+        self._on_change()
+        records.send(self._heartbeat())
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            self._identity.incarnation, self._configuration.version, int(self._state())
+        )
+
+    def _send_heartbeats(self, records: RecordConnection) -> None:
+        while not records.closed:
+            try:
+                records.send(self._heartbeat())
+            except ConnectionLostError:
+                return
+            gevent.sleep(HEARTBEAT_SECONDS)
+
+    def announce(self) -> None:
+        """Send a heartbeat now, after the node's own state has changed."""
+        if self._records is not None and not self._records.closed:
+            try:
+                self._records.send(self._heartbeat())
+            except ConnectionLostError:
+                pass
+
+    def _lost(self, records: RecordConnection, error: Exception) -> None:
+        records.close()
+        self.bytes_received += records.bytes_received
+        self.bytes_sent += records.bytes_sent
+        if self.connected:
+            self.connected = False
+            self._log.warning("control_lost", error=str(error))
--- /dev/null
+++ b/src/cranklane/node/worker.py
@@ -0,0 +1,104 @@
+"""Runs calls in the node's own worker over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranklane.common import headers as header_names
+from cranklane.common.http_client import HttpClient, HttpRequestError, HttpResponse
+from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import CallOpen
+from cranklane.runtime.interface import Address, Runtime
+
+MAX_CONNECTIONS = 1024
+_SHED_STATUS = 503
+
+
+class WorkerFailure:
+    """Why the worker gave no answer.
+
+    :ivar outcome: NOT_RUN only when it cannot have started the work.
+    """
+
+    def __init__(self, outcome: Outcome, reason: Reason) -> None:
+        self.outcome = outcome
+        self.reason = reason
+
+
+class WorkerClient:
+    """The node's HTTP connections to its worker."""
+
+    def __init__(self, runtime: Runtime, address: Address) -> None:
+        self._client = HttpClient(runtime, address, concurrency=MAX_CONNECTIONS)
+
+    def run(
+        self,
+        call: CallOpen,
+        token: str,
+        timeout: float,
+        may_start: Callable[[Any], bool],
+    ) -> Result[HttpResponse, WorkerFailure]:
+        """Send a call to the worker and return when its answer begins.
+
+        :param token: context token for the worker's child calls.
+        :param timeout: seconds until the answer's head must be there.
+        :param may_start: asked with the connection just before the first byte
+            leaves; False ends the call as not run.
+        """
+        try:
+            connection = self._client.connect()
+        except HttpRequestError:
+            return Err(WorkerFailure(Outcome.NOT_RUN, Reason.WORKER_UNREACHABLE))
+        if not may_start(connection):
+            self._client.give_back(connection)
+            return Err(WorkerFailure(Outcome.NOT_RUN, Reason.CANCELLED))
+        try:
+            response = self._client.request(
+                call.method,
+                call.path,
+                self._headers(call, token, timeout),
+                call.body,
+                timeout,
+                connection,
+            )
+        except HttpRequestError as error:
+            return Err(_failure(error))
+        if _shed(response):
+            response.close()
+            return Err(WorkerFailure(Outcome.NOT_RUN, Reason.WORKER_SHED))
+        return Ok(response)
+
+    @staticmethod
+    def _headers(call: CallOpen, token: str, timeout: float) -> list[tuple[str, str]]:
+        own = [
+            (header_names.CONTEXT, token),
+            (header_names.DEADLINE_MS, str(max(1, int(timeout * 1000)))),
+        ]
+        if call.key:
+            own.append((header_names.IDEMPOTENCY_KEY, call.key))
+        return own + call.headers
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
+
+
+def _failure(error: HttpRequestError) -> WorkerFailure:
+    if not error.sent:
+        return WorkerFailure(Outcome.NOT_RUN, Reason.BAD_REQUEST)
+    reason = Reason.DEADLINE_PASSED if error.timed_out else Reason.WORKER_FAILED
+    return WorkerFailure(Outcome.UNKNOWN, reason)
+
+
+def _shed(response: HttpResponse) -> bool:
+    """Return whether the worker itself says that it has not started the work."""
+    if response.status != _SHED_STATUS:
+        return False
+    wanted = header_names.OUTCOME.lower()
+    return any(
+        name.lower() == wanted and value == Outcome.NOT_RUN.label
+        for name, value in response.headers
+    )
--- /dev/null
+++ b/src/cranklane/records/__init__.py
@@ -0,0 +1,1 @@
+"""The binary protocol between the project's own processes."""
--- /dev/null
+++ b/src/cranklane/records/messages.py
@@ -0,0 +1,1322 @@
+"""Record classes generated from schema.py by generate.py; do not edit."""
+
+# ruff: noqa
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from struct import Struct
+from struct import error as StructError
+from typing import ClassVar, Protocol
+
+from cranklane.errors import MalformedRecordError
+from cranklane.records.lists import (
+    pack_pairs,
+    pack_records,
+    pack_strings,
+    unpack_pairs,
+    unpack_records,
+    unpack_strings,
+)
+
+
+class Message(Protocol):
+    """Any record."""
+
+    KIND: ClassVar[int]
+
+    def pack(self) -> bytes: ...
+
+
+@dataclass(slots=True)
+class Hello:
+    """First record each way on a connection: who is there."""
+
+    KIND: ClassVar[int] = 1
+    LAYOUT: ClassVar[Struct] = Struct("!HQQHHHH")
+
+    protocol: int = 0
+    incarnation: int = 0
+    version: int = 0
+    node: str = ""
+    tenant: str = ""
+    service: str = ""
+    zone: str = ""
+
+    def pack(self) -> bytes:
+        node = self.node.encode()
+        tenant = self.tenant.encode()
+        service = self.service.encode()
+        zone = self.zone.encode()
+        try:
+            head = self.LAYOUT.pack(self.protocol, self.incarnation, self.version, len(node), len(tenant), len(service), len(zone))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, node, tenant, service, zone))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Hello:
+        try:
+            protocol, incarnation, version, node_size, tenant_size, service_size, zone_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + node_size
+            node = payload[start:end].decode()
+            start = end
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + zone_size
+            zone = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Hello of {len(payload)} bytes, not {start}")
+        return cls(protocol, incarnation, version, node, tenant, service, zone)
+
+
+@dataclass(slots=True)
+class Ping:
+    """Keeps an idle connection known to be alive and asks for a LoadReport."""
+
+    KIND: ClassVar[int] = 2
+    LAYOUT: ClassVar[Struct] = Struct("!Q")
+
+    version: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.version)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Ping:
+        try:
+            version, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Ping of {len(payload)} bytes, not {start}")
+        return cls(version)
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """A node's own view of its worker; ``wait_us`` is the expected queue wait."""
+
+    KIND: ClassVar[int] = 3
+    LAYOUT: ClassVar[Struct] = Struct("!IIII?Q")
+
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 0
+    wait_us: int = 0
+    draining: bool = False
+    version: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.in_flight, self.queued, self.limit, self.wait_us, self.draining, self.version)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LoadReport:
+        try:
+            in_flight, queued, limit, wait_us, draining, version, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LoadReport of {len(payload)} bytes, not {start}")
+        return cls(in_flight, queued, limit, wait_us, draining, version)
+
+
+@dataclass(slots=True)
+class GoingAway:
+    """The sender takes no new calls on this connection."""
+
+    KIND: ClassVar[int] = 4
+    LAYOUT: ClassVar[Struct] = Struct("!B")
+
+    reason: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.reason)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> GoingAway:
+        try:
+            reason, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"GoingAway of {len(payload)} bytes, not {start}")
+        return cls(reason)
+
+
+@dataclass(slots=True)
+class CallOpen:
+    """Opens a call. ``deadline_ms`` is what is left of the root request's time; ``allowance`` is the share of retries this call may spend."""
+
+    KIND: ClassVar[int] = 10
+    LAYOUT: ClassVar[Struct] = Struct("!IHBBBQIHHHHHHII")
+
+    deadline_ms: int = 0
+    allowance: int = 0
+    criticality: int = 0
+    depth: int = 0
+    attempt: int = 0
+    root: int = 0
+    window: int = 0
+    tenant: str = ""
+    caller: str = ""
+    service: str = ""
+    method: str = ""
+    path: str = ""
+    key: str = ""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+
+    def pack(self) -> bytes:
+        tenant = self.tenant.encode()
+        caller = self.caller.encode()
+        service = self.service.encode()
+        method = self.method.encode()
+        path = self.path.encode()
+        key = self.key.encode()
+        headers = pack_pairs(self.headers)
+        body = self.body
+        try:
+            head = self.LAYOUT.pack(self.deadline_ms, self.allowance, self.criticality, self.depth, self.attempt, self.root, self.window, len(tenant), len(caller), len(service), len(method), len(path), len(key), len(headers), len(body))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, tenant, caller, service, method, path, key, headers, body))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> CallOpen:
+        try:
+            deadline_ms, allowance, criticality, depth, attempt, root, window, tenant_size, caller_size, service_size, method_size, path_size, key_size, headers_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + caller_size
+            caller = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + method_size
+            method = payload[start:end].decode()
+            start = end
+            end = start + path_size
+            path = payload[start:end].decode()
+            start = end
+            end = start + key_size
+            key = payload[start:end].decode()
+            start = end
+            end = start + headers_size
+            headers = unpack_pairs(payload[start:end])
+            start = end
+            end = start + body_size
+            body = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"CallOpen of {len(payload)} bytes, not {start}")
+        return cls(deadline_ms, allowance, criticality, depth, attempt, root, window, tenant, caller, service, method, path, key, headers, body)
+
+
+@dataclass(slots=True)
+class CallCancel:
+    """Nobody waits for this call any more."""
+
+    KIND: ClassVar[int] = 11
+    LAYOUT: ClassVar[Struct] = Struct("!B")
+
+    reason: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.reason)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> CallCancel:
+        try:
+            reason, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"CallCancel of {len(payload)} bytes, not {start}")
+        return cls(reason)
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """First record of an answer. ``refused_below`` is one more than the highest criticality refused lately for the call's tenant, 0 for none."""
+
+    KIND: ClassVar[int] = 12
+    LAYOUT: ClassVar[Struct] = Struct("!BBHIHIIIB??I")
+
+    outcome: int = 0
+    reason: int = 0
+    status: int = 0
+    retry_after_ms: int = 0
+    allowance: int = 0
+    in_flight: int = 0
+    limit: int = 0
+    wait_us: int = 0
+    refused_below: int = 0
+    draining: bool = False
+    final: bool = False
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        headers = pack_pairs(self.headers)
+        try:
+            head = self.LAYOUT.pack(self.outcome, self.reason, self.status, self.retry_after_ms, self.allowance, self.in_flight, self.limit, self.wait_us, self.refused_below, self.draining, self.final, len(headers))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, headers))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> AnswerHead:
+        try:
+            outcome, reason, status, retry_after_ms, allowance, in_flight, limit, wait_us, refused_below, draining, final, headers_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + headers_size
+            headers = unpack_pairs(payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"AnswerHead of {len(payload)} bytes, not {start}")
+        return cls(outcome, reason, status, retry_after_ms, allowance, in_flight, limit, wait_us, refused_below, draining, final, headers)
+
+
+@dataclass(slots=True)
+class AnswerBody:
+    """One piece of an answer's body."""
+
+    KIND: ClassVar[int] = 13
+    LAYOUT: ClassVar[Struct] = Struct("!II")
+
+    sequence: int = 0
+    data: bytes = b""
+
+    def pack(self) -> bytes:
+        data = self.data
+        try:
+            head = self.LAYOUT.pack(self.sequence, len(data))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, data))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> AnswerBody:
+        try:
+            sequence, data_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + data_size
+            data = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"AnswerBody of {len(payload)} bytes, not {start}")
+        return cls(sequence, data)
+
+
+@dataclass(slots=True)
+class AnswerEnd:
+    """The answer is whole: its body's length, CRC-32 and the unspent allowance."""
+
+    KIND: ClassVar[int] = 14
+    LAYOUT: ClassVar[Struct] = Struct("!QIH")
+
+    length: int = 0
+    checksum: int = 0
+    allowance: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.length, self.checksum, self.allowance)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> AnswerEnd:
+        try:
+            length, checksum, allowance, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"AnswerEnd of {len(payload)} bytes, not {start}")
+        return cls(length, checksum, allowance)
+
+
+@dataclass(slots=True)
+class AnswerAbort:
+    """The answer ends here, cut."""
+
+    KIND: ClassVar[int] = 15
+    LAYOUT: ClassVar[Struct] = Struct("!BH")
+
+    reason: int = 0
+    allowance: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.reason, self.allowance)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> AnswerAbort:
+        try:
+            reason, allowance, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"AnswerAbort of {len(payload)} bytes, not {start}")
+        return cls(reason, allowance)
+
+
+@dataclass(slots=True)
+class Credit:
+    """The receiver can take this many more body bytes."""
+
+    KIND: ClassVar[int] = 16
+    LAYOUT: ClassVar[Struct] = Struct("!I")
+
+    size: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.size)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Credit:
+        try:
+            size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Credit of {len(payload)} bytes, not {start}")
+        return cls(size)
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """A node asks a control process for configuration and members: those of its own service and of those it calls, or everything."""
+
+    KIND: ClassVar[int] = 20
+    LAYOUT: ClassVar[Struct] = Struct("!QQ?HHHHH")
+
+    incarnation: int = 0
+    version: int = 0
+    everything: bool = False
+    node: str = ""
+    tenant: str = ""
+    service: str = ""
+    zone: str = ""
+    address: str = ""
+
+    def pack(self) -> bytes:
+        node = self.node.encode()
+        tenant = self.tenant.encode()
+        service = self.service.encode()
+        zone = self.zone.encode()
+        address = self.address.encode()
+        try:
+            head = self.LAYOUT.pack(self.incarnation, self.version, self.everything, len(node), len(tenant), len(service), len(zone), len(address))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, node, tenant, service, zone, address))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Subscribe:
+        try:
+            incarnation, version, everything, node_size, tenant_size, service_size, zone_size, address_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + node_size
+            node = payload[start:end].decode()
+            start = end
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + zone_size
+            zone = payload[start:end].decode()
+            start = end
+            end = start + address_size
+            address = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Subscribe of {len(payload)} bytes, not {start}")
+        return cls(incarnation, version, everything, node, tenant, service, zone, address)
+
+
+@dataclass(slots=True)
+class ConfigRow:
+    """One row of compiled configuration; an empty value deletes the key."""
+
+    KIND: ClassVar[int] = 21
+    LAYOUT: ClassVar[Struct] = Struct("!QHI")
+
+    revision: int = 0
+    key: str = ""
+    value: bytes = b""
+
+    def pack(self) -> bytes:
+        key = self.key.encode()
+        value = self.value
+        try:
+            head = self.LAYOUT.pack(self.revision, len(key), len(value))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, key, value))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ConfigRow:
+        try:
+            revision, key_size, value_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + key_size
+            key = payload[start:end].decode()
+            start = end
+            end = start + value_size
+            value = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ConfigRow of {len(payload)} bytes, not {start}")
+        return cls(revision, key, value)
+
+
+@dataclass(slots=True)
+class ConfigDelta:
+    """Rows changed after ``base`` up to ``version``; ``whole`` replaces everything."""
+
+    KIND: ClassVar[int] = 22
+    LAYOUT: ClassVar[Struct] = Struct("!QQ?I")
+
+    base: int = 0
+    version: int = 0
+    whole: bool = False
+    rows: list[ConfigRow] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        rows = pack_records(self.rows)
+        try:
+            head = self.LAYOUT.pack(self.base, self.version, self.whole, len(rows))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, rows))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ConfigDelta:
+        try:
+            base, version, whole, rows_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + rows_size
+            rows = unpack_records(ConfigRow.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ConfigDelta of {len(payload)} bytes, not {start}")
+        return cls(base, version, whole, rows)
+
+
+@dataclass(slots=True)
+class Member:
+    """One node of a service. ``sequence`` orders the states of one incarnation."""
+
+    KIND: ClassVar[int] = 23
+    LAYOUT: ClassVar[Struct] = Struct("!QIBHHHHH")
+
+    incarnation: int = 0
+    sequence: int = 0
+    state: int = 0
+    node: str = ""
+    tenant: str = ""
+    service: str = ""
+    zone: str = ""
+    address: str = ""
+
+    def pack(self) -> bytes:
+        node = self.node.encode()
+        tenant = self.tenant.encode()
+        service = self.service.encode()
+        zone = self.zone.encode()
+        address = self.address.encode()
+        try:
+            head = self.LAYOUT.pack(self.incarnation, self.sequence, self.state, len(node), len(tenant), len(service), len(zone), len(address))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, node, tenant, service, zone, address))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Member:
+        try:
+            incarnation, sequence, state, node_size, tenant_size, service_size, zone_size, address_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + node_size
+            node = payload[start:end].decode()
+            start = end
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + zone_size
+            zone = payload[start:end].decode()
+            start = end
+            end = start + address_size
+            address = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Member of {len(payload)} bytes, not {start}")
+        return cls(incarnation, sequence, state, node, tenant, service, zone, address)
+
+
+@dataclass(slots=True)
+class MemberDelta:
+    """Members that changed, or all for a new subscriber."""
+
+    KIND: ClassVar[int] = 24
+    LAYOUT: ClassVar[Struct] = Struct("!?I")
+
+    whole: bool = False
+    members: list[Member] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        members = pack_records(self.members)
+        try:
+            head = self.LAYOUT.pack(self.whole, len(members))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, members))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> MemberDelta:
+        try:
+            whole, members_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + members_size
+            members = unpack_records(Member.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"MemberDelta of {len(payload)} bytes, not {start}")
+        return cls(whole, members)
+
+
+@dataclass(slots=True)
+class Heartbeat:
+    """Renews a node's lease and reports the version in force there."""
+
+    KIND: ClassVar[int] = 25
+    LAYOUT: ClassVar[Struct] = Struct("!QQB")
+
+    incarnation: int = 0
+    version: int = 0
+    state: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.incarnation, self.version, self.state)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Heartbeat:
+        try:
+            incarnation, version, state, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Heartbeat of {len(payload)} bytes, not {start}")
+        return cls(incarnation, version, state)
+
+
+@dataclass(slots=True)
+class LedgerBegin:
+    """Asks to create the started entry of a once-call."""
+
+    KIND: ClassVar[int] = 30
+    LAYOUT: ClassVar[Struct] = Struct("!QIIHHH")
+
+    attempt: int = 0
+    lease_ms: int = 0
+    digest: bytes = b""
+    tenant: str = ""
+    service: str = ""
+    key: str = ""
+
+    def pack(self) -> bytes:
+        digest = self.digest
+        tenant = self.tenant.encode()
+        service = self.service.encode()
+        key = self.key.encode()
+        try:
+            head = self.LAYOUT.pack(self.attempt, self.lease_ms, len(digest), len(tenant), len(service), len(key))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, digest, tenant, service, key))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerBegin:
+        try:
+            attempt, lease_ms, digest_size, tenant_size, service_size, key_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + digest_size
+            digest = payload[start:end]
+            start = end
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + key_size
+            key = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerBegin of {len(payload)} bytes, not {start}")
+        return cls(attempt, lease_ms, digest, tenant, service, key)
+
+
+@dataclass(slots=True)
+class LedgerGrant:
+    """Answer to LedgerBegin; ``decision`` is a LedgerDecision."""
+
+    KIND: ClassVar[int] = 31
+    LAYOUT: ClassVar[Struct] = Struct("!BHII")
+
+    decision: int = 0
+    status: int = 0
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+
+    def pack(self) -> bytes:
+        headers = pack_pairs(self.headers)
+        body = self.body
+        try:
+            head = self.LAYOUT.pack(self.decision, self.status, len(headers), len(body))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, headers, body))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerGrant:
+        try:
+            decision, status, headers_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + headers_size
+            headers = unpack_pairs(payload[start:end])
+            start = end
+            end = start + body_size
+            body = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerGrant of {len(payload)} bytes, not {start}")
+        return cls(decision, status, headers, body)
+
+
+@dataclass(slots=True)
+class LedgerFinish:
+    """Stores the outcome of a started entry."""
+
+    KIND: ClassVar[int] = 32
+    LAYOUT: ClassVar[Struct] = Struct("!QBHHHHII")
+
+    attempt: int = 0
+    outcome: int = 0
+    status: int = 0
+    tenant: str = ""
+    service: str = ""
+    key: str = ""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+
+    def pack(self) -> bytes:
+        tenant = self.tenant.encode()
+        service = self.service.encode()
+        key = self.key.encode()
+        headers = pack_pairs(self.headers)
+        body = self.body
+        try:
+            head = self.LAYOUT.pack(self.attempt, self.outcome, self.status, len(tenant), len(service), len(key), len(headers), len(body))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, tenant, service, key, headers, body))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerFinish:
+        try:
+            attempt, outcome, status, tenant_size, service_size, key_size, headers_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + key_size
+            key = payload[start:end].decode()
+            start = end
+            end = start + headers_size
+            headers = unpack_pairs(payload[start:end])
+            start = end
+            end = start + body_size
+            body = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerFinish of {len(payload)} bytes, not {start}")
+        return cls(attempt, outcome, status, tenant, service, key, headers, body)
+
+
+@dataclass(slots=True)
+class LedgerDone:
+    """The outcome is stored."""
+
+    KIND: ClassVar[int] = 33
+    LAYOUT: ClassVar[Struct] = Struct("!?")
+
+    stored: bool = False
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.stored)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerDone:
+        try:
+            stored, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerDone of {len(payload)} bytes, not {start}")
+        return cls(stored)
+
+
+@dataclass(slots=True)
+class TenantRow:
+    """Compiled tenant: its share and its hashed tokens."""
+
+    KIND: ClassVar[int] = 40
+    LAYOUT: ClassVar[Struct] = Struct("!IHI")
+
+    share: int = 0
+    name: str = ""
+    tokens: list[str] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        name = self.name.encode()
+        tokens = pack_strings(self.tokens)
+        try:
+            head = self.LAYOUT.pack(self.share, len(name), len(tokens))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, name, tokens))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> TenantRow:
+        try:
+            share, name_size, tokens_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+            end = start + tokens_size
+            tokens = unpack_strings(payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"TenantRow of {len(payload)} bytes, not {start}")
+        return cls(share, name, tokens)
+
+
+@dataclass(slots=True)
+class RouteRow:
+    """Compiled route, flat: no inheritance is left to work out."""
+
+    KIND: ClassVar[int] = 41
+    LAYOUT: ClassVar[Struct] = Struct("!BBIHHHH")
+
+    criticality: int = 0
+    repeat: int = 0
+    deadline_ms: int = 0
+    allowance: int = 0
+    name: str = ""
+    method: str = ""
+    pattern: str = ""
+
+    def pack(self) -> bytes:
+        name = self.name.encode()
+        method = self.method.encode()
+        pattern = self.pattern.encode()
+        try:
+            head = self.LAYOUT.pack(self.criticality, self.repeat, self.deadline_ms, self.allowance, len(name), len(method), len(pattern))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, name, method, pattern))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> RouteRow:
+        try:
+            criticality, repeat, deadline_ms, allowance, name_size, method_size, pattern_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+            end = start + method_size
+            method = payload[start:end].decode()
+            start = end
+            end = start + pattern_size
+            pattern = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"RouteRow of {len(payload)} bytes, not {start}")
+        return cls(criticality, repeat, deadline_ms, allowance, name, method, pattern)
+
+
+@dataclass(slots=True)
+class ServiceRow:
+    """Compiled service. ``slots`` is the worker's stated concurrency; ``depth_below`` is 0 for a service that calls nobody."""
+
+    KIND: ClassVar[int] = 42
+    LAYOUT: ClassVar[Struct] = Struct("!IIBHHHIII")
+
+    slots: int = 0
+    queue: int = 0
+    depth_below: int = 0
+    retry_ratio_permille: int = 0
+    tenant: str = ""
+    name: str = ""
+    calls: list[str] = field(default_factory=list)
+    callers: list[str] = field(default_factory=list)
+    routes: list[RouteRow] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        tenant = self.tenant.encode()
+        name = self.name.encode()
+        calls = pack_strings(self.calls)
+        callers = pack_strings(self.callers)
+        routes = pack_records(self.routes)
+        try:
+            head = self.LAYOUT.pack(self.slots, self.queue, self.depth_below, self.retry_ratio_permille, len(tenant), len(name), len(calls), len(callers), len(routes))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, tenant, name, calls, callers, routes))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ServiceRow:
+        try:
+            slots, queue, depth_below, retry_ratio_permille, tenant_size, name_size, calls_size, callers_size, routes_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+            end = start + calls_size
+            calls = unpack_strings(payload[start:end])
+            start = end
+            end = start + callers_size
+            callers = unpack_strings(payload[start:end])
+            start = end
+            end = start + routes_size
+            routes = unpack_records(RouteRow.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ServiceRow of {len(payload)} bytes, not {start}")
+        return cls(slots, queue, depth_below, retry_ratio_permille, tenant, name, calls, callers, routes)
+
+
+@dataclass(slots=True)
+class LogEntry:
+    """One entry of a replicated log."""
+
+    KIND: ClassVar[int] = 50
+    LAYOUT: ClassVar[Struct] = Struct("!QQBI")
+
+    term: int = 0
+    index: int = 0
+    kind: int = 0
+    data: bytes = b""
+
+    def pack(self) -> bytes:
+        data = self.data
+        try:
+            head = self.LAYOUT.pack(self.term, self.index, self.kind, len(data))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, data))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LogEntry:
+        try:
+            term, index, kind, data_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + data_size
+            data = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LogEntry of {len(payload)} bytes, not {start}")
+        return cls(term, index, kind, data)
+
+
+@dataclass(slots=True)
+class LogSnapshot:
+    """State after the entry ``index``; replaces all entries up to it."""
+
+    KIND: ClassVar[int] = 51
+    LAYOUT: ClassVar[Struct] = Struct("!QQI")
+
+    term: int = 0
+    index: int = 0
+    state: bytes = b""
+
+    def pack(self) -> bytes:
+        state = self.state
+        try:
+            head = self.LAYOUT.pack(self.term, self.index, len(state))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, state))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LogSnapshot:
+        try:
+            term, index, state_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + state_size
+            state = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LogSnapshot of {len(payload)} bytes, not {start}")
+        return cls(term, index, state)
+
+
+@dataclass(slots=True)
+class EditCommand:
+    """A checked edit of one document. ``base`` is the document's version it started from; ``compiled_at`` is the store's revision that ``rows`` were compiled at."""
+
+    KIND: ClassVar[int] = 60
+    LAYOUT: ClassVar[Struct] = Struct("!QQdHHHHI")
+
+    base: int = 0
+    compiled_at: int = 0
+    when: float = 0.0
+    document: str = ""
+    operator: str = ""
+    request: str = ""
+    text: str = ""
+    rows: list[ConfigRow] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        document = self.document.encode()
+        operator = self.operator.encode()
+        request = self.request.encode()
+        text = self.text.encode()
+        rows = pack_records(self.rows)
+        try:
+            head = self.LAYOUT.pack(self.base, self.compiled_at, self.when, len(document), len(operator), len(request), len(text), len(rows))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, document, operator, request, text, rows))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> EditCommand:
+        try:
+            base, compiled_at, when, document_size, operator_size, request_size, text_size, rows_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + document_size
+            document = payload[start:end].decode()
+            start = end
+            end = start + operator_size
+            operator = payload[start:end].decode()
+            start = end
+            end = start + request_size
+            request = payload[start:end].decode()
+            start = end
+            end = start + text_size
+            text = payload[start:end].decode()
+            start = end
+            end = start + rows_size
+            rows = unpack_records(ConfigRow.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"EditCommand of {len(payload)} bytes, not {start}")
+        return cls(base, compiled_at, when, document, operator, request, text, rows)
+
+
+@dataclass(slots=True)
+class Document:
+    """One document of the settings tree."""
+
+    KIND: ClassVar[int] = 61
+    LAYOUT: ClassVar[Struct] = Struct("!QHH")
+
+    version: int = 0
+    name: str = ""
+    text: str = ""
+
+    def pack(self) -> bytes:
+        name = self.name.encode()
+        text = self.text.encode()
+        try:
+            head = self.LAYOUT.pack(self.version, len(name), len(text))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, name, text))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Document:
+        try:
+            version, name_size, text_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+            end = start + text_size
+            text = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Document of {len(payload)} bytes, not {start}")
+        return cls(version, name, text)
+
+
+@dataclass(slots=True)
+class HistoryEntry:
+    """One accepted edit."""
+
+    KIND: ClassVar[int] = 62
+    LAYOUT: ClassVar[Struct] = Struct("!QQdHHHH")
+
+    version: int = 0
+    base: int = 0
+    when: float = 0.0
+    document: str = ""
+    operator: str = ""
+    request: str = ""
+    text: str = ""
+
+    def pack(self) -> bytes:
+        document = self.document.encode()
+        operator = self.operator.encode()
+        request = self.request.encode()
+        text = self.text.encode()
+        try:
+            head = self.LAYOUT.pack(self.version, self.base, self.when, len(document), len(operator), len(request), len(text))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, document, operator, request, text))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> HistoryEntry:
+        try:
+            version, base, when, document_size, operator_size, request_size, text_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + document_size
+            document = payload[start:end].decode()
+            start = end
+            end = start + operator_size
+            operator = payload[start:end].decode()
+            start = end
+            end = start + request_size
+            request = payload[start:end].decode()
+            start = end
+            end = start + text_size
+            text = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"HistoryEntry of {len(payload)} bytes, not {start}")
+        return cls(version, base, when, document, operator, request, text)
+
+
+@dataclass(slots=True)
+class RequestAnswer:
+    """What an operator's request was first answered."""
+
+    KIND: ClassVar[int] = 63
+    LAYOUT: ClassVar[Struct] = Struct("!QBHH")
+
+    version: int = 0
+    result: int = 0
+    operator: str = ""
+    request: str = ""
+
+    def pack(self) -> bytes:
+        operator = self.operator.encode()
+        request = self.request.encode()
+        try:
+            head = self.LAYOUT.pack(self.version, self.result, len(operator), len(request))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, operator, request))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> RequestAnswer:
+        try:
+            version, result, operator_size, request_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + operator_size
+            operator = payload[start:end].decode()
+            start = end
+            end = start + request_size
+            request = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"RequestAnswer of {len(payload)} bytes, not {start}")
+        return cls(version, result, operator, request)
+
+
+@dataclass(slots=True)
+class StoreState:
+    """The whole state of the configuration store."""
+
+    KIND: ClassVar[int] = 64
+    LAYOUT: ClassVar[Struct] = Struct("!QIIII")
+
+    revision: int = 0
+    documents: list[Document] = field(default_factory=list)
+    rows: list[ConfigRow] = field(default_factory=list)
+    history: list[HistoryEntry] = field(default_factory=list)
+    requests: list[RequestAnswer] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        documents = pack_records(self.documents)
+        rows = pack_records(self.rows)
+        history = pack_records(self.history)
+        requests = pack_records(self.requests)
+        try:
+            head = self.LAYOUT.pack(self.revision, len(documents), len(rows), len(history), len(requests))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, documents, rows, history, requests))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> StoreState:
+        try:
+            revision, documents_size, rows_size, history_size, requests_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + documents_size
+            documents = unpack_records(Document.unpack, payload[start:end])
+            start = end
+            end = start + rows_size
+            rows = unpack_records(ConfigRow.unpack, payload[start:end])
+            start = end
+            end = start + history_size
+            history = unpack_records(HistoryEntry.unpack, payload[start:end])
+            start = end
+            end = start + requests_size
+            requests = unpack_records(RequestAnswer.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"StoreState of {len(payload)} bytes, not {start}")
+        return cls(revision, documents, rows, history, requests)
+
+
+MESSAGES: dict[int, type] = {
+    1: Hello,
+    2: Ping,
+    3: LoadReport,
+    4: GoingAway,
+    10: CallOpen,
+    11: CallCancel,
+    12: AnswerHead,
+    13: AnswerBody,
+    14: AnswerEnd,
+    15: AnswerAbort,
+    16: Credit,
+    20: Subscribe,
+    21: ConfigRow,
+    22: ConfigDelta,
+    23: Member,
+    24: MemberDelta,
+    25: Heartbeat,
+    30: LedgerBegin,
+    31: LedgerGrant,
+    32: LedgerFinish,
+    33: LedgerDone,
+    40: TenantRow,
+    41: RouteRow,
+    42: ServiceRow,
+    50: LogEntry,
+    51: LogSnapshot,
+    60: EditCommand,
+    61: Document,
+    62: HistoryEntry,
+    63: RequestAnswer,
+    64: StoreState,
+}
--- /dev/null
+++ b/src/cranklane/records/schema.py
@@ -0,0 +1,189 @@
+"""Schema of every record sent between processes.
+
+:mod:`cranklane.records.generate` turns this into ``messages.py``. A record is
+one ``struct`` of its numbers and of the lengths of its variable fields,
+followed by the variable fields' bytes in order.
+
+Field types: ``u8 u16 u32 u64 f64 bool`` are numbers, ``str`` and ``bytes`` are
+variable, ``strings`` is a list of text, ``pairs`` is a list of (text, text),
+and ``[Name]`` is a list of another record.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Record:
+    """One record: its number on the wire, its name, its purpose and its fields."""
+
+    kind: int
+    name: str
+    purpose: str
+    fields: str
+
+
+RECORDS = (
+    Record(
+        1,
+        "Hello",
+        "First record each way on a connection: who is there.",
+        "protocol:u16 incarnation:u64 version:u64 node:str tenant:str service:str zone:str",
+    ),
+    Record(
+        2,
+        "Ping",
+        "Keeps an idle connection known to be alive and asks for a LoadReport.",
+        "version:u64",
+    ),
+    Record(
+        3,
+        "LoadReport",
+        "A node's own view of its worker; ``wait_us`` is the expected queue wait.",
+        "in_flight:u32 queued:u32 limit:u32 wait_us:u32 draining:bool version:u64",
+    ),
+    Record(4, "GoingAway", "The sender takes no new calls on this connection.", "reason:u8"),
+    Record(
+        10,
+        "CallOpen",
+        "Opens a call. ``deadline_ms`` is what is left of the root request's time; "
+        "``allowance`` is the share of retries this call may spend.",
+        "deadline_ms:u32 allowance:u16 criticality:u8 depth:u8 attempt:u8 root:u64 window:u32 "
+        "tenant:str caller:str service:str method:str path:str key:str "
+        "headers:pairs body:bytes",
+    ),
+    Record(11, "CallCancel", "Nobody waits for this call any more.", "reason:u8"),
+    Record(
+        12,
+        "AnswerHead",
+        "First record of an answer. ``refused_below`` is one more than the highest "
+        "criticality refused lately for the call's tenant, 0 for none.",
+        "outcome:u8 reason:u8 status:u16 retry_after_ms:u32 allowance:u16 in_flight:u32 "
+        "limit:u32 wait_us:u32 refused_below:u8 draining:bool final:bool headers:pairs",
+    ),
+    Record(13, "AnswerBody", "One piece of an answer's body.", "sequence:u32 data:bytes"),
+    Record(
+        14,
+        "AnswerEnd",
+        "The answer is whole: its body's length, CRC-32 and the unspent allowance.",
+        "length:u64 checksum:u32 allowance:u16",
+    ),
+    Record(15, "AnswerAbort", "The answer ends here, cut.", "reason:u8 allowance:u16"),
+    Record(16, "Credit", "The receiver can take this many more body bytes.", "size:u32"),
+    Record(
+        20,
+        "Subscribe",
+        "A node asks a control process for configuration and members: those of its own "
+        "service and of those it calls, or everything.",
+        "incarnation:u64 version:u64 everything:bool node:str tenant:str service:str "
+        "zone:str address:str",
+    ),
+    Record(
+        21,
+        "ConfigRow",
+        "One row of compiled configuration; an empty value deletes the key.",
+        "revision:u64 key:str value:bytes",
+    ),
+    Record(
+        22,
+        "ConfigDelta",
+        "Rows changed after ``base`` up to ``version``; ``whole`` replaces everything.",
+        "base:u64 version:u64 whole:bool rows:[ConfigRow]",
+    ),
+    Record(
+        23,
+        "Member",
+        "One node of a service. ``sequence`` orders the states of one incarnation.",
+        "incarnation:u64 sequence:u32 state:u8 node:str tenant:str service:str zone:str "
+        "address:str",
+    ),
+    Record(
+        24,
+        "MemberDelta",
+        "Members that changed, or all for a new subscriber.",
+        "whole:bool members:[Member]",
+    ),
+    Record(
+        25,
+        "Heartbeat",
+        "Renews a node's lease and reports the version in force there.",
+        "incarnation:u64 version:u64 state:u8",
+    ),
+    Record(
+        30,
+        "LedgerBegin",
+        "Asks to create the started entry of a once-call.",
+        "attempt:u64 lease_ms:u32 digest:bytes tenant:str service:str key:str",
+    ),
+    Record(
+        31,
+        "LedgerGrant",
+        "Answer to LedgerBegin; ``decision`` is a LedgerDecision.",
+        "decision:u8 status:u16 headers:pairs body:bytes",
+    ),
+    Record(
+        32,
+        "LedgerFinish",
+        "Stores the outcome of a started entry.",
+        "attempt:u64 outcome:u8 status:u16 tenant:str service:str key:str headers:pairs body:bytes",
+    ),
+    Record(33, "LedgerDone", "The outcome is stored.", "stored:bool"),
+    Record(
+        40,
+        "TenantRow",
+        "Compiled tenant: its share and its hashed tokens.",
+        "share:u32 name:str tokens:strings",
+    ),
+    Record(
+        41,
+        "RouteRow",
+        "Compiled route, flat: no inheritance is left to work out.",
+        "criticality:u8 repeat:u8 deadline_ms:u32 allowance:u16 name:str method:str pattern:str",
+    ),
+    Record(
+        42,
+        "ServiceRow",
+        "Compiled service. ``slots`` is the worker's stated concurrency; ``depth_below`` "
+        "is 0 for a service that calls nobody.",
+        "slots:u32 queue:u32 depth_below:u8 retry_ratio_permille:u16 tenant:str name:str "
+        "calls:strings callers:strings routes:[RouteRow]",
+    ),
+    Record(
+        50, "LogEntry", "One entry of a replicated log.", "term:u64 index:u64 kind:u8 data:bytes"
+    ),
+    Record(
+        51,
+        "LogSnapshot",
+        "State after the entry ``index``; replaces all entries up to it.",
+        "term:u64 index:u64 state:bytes",
+    ),
+    Record(
+        60,
+        "EditCommand",
+        "A checked edit of one document. ``base`` is the document's version it started "
+        "from; ``compiled_at`` is the store's revision that ``rows`` were compiled at.",
+        "base:u64 compiled_at:u64 when:f64 document:str operator:str request:str text:str "
+        "rows:[ConfigRow]",
+    ),
+    Record(61, "Document", "One document of the settings tree.", "version:u64 name:str text:str"),
+    Record(
+        62,
+        "HistoryEntry",
+        "One accepted edit.",
+        "version:u64 base:u64 when:f64 document:str operator:str request:str text:str",
+    ),
+    Record(
+        63,
+        "RequestAnswer",
+        "What an operator's request was first answered.",
+        "version:u64 result:u8 operator:str request:str",
+    ),
+    Record(
+        64,
+        "StoreState",
+        "The whole state of the configuration store.",
+        "revision:u64 documents:[Document] rows:[ConfigRow] history:[HistoryEntry] "
+        "requests:[RequestAnswer]",
+    ),
+)
--- /dev/null
+++ b/src/cranklane_lab/deployments.py
@@ -0,0 +1,171 @@
+"""The two deployments of the users, at their sizes, and the work behind each route."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+@dataclass(frozen=True)
+class Work:
+    """What a stand-in worker does for a route.
+
+    :ivar seconds: time in one of the worker's slots, child calls not counted.
+    :ivar size: bytes of the answer's body.
+    :ivar children: (service, path) called one after the other.
+    :ivar parallel: whether the child calls are made at the same time.
+    """
+
+    seconds: float
+    size: int = 200
+    children: tuple[tuple[str, str], ...] = ()
+    parallel: bool = False
+
+
+@dataclass(frozen=True)
+class ServicePlan:
+    """A service's size and work by the first part of the path."""
+
+    name: str
+    workers: int
+    slots: int
+    work: dict[str, Work] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class RequestKind:
+    """A kind of request that clients send.
+
+    :ivar weight: its part of the traffic.
+    :ivar once: whether it carries an idempotency key.
+    """
+
+    name: str
+    method: str
+    service: str
+    path: str
+    weight: int
+    once: bool = False
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """One of the users' deployments.
+
+    :ivar zone_delay: seconds one way between zones.
+    :ivar client_delay: seconds one way between clients and the site.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    zone_delay: float
+    client_delay: float
+    services: tuple[ServicePlan, ...]
+    requests: tuple[RequestKind, ...]
+
+    @property
+    def token(self) -> str:
+        """The token of the deployment's clients; its hash stands in the policy."""
+        return f"{self.name}-demo"
+
+    def policy(self) -> str:
+        """Return the deployment's policy text."""
+        return (EXAMPLES / f"{self.name}.policy").read_text()
+
+    def service(self, name: str) -> ServicePlan:
+        """Return the plan of a service."""
+        return next(plan for plan in self.services if plan.name == name)
+
+
+SONGHAN = Deployment(
+    name="songhan",
+    zones=("danang-a", "danang-b", "danang-c", "danang-d"),
+    zone_delay=0.0005,
+    client_delay=0.008,
+    services=(
+        ServicePlan(
+            "archive",
+            5,
+            6,
+            {
+                "minutes": Work(0.012, 8_000, (("transcripts", "/glossary/terms"),)),
+                "speakers": Work(0.006, 1_000),
+                "reindex": Work(0.030, 200),
+            },
+        ),
+        ServicePlan(
+            "signing", 4, 8, {"signatures": Work(0.015, 300, (("archive", "/speakers/x"),))}
+        ),
+        ServicePlan(
+            "audio",
+            4,
+            9,
+            {"recordings": Work(0.040, 2_000_000), "segments": Work(0.008, 40_000)},
+        ),
+        ServicePlan(
+            "transcripts",
+            4,
+            10,
+            {
+                "search": Work(
+                    0.010, 4_000, (("audio", "/segments/1"), ("archive", "/speakers/1")), True
+                ),
+                "glossary": Work(0.004, 500),
+            },
+        ),
+    ),
+    requests=(
+        RequestKind("read-minutes", "GET", "archive", "/minutes/{n}", 30),
+        RequestKind("sign", "POST", "signing", "/signatures/{n}", 10, once=True),
+        RequestKind("recording", "GET", "audio", "/recordings/{n}", 5),
+        RequestKind("search", "GET", "transcripts", "/search/{n}", 40),
+        RequestKind("reindex", "POST", "archive", "/reindex/{n}", 15),
+    ),
+)
+
+GAUJAS = Deployment(
+    name="gaujas",
+    zones=("riga-a", "riga-b", "riga-c"),
+    zone_delay=0.001,
+    client_delay=0.003,
+    services=(
+        ServicePlan(
+            "proofs",
+            6,
+            16,
+            {
+                "proofs": Work(
+                    0.015, 30_000, (("layouts", "/layouts/1"), ("layouts", "/thumbnails/1")), True
+                ),
+                "warm": Work(0.030, 200),
+            },
+        ),
+        ServicePlan(
+            "orders",
+            4,
+            13,
+            {
+                "orders": Work(0.012, 500, (("proofs", "/proofs/1"),)),
+                "payments": Work(0.020, 400),
+            },
+        ),
+        ServicePlan(
+            "print-files", 3, 20, {"files": Work(0.050, 4_000_000, (("layouts", "/layouts/2"),))}
+        ),
+        ServicePlan(
+            "layouts", 3, 23, {"layouts": Work(0.008, 6_000), "thumbnails": Work(0.004, 2_000)}
+        ),
+    ),
+    requests=(
+        RequestKind("browse", "GET", "proofs", "/proofs/{n}", 40),
+        RequestKind("order", "POST", "orders", "/orders/{n}", 15),
+        RequestKind("pay", "POST", "orders", "/payments/{n}", 15, once=True),
+        RequestKind("download", "GET", "print-files", "/files/{n}", 5),
+        RequestKind("layout", "GET", "layouts", "/layouts/{n}", 15),
+        RequestKind("warm", "POST", "proofs", "/warm/{n}", 10),
+    ),
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (SONGHAN, GAUJAS)}
--- /dev/null
+++ b/src/cranklane_lab/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of real processes on this machine's loopback addresses."""
--- /dev/null
+++ b/src/cranklane_lab/standins/client.py
@@ -0,0 +1,91 @@
+"""An outside client: sends requests to an edge and checks what comes back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cranklane.common import headers as header_names
+from cranklane.common.http_client import HttpClient, HttpRequestError, HttpResponse
+from cranklane.errors import AnswerCutError
+from cranklane.runtime.interface import Address, Runtime
+from cranklane_lab.deployments import RequestKind
+from cranklane_lab.standins.content import wrong_with
+
+CLIENT_SECONDS = 15.0
+"""Seconds a client waits for any byte."""
+
+
+@dataclass(frozen=True)
+class Told:
+    """What a client was told of one request.
+
+    :ivar outcome: ``answered``, ``not_run``, ``unknown``, or ``lost`` when the
+        connection to the edge failed.
+    :ivar wrong: what is wrong with an answer that claims to be whole.
+    :ivar seconds: from sending to the last byte.
+    """
+
+    kind: str
+    nonce: str
+    key: str
+    outcome: str
+    status: int
+    reason: str
+    wrong: str
+    seconds: float
+    retry_after_ms: int = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether the client has its whole, right answer."""
+        return self.outcome == "answered" and self.status < 300 and not self.wrong
+
+
+class Client:
+    """Sends requests of one tenant to one edge."""
+
+    def __init__(self, runtime: Runtime, edge: Address, tenant: str, token: str) -> None:
+        self._runtime = runtime
+        self._tenant = tenant
+        self._token = token
+        self._http = HttpClient(runtime, edge, concurrency=4096)
+
+    def send(self, kind: RequestKind, nonce: str, key: str = "") -> Told:
+        """Send one request and return what was told."""
+        started = self._runtime.monotonic()
+        path = f"/{self._tenant}/{kind.service}{kind.path.format(n=nonce)}?nonce={nonce}"
+        headers = [("Authorization", f"Bearer {self._token}")]
+        if kind.once:
+            headers.append((header_names.IDEMPOTENCY_KEY, key))
+        response: HttpResponse | None = None
+        try:
+            response = self._http.request(kind.method, path, headers, timeout=CLIENT_SECONDS)
+            body = response.read()
+        except (HttpRequestError, AnswerCutError) as error:
+            return Told(kind.name, nonce, key, "lost", 0, str(error), "", self._since(started))
+        finally:
+            if response is not None:
+                response.close()
+        fields = {name.lower(): value for name, value in response.headers}
+        outcome = fields.get(header_names.OUTCOME.lower(), "lost")
+        wrong = ""
+        if outcome == "answered" and response.status < 300:
+            wrong = wrong_with(body, nonce)
+        return Told(
+            kind=kind.name,
+            nonce=nonce,
+            key=key,
+            outcome=outcome,
+            status=response.status,
+            reason=fields.get(header_names.REASON.lower(), ""),
+            wrong=wrong,
+            seconds=self._since(started),
+            retry_after_ms=int(fields.get(header_names.RETRY_AFTER_MS.lower(), 0)),
+        )
+
+    def _since(self, started: float) -> float:
+        return self._runtime.monotonic() - started
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._http.close()
--- /dev/null
+++ b/src/cranklane_lab/standins/worker.py
@@ -0,0 +1,178 @@
+"""A back end: slots, drain, cold start, shedding, cancellation, deadlines, lies.
+
+It serves the work of its :class:`~cranklane_lab.deployments.ServicePlan` and
+makes its child calls through its node.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import falcon
+import gevent
+
+from cranklane.common import headers as header_names
+from cranklane.common.http_client import HttpClient, HttpRequestError
+from cranklane.common.http_server import CONNECTION_KEY, HttpServer
+from cranklane.errors import AnswerCutError
+from cranklane.outcome import Outcome
+from cranklane.runtime.interface import Address, Runtime
+from cranklane_lab.deployments import ServicePlan, Work
+from cranklane_lab.standins.content import body_chunks
+
+CANCEL_LOOK_SECONDS = 0.02
+"""Seconds between looks at whether anybody still waits."""
+
+COLD_FACTOR = 3.0
+_NO_DEADLINE_MS = 3_600_000
+
+
+@dataclass
+class WorkerState:
+    """What a test can see and change of a worker.
+
+    :ivar runs: (nonce, idempotency key) of each call it has started.
+    :ivar finished: nonces of the calls it has run to their end.
+    :ivar slow_factor: multiplies the time of all work.
+    :ivar cold_until: monotonic second until which work takes longer.
+    """
+
+    runs: list[tuple[str, str]] = field(default_factory=list)
+    finished: list[str] = field(default_factory=list)
+    running: int = 0
+    most_running: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    slow_factor: float = 1.0
+    cold_until: float = 0.0
+    draining: bool = False
+
+
+class Worker:
+    """One stand-in worker process.
+
+    :param node: the HTTP address of its node, for child calls.
+    :param sheds: whether it refuses work beyond its slots, or queues it.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        name: str,
+        tenant: str,
+        plan: ServicePlan,
+        address: Address,
+        node: Address,
+        sheds: bool = True,
+        on_run: Callable[[str, str], None] | None = None,
+    ) -> None:
+        self._runtime = runtime
+        self._name = name
+        self._tenant = tenant
+        self._plan = plan
+        self._sheds = sheds
+        self._on_run = on_run
+        self._node = HttpClient(runtime, node, concurrency=256)
+        self.state = WorkerState()
+        application = falcon.App()
+        application.add_sink(self._serve, "/")
+        application.add_route("/_lab/state", self, suffix="state")
+        self.server = HttpServer(runtime, address, application)
+
+    def on_get_state(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Return what the worker has run, for checks from outside."""
+        response.media = {"runs": self.state.runs, "finished": self.state.finished}
+
+    def on_post_state(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Set ``slow_factor`` or ``draining``."""
+        for key, value in request.get_media().items():
+            setattr(self.state, key, value)
+        response.media = {}
+
+    def _serve(self, req: falcon.Request, resp: falcon.Response, **_: Any) -> None:
+        request, response = req, resp
+        work = self._plan.work.get(request.path.split("/")[1])
+        if work is None:
+            response.status = falcon.HTTP_404
+            return
+        if self.state.draining or (self._sheds and self.state.running >= self._plan.slots):
+            self._shed(response)
+            return
+        self._run(request, response, work)
+
+    def _shed(self, response: falcon.Response) -> None:
+        self.state.shed += 1
+        response.status = falcon.HTTP_503
+        response.set_header(header_names.OUTCOME, Outcome.NOT_RUN.label)
+
+    def _run(self, request: falcon.Request, response: falcon.Response, work: Work) -> None:
+        state = self.state
+        nonce = request.get_param("nonce") or ""
+        key = request.get_header(header_names.IDEMPOTENCY_KEY) or ""
+        state.running += 1
+        state.most_running = max(state.most_running, state.running)
+        state.runs.append((nonce, key))
+        if self._on_run is not None:
+            self._on_run(nonce, key)
+        try:
+            done = self._work(request, work) and self._call_children(request, work, nonce)
+        finally:
+            state.running -= 1
+        if not done:
+            state.cancelled += 1
+            response.status = falcon.HTTP_504
+            return
+        state.finished.append(nonce)
+        response.content_type = "application/octet-stream"
+        response.stream = self._body(nonce, work)
+
+    def _body(self, nonce: str, work: Work) -> Iterator[bytes]:
+        self.state.running += 1
+        try:
+            yield from body_chunks(nonce, self._name, work.size)
+        finally:
+            self.state.running -= 1
+
+    def _work(self, request: falcon.Request, work: Work) -> bool:
+        """Spend the work's time; return False when nobody waits any more."""
+        now = self._runtime.monotonic()
+        seconds = work.seconds * self.state.slow_factor
+        if now < self.state.cold_until:
+            seconds *= COLD_FACTOR
+        until = now + seconds
+        deadline_ms = request.get_header(header_names.DEADLINE_MS) or _NO_DEADLINE_MS
+        deadline = now + int(deadline_ms) / 1000
+        connection = request.env.get(CONNECTION_KEY)
+        while now < until:
+            gevent.sleep(min(CANCEL_LOOK_SECONDS, until - now))
+            now = self._runtime.monotonic()
+            if now >= deadline or self._runtime.hung_up([connection]):
+                return False
+        return True
+
+    def _call_children(self, request: falcon.Request, work: Work, nonce: str) -> bool:
+        headers = [(header_names.CONTEXT, request.get_header(header_names.CONTEXT) or "")]
+        if work.parallel:
+            tasks = [
+                self._runtime.spawn(self._call_child, service, path, nonce, headers)
+                for service, path in work.children
+            ]
+            gevent.joinall(tasks)
+            return all(task.value for task in tasks)
+        return all(
+            self._call_child(service, path, nonce, headers) for service, path in work.children
+        )
+
+    def _call_child(
+        self, service: str, path: str, nonce: str, headers: list[tuple[str, str]]
+    ) -> bool:
+        target = f"/{self._tenant}/{service}{path}?nonce={nonce}"
+        try:
+            response = self._node.request("GET", target, headers)
+            for _ in response.body():
+                pass
+        except (HttpRequestError, AnswerCutError):
+            return False
+        return response.status < 300
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,70 @@
+"""Every record of the schema survives the wire, and broken bytes are refused."""
+
+from dataclasses import fields
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranklane.errors import MalformedRecordError
+from cranklane.records.generate import generate
+from cranklane.records.messages import MESSAGES
+from cranklane.records.schema import RECORDS
+
+_SAMPLES = {
+    "u8": 7,
+    "u16": 300,
+    "u32": 70_000,
+    "u64": 1 << 40,
+    "f64": 1.5,
+    "bool": True,
+    "str": "grāmata",
+    "bytes": b"\x00\xff",
+    "strings": ["a", "", "ž"],
+    "pairs": [("a", "b"), ("", "c")],
+}
+
+
+def sample(name: str):
+    record = next(item for item in RECORDS if item.name == name)
+    values = {}
+    for field in record.fields.split():
+        field_name, kind = field.split(":")
+        values[field_name] = [sample(kind[1:-1])] if kind[0] == "[" else _SAMPLES[kind]
+    return MESSAGES[record.kind](**values)
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: record.name)
+def test_record_survives_the_wire(record):
+    message = sample(record.name)
+    assert type(message).unpack(message.pack()) == message
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: record.name)
+def test_cut_or_extended_record_is_refused(record):
+    data = sample(record.name).pack()
+    kind = MESSAGES[record.kind]
+    for broken in (data[:-1], data + b"x", b""):
+        with pytest.raises(MalformedRecordError):
+            kind.unpack(broken)
+
+
+@given(st.binary(max_size=200), st.sampled_from(sorted(MESSAGES)))
+def test_random_bytes_never_raise_anything_else(data, kind):
+    try:
+        message = MESSAGES[kind].unpack(data)
+    except MalformedRecordError:
+        return
+    assert [field.name for field in fields(message)]
+
+
+def test_numbers_out_of_range_are_refused_when_packing():
+    with pytest.raises(MalformedRecordError):
+        MESSAGES[10](deadline_ms=-1).pack()
+
+
+def test_committed_file_is_current():
+    import cranklane.records.messages as generated
+
+    with open(generated.__file__) as file:
+        assert file.read() == generate()
