Lab: give each process a port of its own, and make the type check pass

The lab probed ephemeral ports and let go of them; nodes listen with SO_REUSEPORT, so a second process on the same port starts without an error and takes part of the requests. Ruled out: the worker's state route (works alone), JSON encoding. Change: ports from a range below the kernel's outgoing one, each given once.

--- a/src/cranklane/policy/syntax.py
+++ b/src/cranklane/policy/syntax.py
@@ -66,7 +66,7 @@
     else:
         token = getattr(error, "token", "")
         found = "the end" if getattr(token, "type", "") == "$END" else repr(str(token))
-        names = set(getattr(error, "accepts", None) or getattr(error, "expected", ()))
+        names = set(getattr(error, "accepts", None) or getattr(error, "expected", None) or [])
     line, column = error.line, error.column
     if line < 1:
         lines = text.splitlines() or [""]
--- a/src/cranklane_lab/fleet/processes.py
+++ b/src/cranklane_lab/fleet/processes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ctypes
+import itertools
+import os
 import signal
 import socket
 import sys
@@ -13,13 +15,31 @@
 
 _PR_SET_PDEATHSIG = 1
 LOOPBACK = "127.0.0.1"
+_FIRST_PORT = 10_000
+_END_PORT = 32_000
+_ports = itertools.cycle(
+    itertools.chain(
+        range(_FIRST_PORT + os.getpid() * 200 % 20_000, _END_PORT),
+        range(_FIRST_PORT, _END_PORT),
+    )
+)
 
 
 def free_port() -> int:
-    """Return a loopback port that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a loopback port that nothing listens on and no one was given before.
+
+    The ports lie below the range the kernel takes for outgoing connections:
+    nodes share their ports on purpose (SO_REUSEPORT), so a clash would show no
+    error and send requests to the wrong process.
+    """
+    for port in _ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port is left")
 
 
 def _end_with_parent() -> None:
