Simulation: the product's own code on a virtual clock, with eight scenarios

Cause: promises had no test that provokes the failure. Change: gevent loop with virtual time, simulated network (delay, silent and one-way cuts, window, resets), disks (unsynced bytes lost, torn), freeze, kill, clock rate; scenarios retry-bound, criticality-order, answer-integrity, not-run, leaving, planned-stop, deep-slowdown, all-at-once; mechanisms that a run can do without; cranklane-lab simulate. Faults found by it and mended: a node restarted with the current version was never sent its members (publisher); a stopped node and its replacement of the same name pushed each other off control; a replacement took the port while its predecessor's worker still made child calls there, whose tokens it cannot know (a node's port is now exclusive and waited for, an edge's is shared); kept client connections were closed under a request (edge keeps them 2 s); a worker repeating a child call that ended with 5xx now counts as a retry.

--- a/src/cranklane/common/http_server.py
+++ b/src/cranklane/common/http_server.py
@@ -5,7 +5,7 @@
 import sys
 from typing import Any
 
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 
 from cranklane.errors import AnswerCutError
 from cranklane.runtime.interface import Address, Listener, Runtime
@@ -20,17 +20,28 @@
 class _Handler(WSGIHandler):
     """Serves one connection; an answer cut short ends the connection."""
 
+    provided_date: bytes | None
+
     def get_environ(self) -> dict[str, Any]:
         environment = super().get_environ()
         environment[CONNECTION_KEY] = self.socket
         return environment
 
-    def run_application(self) -> None:
-        super().run_application()
-        if self.server.stopping:
-            self.close_connection = True
+    def handle_one_response(self) -> None:
+        self.server.idle.pop(id(self.socket), None)
+        try:
+            super().handle_one_response()
+        finally:
+            if self.server.stopping:
+                self.close_connection = True
+            if self.socket is not None:
+                self.server.idle[id(self.socket)] = self.socket
 
     def finalize_headers(self) -> None:
+        if self.provided_date is None:
+            # The base class would ask the machine's clock, past the runtime.
+            self.provided_date = format_date_time(self.server.runtime.wall())
+            self.response_headers.append((b"Date", self.provided_date))
         if self.server.stopping:
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
@@ -51,11 +62,14 @@
 class _Server(WSGIServer):
     handler_class = _Handler
     stopping = False
+    runtime: Runtime
+    idle: dict[int, Any]
 
 
 class HttpServer:
     """A listening HTTP server with one task for each connection.
 
+    :param shared: whether a replacement may listen on the port at the same time.
     :ivar address: where it listens.
     """
 
@@ -65,15 +79,18 @@
         address: Address,
         application: Any,
         max_connections: int = 10_000,
+        shared: bool = True,
     ) -> None:
         self._server = _Server(address, application, log=None, error_log=sys.stderr)
+        self._server.runtime = runtime
+        self._server.idle = {}
         self._server.set_environ()
         self._server.environ["SERVER_NAME"] = address[0]
         self._server.environ["SERVER_PORT"] = str(address[1])
         self._max_connections = max_connections
         self.connections = 0
         self.refused_connections = 0
-        self._listener: Listener = runtime.listen(address, self._serve)
+        self._listener: Listener = runtime.listen(address, self._serve, shared)
         self.address = self._listener.address
 
     def _serve(self, connection: Any, address: Address) -> None:
@@ -87,9 +104,15 @@
             self._server.handle(connection, address)
         finally:
             self.connections -= 1
+            self._server.idle.pop(id(connection), None)
             connection.close()
 
     def stop_accepting(self) -> None:
-        """Close the port; requests in flight go on and then end their connection."""
+        """Close the port; each open connection ends with its next answer."""
         self._server.stopping = True
         self._listener.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in flight."""
+        for connection in list(self._server.idle.values()):
+            connection.close()
--- a/src/cranklane/control/publisher.py
+++ b/src/cranklane/control/publisher.py
@@ -55,7 +55,7 @@
         self.records = records
         self.version = identity.version
         self.sent_version = identity.version
-        self.sent_services: frozenset[str] = frozenset()
+        self.sent_services: frozenset[str] | None = frozenset()
         self.sent_members = 0
         self.news = Event()
 
@@ -115,8 +115,13 @@
         name = subscriber.identity.node
         replaced = self.subscribers.get(name)
         if replaced is not None:
+            if replaced.identity.incarnation > subscriber.identity.incarnation:
+                raise ConnectionLostError("a newer process of this name is subscribed")
             replaced.records.close()
         self.subscribers[name] = subscriber
+        if subscriber.version >= self._source.delta(subscriber.version).version:
+            # It restarts with what is in force: it has the rows of its services.
+            subscriber.sent_services = self._services_of(subscriber)
         self._membership.joined(subscriber.identity)
         self._runtime.spawn(self._publish, subscriber)
 
@@ -148,12 +153,12 @@
         if delta.version <= subscriber.sent_version:
             return False
         services = self._services_of(subscriber)
+        if services != subscriber.sent_services:
+            # It now calls services whose rows and members it has never had.
+            subscriber.sent_services = services
+            subscriber.sent_members = 0
+            delta = self._source.delta(0)
         if services is not None:
-            if services != subscriber.sent_services:
-                # It now calls services whose rows and members it has never had.
-                subscriber.sent_services = services
-                subscriber.sent_members = 0
-                delta = self._source.delta(0)
             delta.rows = [row for row in delta.rows if _is_for(row, services)]
         subscriber.records.send(delta)
         subscriber.sent_version = delta.version
@@ -181,9 +186,8 @@
         return True
 
     def _needs(self, subscriber: Subscriber, member: Member) -> bool:
-        if subscriber.identity.everything:
-            return True
-        return f"{member.tenant}.{member.service}" in subscriber.sent_services
+        services = subscriber.sent_services
+        return services is None or f"{member.tenant}.{member.service}" in services
 
 
 def _is_for(row: ConfigRow, services: frozenset[str]) -> bool:
--- a/src/cranklane/control/store.py
+++ b/src/cranklane/control/store.py
@@ -14,7 +14,7 @@
 
 from cranklane.errors import PolicyError
 from cranklane.policy.compiler import compile_policy
-from cranklane.policy.model import Policy
+from cranklane.policy.model import Policy, states_anything
 from cranklane.policy.syntax import parse
 from cranklane.records.messages import (
     ConfigDelta,
@@ -208,7 +208,7 @@
         if names:
             raise PolicyError(["the root document holds no tenants; each has a document"])
         return
-    if names not in ([name], []) or (policy.source and text.strip()):
+    if names not in ([name], []) or states_anything(policy):
         raise PolicyError([f"document {name} holds the tenant {name} and nothing else"])
 
 
--- a/src/cranklane/node/outbound.py
+++ b/src/cranklane/node/outbound.py
@@ -34,6 +34,7 @@
 """Part of such calls refused here; the rest finds out whether it still holds."""
 
 DEFAULT_RETRY_AFTER_MS = 200
+_SERVER_ERROR = 500
 
 _REDIRECTED = frozenset({Reason.DRAINING, Reason.STOPPING, Reason.PEER_UNREACHABLE})
 _RETRIED_WHEN_NOT_RUN = frozenset(
@@ -163,7 +164,7 @@
         if reason is not None:
             return self._refuse(request, criticality, reason)
         answer = self._call_with_retries(context, request, service, route, criticality)
-        if answer.outcome is not Outcome.ANSWERED:
+        if answer.outcome is not Outcome.ANSWERED or answer.status >= _SERVER_ERROR:
             context.failed.add(request.target)
         self._metrics.call(service.full_name, answer.outcome, answer.reason, criticality)
         return answer
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from dataclasses import dataclass
 
 import gevent
@@ -34,6 +35,15 @@
     setting,
 )
 
+PORT_LOOK_SECONDS = 0.05
+"""Seconds between tries to open the callers' port."""
+
+PORT_MARGIN_SECONDS = 5.0
+"""Seconds waited for the port beyond a predecessor's longest stop."""
+
+IDLE_GRACE_SECONDS = 2.0
+"""Seconds that clients' kept connections to an edge stay open after the last call."""
+
 STOP_ANNOUNCE_SECONDS = 0.2
 """Seconds between telling callers that the node stops and closing its port."""
 
@@ -95,22 +105,42 @@
     def start(self) -> None:
         """Open the ports and follow control."""
         settings = self._settings
-        if settings.service:
-            self._start_inbound()
         self.callers = Callers(
             self._runtime, self.full_service, self.configuration, self.outbound, self.contexts
         )
+        self.http = self._listen_for_callers()
+        if settings.service:
+            self._start_inbound()
         self.subscription = self._subscription()
         self.subscription.load()
         self._runtime.spawn(self.subscription.follow)
-        self.http = HttpServer(
-            self._runtime, parse_address(settings.http), self.callers.application
-        )
         if settings.admin:
             admin = Admin(self)
             self.admin = HttpServer(self._runtime, parse_address(settings.admin), admin.application)
         self._log.info("started", version=self.configuration.version)
 
+    def _listen_for_callers(self) -> HttpServer:
+        """Open the callers' port; beside a worker, wait until it is free.
+
+        A worker's child calls belong to the process that runs their parent call.
+        While a predecessor still finishes calls, it alone has the port.
+        """
+        address = parse_address(self._settings.http)
+        if not self._settings.service:
+            return HttpServer(self._runtime, address, self.callers.application)
+        until = self._runtime.monotonic() + self._settings.stop_seconds + PORT_MARGIN_SECONDS
+        waiting = False
+        while True:
+            try:
+                return HttpServer(self._runtime, address, self.callers.application, shared=False)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or self._runtime.monotonic() >= until:
+                    raise
+            if not waiting:
+                waiting = True
+                self._log.info("waiting_for_port", address=self._settings.http)
+            gevent.sleep(PORT_LOOK_SECONDS)
+
     def _start_inbound(self) -> None:
         settings = self._settings
         self.inbound = Inbound(
@@ -206,11 +236,21 @@
         self._stopping = True
         self._log.info("stopping", in_flight=self._in_flight())
         self.drain()
-        self.http.stop_accepting()
+        if self.inbound is None:
+            self.http.stop_accepting()
+        # Beside a worker the port stays open: the worker's child calls need it.
         gevent.sleep(STOP_ANNOUNCE_SECONDS)
+        self.subscription.stop()
         if self.inbound is not None:
             self._listener.close()
         finished = self._wait_until_idle()
+        if self.inbound is None:
+            # A client may be sending on a kept connection right now: it still
+            # gets an answer, and is told to close.
+            gevent.sleep(IDLE_GRACE_SECONDS)
+            finished = self._wait_until_idle() and finished
+        self.http.stop_accepting()
+        self.http.close_idle()
         self._log.info("stopped", cut=self._in_flight())
         return finished
 
--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -102,6 +102,7 @@
         self._state = state
         self._log = log
         self._records: RecordConnection | None = None
+        self._stopped = False
         self.connected = False
         self.bytes_received = 0
         self.bytes_sent = 0
@@ -113,12 +114,12 @@
             self._on_change()
 
     def follow(self) -> None:
-        """Follow control until the process ends."""
+        """Follow control until told to stop."""
         self._runtime.random.shuffle(self._controls)
         backoff = MIN_BACKOFF_SECONDS
-        while True:
+        while not self._stopped:
             for address in self._controls:
-                if self._follow_one(address):
+                if not self._stopped and self._follow_one(address):
                     backoff = MIN_BACKOFF_SECONDS
             gevent.sleep(backoff * (0.5 + self._runtime.random.random()))
             backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
@@ -189,6 +190,12 @@
             except ConnectionLostError:
                 pass
 
+    def stop(self) -> None:
+        """Follow control no more; a replacement of the same name may be there already."""
+        self._stopped = True
+        if self._records is not None:
+            self._records.close()
+
     def _lost(self, records: RecordConnection, error: Exception) -> None:
         records.close()
         self.bytes_received += records.bytes_received
--- a/src/cranklane/runtime/interface.py
+++ b/src/cranklane/runtime/interface.py
@@ -103,8 +103,13 @@
         """
 
     @abstractmethod
-    def listen(self, address: Address, handler: ConnectionHandler) -> Listener:
-        """Accept connections on an address; port 0 takes a free one."""
+    def listen(self, address: Address, handler: ConnectionHandler, shared: bool = True) -> Listener:
+        """Accept connections on an address; port 0 takes a free one.
+
+        :param shared: whether another process may listen there at the same time,
+            so that a replacement takes the port while this one finishes.
+        :raises OSError: when the address is taken.
+        """
 
     @abstractmethod
     def hung_up(self, connections: Iterable[Any]) -> list[Any]:
--- a/src/cranklane/runtime/real.py
+++ b/src/cranklane/runtime/real.py
@@ -36,11 +36,11 @@
 class RealListener:
     """A listening socket; several processes may hold the same port at once."""
 
-    def __init__(self, address: Address, handler: ConnectionHandler) -> None:
+    def __init__(self, address: Address, handler: ConnectionHandler, shared: bool) -> None:
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # A replacement process takes the port while this one finishes its calls.
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        if shared:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         listening.bind(address)
         listening.listen(_LISTEN_BACKLOG)
         self.address: Address = listening.getsockname()[:2]
@@ -155,9 +155,9 @@
         """
         return _without_delay(socket.create_connection(address, timeout))
 
-    def listen(self, address: Address, handler: ConnectionHandler) -> Listener:
+    def listen(self, address: Address, handler: ConnectionHandler, shared: bool = True) -> Listener:
         """Accept TCP connections on an address; port 0 takes a free one."""
-        return RealListener(address, handler)
+        return RealListener(address, handler, shared)
 
     def hung_up(self, connections: Iterable[Any]) -> list[Any]:
         """Return those connections whose far end has closed or broken."""
--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import typer
 
 application = typer.Typer(no_args_is_help=True, help="Fleets, load, simulation, measurements.")
@@ -20,6 +22,36 @@
     raise typer.Exit(run_demo())
 
 
+@application.command()
+def simulate(
+    scenario: Annotated[str, typer.Option(help="the scenario's name")] = "",
+    seeds: Annotated[str, typer.Option(help="first and last seed, as A-B")] = "1-10",
+    without: Annotated[list[str], typer.Option(help="a mechanism to switch off")] = [],  # noqa: B006
+    json: Annotated[bool, typer.Option("--json", help="print results as JSON")] = False,
+    jobs: Annotated[int, typer.Option(help="processes at once; 0: one a core")] = 0,
+    list_: Annotated[bool, typer.Option("--list", help="list the scenarios")] = False,
+) -> None:
+    """Run seeds of a scenario; exit 1 when a promise broke in any."""
+    from cranklane_lab.scenarios.library import SCENARIOS
+    from cranklane_lab.scenarios.mechanisms import MECHANISMS
+    from cranklane_lab.simulate import report, run_seeds
+
+    if list_:
+        for item in SCENARIOS.values():
+            typer.echo(f"{item.name:<24}{item.purpose}  without: {', '.join(item.mechanisms)}")
+        raise typer.Exit
+    if scenario not in SCENARIOS:
+        raise typer.BadParameter(f"{scenario!r}: known are {', '.join(SCENARIOS)}")
+    unknown = [name for name in without if name not in MECHANISMS]
+    if unknown:
+        raise typer.BadParameter(f"{unknown}: known are {', '.join(MECHANISMS)}")
+    first, _, last = seeds.partition("-")
+    if not first.isdigit() or not (last or first).isdigit():
+        raise typer.BadParameter(f"--seeds {seeds!r}: expected A-B")
+    chosen = range(int(first), int(last or first) + 1)
+    raise typer.Exit(report(run_seeds(scenario, chosen, tuple(without), jobs), json))
+
+
 def main() -> None:
     """Run the command line."""
     application()
--- a/src/cranklane_lab/deployments.py
+++ b/src/cranklane_lab/deployments.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from pathlib import Path
 
+CLIENT_ZONE = "clients"
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
@@ -64,6 +66,13 @@
     client_delay: float
     services: tuple[ServicePlan, ...]
     requests: tuple[RequestKind, ...]
+    policy_text: str = ""
+
+    def between_zones(self, source: str, target: str) -> float:
+        """Return the seconds one way between two zones, clients' zone included."""
+        if CLIENT_ZONE in (source, target):
+            return self.client_delay
+        return self.zone_delay
 
     @property
     def token(self) -> str:
@@ -72,7 +81,7 @@
 
     def policy(self) -> str:
         """Return the deployment's policy text."""
-        return (EXAMPLES / f"{self.name}.policy").read_text()
+        return self.policy_text or (EXAMPLES / f"{self.name}.policy").read_text()
 
     def service(self, name: str) -> ServicePlan:
         """Return the plan of a service."""
@@ -169,3 +178,35 @@
 )
 
 DEPLOYMENTS = {deployment.name: deployment for deployment in (SONGHAN, GAUJAS)}
+
+
+def chain(depth: int, workers: int = 2, slots: int = 8, retries: int = 3) -> Deployment:
+    """Return a deployment whose services call each other in one chain.
+
+    :param depth: services in the chain.
+    """
+    name = "chain"
+    token = hashlib.sha256(f"{name}-demo".encode()).hexdigest()
+    lines = [f"tenant {name} {{", f"  token sha256:{token}", f"  retries {retries}"]
+    lines += ["  repeat repeatable", "  deadline 5s"]
+    plans = []
+    for level in range(depth):
+        last = level == depth - 1
+        caller = f"{name}.s{level - 1}" if level else f"{name}.edge"
+        lines += [f"  service s{level} {{", f"    slots {slots}", f"    callers {caller}"]
+        if not last:
+            lines.append(f"    calls {name}.s{level + 1}")
+        lines += [f"    route step{level} GET /step{level}/* {{}}", "  }"]
+        children = () if last else ((f"s{level + 1}", f"/step{level + 1}/1"),)
+        plans.append(
+            ServicePlan(f"s{level}", workers, slots, {f"step{level}": Work(0.002, 100, children)})
+        )
+    return Deployment(
+        name=name,
+        zones=("zone-a", "zone-b"),
+        zone_delay=0.0005,
+        client_delay=0.003,
+        services=tuple(plans),
+        requests=(RequestKind("walk", "GET", "s0", "/step0/{n}", 1),),
+        policy_text="\n".join([*lines, "}"]),
+    )
--- /dev/null
+++ b/src/cranklane_lab/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Named failures, run in simulation, with all promises checked all the time."""
--- /dev/null
+++ b/src/cranklane_lab/scenarios/library.py
@@ -0,0 +1,229 @@
+"""The scenarios, by name."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import gevent
+
+from cranklane_lab.deployments import SONGHAN, Deployment, RequestKind, chain
+from cranklane_lab.scenarios.base import Run, Scenario
+from cranklane_lab.scenarios.faults import (
+    fail_over_edge,
+    fail_over_node,
+    kill_worker,
+    random_faults,
+    restart_node,
+    restart_worker,
+    slow_down,
+)
+
+
+def _smaller(deployment: Deployment, workers: int) -> Deployment:
+    services = tuple(replace(plan, workers=workers) for plan in deployment.services)
+    return replace(deployment, services=services)
+
+
+SMALL = _smaller(SONGHAN, 2)
+DEEP = chain(14, workers=2)
+
+
+def _kind(run: Run, name: str) -> RequestKind:
+    return next(kind for kind in run.fleet.deployment.requests if kind.name == name)
+
+
+def _retry_bound(run: Run) -> None:
+    """Leaf workers fail, every worker repeats failed child calls, nodes are lost."""
+    fleet = run.fleet
+    for pair in fleet.pairs:
+        pair.worker.state.child_retries = 3
+    leaves = fleet.of(f"s{len(fleet.deployment.services) - 1}")
+    for pair in leaves:
+        pair.worker.state.fail_part = 0.9
+    traffic = run.traffic(fleet.client(), rate=8, seconds=1.0)
+    gevent.sleep(0.3)
+    middle = fleet.of("s7")[0]
+    restart_node(run, middle, after=0.2)
+    traffic.join()
+
+
+def _criticality_order(run: Run) -> None:
+    """Twice the demand the archive can serve, most of it background."""
+    fleet = run.fleet
+    slow_down(run, "archive", 10.0)
+    client = fleet.client()
+    critical = run.traffic(client, 50, 2.0, [_kind(run, "read-minutes")])
+    background = run.traffic(client, 150, 2.0, [_kind(run, "reindex")])
+    gevent.joinall([critical, background])
+    refused = [s.told for s in run.recorder.sent if s.told.outcome == "not_run"]
+    critical_refused = [told for told in refused if told.kind == "read-minutes"]
+    if not any(told.kind == "reindex" for told in refused):
+        run.recorder.violate("criticality-order", "nothing was refused: no overload")
+    if critical_refused:
+        run.recorder.violate(
+            "criticality-order",
+            f"{len(critical_refused)} archive reads refused while background ran, "
+            f"first: {critical_refused[0].reason}",
+        )
+
+
+def _answer_integrity(run: Run) -> None:
+    """Downloads while workers die, and answers that come after their deadline."""
+    fleet = run.fleet
+    slow_down(run, "archive", 4.0)
+    client = fleet.client()
+    downloads = run.traffic(client, 10, 1.5, [_kind(run, "recording")])
+    reads = gevent.spawn(_impatient_reads, run)
+    gevent.spawn(_delay_answers, run)
+    for pair in fleet.of("audio"):
+        gevent.sleep(0.3 + 0.2 * run.world.random.random())
+        kill_worker(run, pair)
+        gevent.sleep(0.2)
+        restart_worker(run, pair)
+    gevent.joinall([downloads, reads])
+
+
+def _delay_answers(run: Run) -> None:
+    """Hold answers of the archive's nodes back until their callers have given up."""
+    network = run.world.network
+    for _ in range(6):
+        for pair in run.fleet.of("archive"):
+            network.cut(pair.node_process.name, "edge")
+        gevent.sleep(0.15)
+        for pair in run.fleet.of("archive"):
+            network.heal(pair.node_process.name, "edge")
+        gevent.sleep(0.1)
+
+
+def _impatient_reads(run: Run) -> None:
+    client = run.fleet.client("impatient")
+    kind = _kind(run, "read-minutes")
+    tasks = []
+    for _ in range(120):
+        deadline_ms = run.world.random.choice((40, 55, 70, 2000))
+        tasks.append(gevent.spawn(run.send, client, kind, "", "", deadline_ms))
+        gevent.sleep(0.01)
+    gevent.joinall(tasks)
+
+
+def _not_run(run: Run) -> None:
+    """Workers die while they run calls, and the other nodes refuse."""
+    fleet = run.fleet
+    slow_down(run, "archive", 10.0)
+    client = fleet.client()
+    traffic = run.traffic(client, 60, 2.0, [_kind(run, "read-minutes"), _kind(run, "reindex")])
+    pairs = fleet.of("archive")
+    for _ in range(3):
+        gevent.sleep(0.3 + 0.2 * run.world.random.random())
+        kill_worker(run, pairs[0])
+        pairs[1].node.admission.draining = True
+        gevent.sleep(0.2)
+        pairs[1].node.admission.draining = False
+        restart_worker(run, pairs[0])
+    traffic.join()
+
+
+def _leaving(run: Run) -> None:
+    """A node drains while its worker's load endpoint says that all is well."""
+    fleet = run.fleet
+    traffic = run.traffic(fleet.client(), 60, 7.0, [_kind(run, "read-minutes")])
+    gevent.sleep(1.0)
+    pair = fleet.of("archive")[0]
+    run.recorder.drained[pair.name] = run.world.loop.now()
+    pair.node.drain()
+    traffic.join()
+    for sent in run.recorder.sent:
+        if not sent.told.good:
+            run.recorder.violate(
+                "leaving", f"{sent.told.nonce}: {sent.told.outcome} {sent.told.reason}"
+            )
+
+
+def _planned_stop(run: Run) -> None:
+    """Nodes of every service and the edge are replaced while downloads run."""
+    fleet = run.fleet
+    slow_down(run, "audio", 20.0)
+    client = fleet.client()
+    kinds = [_kind(run, name) for name in ("recording", "read-minutes", "reindex")]
+    traffic = run.traffic(client, 40, 4.0, kinds)
+    gevent.sleep(1.0)
+    stops = []
+    for service in ("audio", "archive", "transcripts"):
+        stops.append(gevent.spawn(fail_over_node, run, fleet.of(service)[0]))
+        gevent.sleep(0.3)
+    stops.append(gevent.spawn(fail_over_edge, run))
+    gevent.joinall(stops)
+    traffic.join()
+    for sent in run.recorder.sent:
+        if not sent.told.good:
+            run.recorder.violate(
+                "planned-stop",
+                f"{sent.told.nonce}: {sent.told.outcome} {sent.told.status} {sent.told.reason}",
+            )
+
+
+def _deep_slowdown(run: Run) -> None:
+    """A deep service slows down while demand surges and clients retry hard."""
+    fleet = run.fleet
+    client = fleet.client()
+    kinds = [_kind(run, "search"), _kind(run, "read-minutes")]
+    calm = run.traffic(client, 40, 6.0, kinds, client_retries=3)
+    gevent.sleep(1.0)
+    slow_down(run, "audio", 60.0)
+    surge = run.traffic(client, 120, 2.0, kinds, client_retries=3)
+    gevent.sleep(2.0)
+    slow_down(run, "audio", 1.0)
+    ended = run.world.loop.now()
+    gevent.joinall([calm, surge])
+    late = [sent for sent in run.recorder.sent if sent.at > ended + 2.0]
+    good = sum(sent.told.good for sent in late)
+    if not late or good < 0.95 * len(late):
+        run.recorder.violate(
+            "recovery", f"{good} of {len(late)} whole 2 s after the slowdown ended"
+        )
+
+
+def _all_at_once(run: Run) -> None:
+    """Kills, restarts, freezes, cuts, slowdowns and drains at random moments."""
+    client = run.fleet.client()
+    traffic = run.traffic(client, 40, 6.0, client_retries=1)
+    random_faults(run, seconds=5.0)
+    traffic.join()
+
+
+_SCENARIOS = (
+    Scenario(
+        "retry-bound",
+        _retry_bound.__doc__ or "",
+        DEEP,
+        _retry_bound,
+        mechanisms=("allowance",),
+    ),
+    Scenario(
+        "criticality-order",
+        _criticality_order.__doc__ or "",
+        SMALL,
+        _criticality_order,
+        mechanisms=("priority",),
+    ),
+    Scenario(
+        "answer-integrity",
+        _answer_integrity.__doc__ or "",
+        SMALL,
+        _answer_integrity,
+        mechanisms=("answer-end", "call-numbers"),
+    ),
+    Scenario("not-run", _not_run.__doc__ or "", SMALL, _not_run, mechanisms=("unknown-memory",)),
+    Scenario("leaving", _leaving.__doc__ or "", SMALL, _leaving, mechanisms=("drain",)),
+    Scenario(
+        "planned-stop",
+        _planned_stop.__doc__ or "",
+        SMALL,
+        _planned_stop,
+        mechanisms=("planned-stop",),
+    ),
+    Scenario("deep-slowdown", _deep_slowdown.__doc__ or "", SMALL, _deep_slowdown),
+    Scenario("all-at-once", _all_at_once.__doc__ or "", SMALL, _all_at_once),
+)
+
+SCENARIOS = {scenario.name: scenario for scenario in _SCENARIOS}
--- /dev/null
+++ b/src/cranklane_lab/scenarios/mechanisms.py
@@ -0,0 +1,177 @@
+"""Mechanisms of the product that a run can do without.
+
+Each replaces one method of the product by one that lacks the mechanism. The
+product itself has no such switches.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from cranklane.node.admission import Admission
+from cranklane.node.allowance import Allowance
+from cranklane.node.configuration import NodeConfiguration
+from cranklane.node.fair_queue import FairQueue
+from cranklane.node.outbound import Outbound
+from cranklane.node.peer_connection import PeerCall, PeerConnection
+from cranklane.node.process import NodeProcess
+from cranklane.node.retry_budget import RetryBudget
+from cranklane.outcome import Criticality
+from cranklane.records.connection import CONNECTION_CALL
+from cranklane.records.messages import AnswerAbort, AnswerEnd, Credit
+
+PER_HOP_RETRIES = 3
+_MISSING = object()
+
+
+@dataclass(frozen=True)
+class Replacement:
+    """One attribute of a class, replaced."""
+
+    owner: Any
+    name: str
+    value: Any
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """Something the product does for a promise."""
+
+    name: str
+    purpose: str
+    replacements: Callable[[], list[Replacement]]
+
+    @contextmanager
+    def switched_off(self) -> Iterator[None]:
+        """Run without it."""
+        replacements = self.replacements()
+        kept = [vars(item.owner).get(item.name, _MISSING) for item in replacements]
+        for item in replacements:
+            setattr(item.owner, item.name, item.value)
+        try:
+            yield
+        finally:
+            for item, value in zip(replacements, kept, strict=True):
+                if value is _MISSING:
+                    delattr(item.owner, item.name)
+                else:
+                    setattr(item.owner, item.name, value)
+
+
+def _per_hop_allowance() -> list[Replacement]:
+    def grant(_self: Allowance) -> int:
+        return PER_HOP_RETRIES
+
+    def give_back(_self: Allowance, _unused: int) -> None:
+        return
+
+    return [
+        Replacement(Allowance, "grant", grant),
+        Replacement(Allowance, "give_back", give_back),
+        Replacement(RetryBudget, "spend", lambda _self: True),
+    ]
+
+
+def _first_come() -> list[Replacement]:
+    original_add = FairQueue.add
+
+    def add(self: FairQueue, call: Any) -> None:
+        original_add(self, call)
+
+    def take(self: FairQueue, _in_flight: Any, _newest_first: bool) -> Any:
+        for call in sorted(self, key=lambda item: item.since):
+            self.remove(call)
+            return call
+        return None
+
+    def victim(_self: FairQueue, _newcomer: Any, _in_flight: Any) -> None:
+        return None
+
+    def ahead_of(self: FairQueue, _tenant: str, _criticality: Criticality) -> int:
+        return self.size
+
+    return [
+        Replacement(FairQueue, "add", add),
+        Replacement(FairQueue, "take", take),
+        Replacement(FairQueue, "victim", victim),
+        Replacement(FairQueue, "ahead_of", ahead_of),
+    ]
+
+
+def _trusting_body() -> list[Replacement]:
+    def body(self: PeerCall, _stall_timeout: float) -> Iterator[bytes]:
+        while True:
+            item = self._inbox.get()
+            if isinstance(item, AnswerEnd):
+                self._finish(item.allowance)
+                return
+            if isinstance(item, AnswerAbort | Exception):
+                self._finish(0)
+                return
+            yield item.data
+            self._connection.send_quietly(Credit(len(item.data)), self.number)
+
+    return [Replacement(PeerCall, "body", body)]
+
+
+def _reused_numbers() -> list[Replacement]:
+    original = PeerConnection.open
+
+    def open_call(self: PeerConnection, message: Any) -> PeerCall:
+        number = CONNECTION_CALL
+        while number + 1 in self._calls:
+            number += 1
+        self._next_number = number
+        return original(self, message)
+
+    return [Replacement(PeerConnection, "open", open_call)]
+
+
+def _forgetful_conclusion() -> list[Replacement]:
+    def conclude(answer: Any, _progress: Any) -> Any:
+        return answer
+
+    return [Replacement(Outbound, "_conclude", staticmethod(conclude))]
+
+
+def _deaf_to_drain() -> list[Replacement]:
+    return [
+        Replacement(
+            Admission,
+            "draining",
+            property(lambda _self: False, lambda _self, _value: None),
+        )
+    ]
+
+
+def _abrupt_stop() -> list[Replacement]:
+    return [Replacement(NodeProcess, "_wait_until_idle", lambda _self: True)]
+
+
+def _any_order() -> list[Replacement]:
+    original = NodeConfiguration.adopt
+
+    def adopt(self: NodeConfiguration, delta: Any) -> bool:
+        self.version = 0 if delta.whole else delta.base
+        return original(self, delta)
+
+    return [Replacement(NodeConfiguration, "adopt", adopt)]
+
+
+_ALL = (
+    Mechanism("allowance", "one allowance of retries for the whole tree", _per_hop_allowance),
+    Mechanism("priority", "criticality and shares in the queue", _first_come),
+    Mechanism("answer-end", "an answer is whole only with its end record", _trusting_body),
+    Mechanism("call-numbers", "a call's number is never used again", _reused_numbers),
+    Mechanism(
+        "unknown-memory", "an attempt that may have run is remembered", _forgetful_conclusion
+    ),
+    Mechanism("drain", "the node refuses new work from the drain signal on", _deaf_to_drain),
+    Mechanism("planned-stop", "a stop waits for what is in flight", _abrupt_stop),
+    Mechanism("version-order", "a node adopts only what follows", _any_order),
+)
+
+MECHANISMS = {mechanism.name: mechanism for mechanism in _ALL}
--- /dev/null
+++ b/src/cranklane_lab/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation: the product's own code on a virtual clock, network and disks."""
--- /dev/null
+++ b/src/cranklane_lab/simulation/disk.py
@@ -0,0 +1,106 @@
+"""Simulated files: what is not synced is lost when the machine loses power."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+
+from cranklane.runtime.interface import Storage
+
+SYNC_SECONDS = 0.002
+"""Mean time of a sync."""
+
+
+@dataclass
+class _File:
+    durable: bytes = b""
+    pending: bytes = b""
+
+
+@dataclass
+class Disk:
+    """The files of one machine; they outlive its processes.
+
+    :ivar lose_syncs: a fault: syncs return without making anything durable.
+    """
+
+    random: Random
+    files: dict[str, _File] = field(default_factory=dict)
+    lose_syncs: bool = False
+    syncs: int = 0
+
+    def lose_power(self) -> None:
+        """Lose what is not synced; of the last write a random beginning stays."""
+        for file in self.files.values():
+            kept = self.random.randrange(len(file.pending) + 1) if file.pending else 0
+            file.durable += file.pending[:kept]
+            file.pending = b""
+
+    def wipe(self) -> None:
+        """Lose everything."""
+        self.files.clear()
+
+    def damage(self, name: str, position: int) -> None:
+        """Turn one bit of a file."""
+        file = self.files[name]
+        data = bytearray(file.durable)
+        data[position] ^= 0x10
+        file.durable = bytes(data)
+
+
+class SimulatedStorage(Storage):
+    """Files of a data folder on a simulated disk."""
+
+    def __init__(self, disk: Disk, folder: str) -> None:
+        self._disk = disk
+        self._folder = folder
+
+    def _name(self, name: str) -> str:
+        return f"{self._folder}/{name}"
+
+    def _wait(self) -> None:
+        gevent.sleep(SYNC_SECONDS * (0.5 + self._disk.random.random()))
+        self._disk.syncs += 1
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, or None when there is no such file."""
+        file = self._disk.files.get(self._name(name))
+        return file.durable + file.pending if file is not None else None
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place whole and synced."""
+        self._wait()
+        self._disk.files[self._name(name)] = _File(durable=bytes(data))
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at a file's end; not yet durable."""
+        self._disk.files.setdefault(self._name(name), _File()).pending += data
+
+    def sync(self, name: str) -> None:
+        """Make all that was appended before this call durable."""
+        file = self._disk.files[self._name(name)]
+        size = len(file.pending)
+        self._wait()
+        if self._disk.lose_syncs or self._disk.files.get(self._name(name)) is not file:
+            return
+        size = min(size, len(file.pending))
+        file.durable += file.pending[:size]
+        file.pending = file.pending[size:]
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file and sync it."""
+        data = self.read(name) or b""
+        self._disk.files[self._name(name)] = _File(durable=data[:size])
+
+    def remove(self, name: str) -> None:
+        """Delete a file if it is there."""
+        self._disk.files.pop(self._name(name), None)
+
+    def names(self) -> list[str]:
+        """Return the names of the files there, sorted."""
+        prefix = f"{self._folder}/"
+        return sorted(
+            name.removeprefix(prefix) for name in self._disk.files if name.startswith(prefix)
+        )
--- /dev/null
+++ b/src/cranklane_lab/simulation/fleet.py
@@ -0,0 +1,182 @@
+"""A deployment in a simulated world: the product's own processes and stand-ins."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+
+from cranklane.common.http_client import HttpClient
+from cranklane.control.process import ControlProcess, ControlSettings
+from cranklane.node.process import NodeProcess, NodeSettings
+from cranklane.runtime.interface import Address, format_address
+from cranklane_lab.deployments import CLIENT_ZONE, Deployment, ServicePlan
+from cranklane_lab.simulation.process import SimulatedProcess
+from cranklane_lab.simulation.world import World
+from cranklane_lab.standins.client import Client
+from cranklane_lab.standins.worker import Worker, WorkerRun
+
+OPERATOR_TOKEN = "lab-operator"
+_HTTP_PORT = 80
+_PEER_PORT = 7000
+_WORKER_PORT = 8080
+
+
+@dataclass
+class SimulatedPair:
+    """A worker and the node beside it, on one machine."""
+
+    plan: ServicePlan
+    name: str
+    zone: str
+    host: str
+    worker_process: SimulatedProcess
+    worker: Worker
+    node_process: SimulatedProcess
+    node: NodeProcess
+
+
+@dataclass
+class SimulatedFleet:
+    """A running deployment in a simulated world."""
+
+    world: World
+    deployment: Deployment
+    controls: list[ControlProcess] = field(default_factory=list)
+    control_addresses: list[Address] = field(default_factory=list)
+    control_processes: list[SimulatedProcess] = field(default_factory=list)
+    edge: NodeProcess = field(init=False)
+    edge_process: SimulatedProcess = field(init=False)
+    edge_address: Address = ("", 0)
+    pairs: list[SimulatedPair] = field(default_factory=list)
+    on_run: Callable[[WorkerRun], None] | None = None
+
+    def start(self, controls: int = 1) -> None:
+        """Start everything, put the policy in force and wait until nodes have it."""
+        for number in range(controls):
+            self.start_control(number)
+        self.start_edge()
+        for plan in self.deployment.services:
+            for number in range(plan.workers):
+                self.pairs.append(self.start_pair(plan, number))
+        gevent.sleep(1.0)
+        self.apply(self.deployment.name, self.deployment.policy(), 0, "first")
+        gevent.sleep(1.0)
+
+    def start_control(self, number: int, host: str | None = None) -> None:
+        """Start a control process."""
+        world = self.world
+        name = f"control-{number}"
+        zones = self.deployment.zones
+        process = world.process(name, zones[number % len(zones)], host)
+        digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+        settings = ControlSettings(
+            name=name,
+            zone=process.zone,
+            listen=f"{process.host}:{_PEER_PORT}",
+            http=f"{process.host}:{_HTTP_PORT}",
+            data="control",
+            operators=[f"lab:*:{digest}"],
+        )
+        control = ControlProcess(process, settings)
+        world.start(process, control.start)
+        if number < len(self.controls):
+            self.controls[number] = control
+            self.control_processes[number] = process
+            return
+        self.controls.append(control)
+        self.control_processes.append(process)
+        self.control_addresses.append((process.host, _PEER_PORT))
+
+    def _control_texts(self) -> list[str]:
+        return [format_address(address) for address in self.control_addresses]
+
+    def start_edge(self) -> None:
+        """Start the edge, or its replacement on the same machine."""
+        host = self.edge_address[0] or None
+        process = self.world.process("edge", self.deployment.zones[0], host)
+        self.edge_process = process
+        self.edge_address = (process.host, _HTTP_PORT)
+        settings = NodeSettings(
+            name="edge",
+            zone=process.zone,
+            controls=self._control_texts(),
+            http=format_address(self.edge_address),
+            data="edge",
+        )
+        self.edge = NodeProcess(process, settings)
+        self.world.start(process, self.edge.start)
+
+    def start_pair(self, plan: ServicePlan, number: int, host: str | None = None) -> SimulatedPair:
+        """Start a worker and its node."""
+        zones = self.deployment.zones
+        zone = zones[number % len(zones)]
+        name = f"{plan.name}-{number}"
+        host = host or self.world.new_host()
+        worker_process = self.world.process(f"{name}-worker", zone, host)
+        worker = self.start_worker(worker_process, plan, name)
+        node_process, node = self.start_node(plan, name, zone, host)
+        return SimulatedPair(plan, name, zone, host, worker_process, worker, node_process, node)
+
+    def start_worker(self, process: SimulatedProcess, plan: ServicePlan, name: str) -> Worker:
+        """Start a worker."""
+        return self.world.start(
+            process,
+            lambda: Worker(
+                process,
+                name,
+                self.deployment.name,
+                plan,
+                (process.host, _WORKER_PORT),
+                (process.host, _HTTP_PORT),
+                on_run=self.on_run,
+            ),
+        )
+
+    def start_node(
+        self, plan: ServicePlan, name: str, zone: str, host: str
+    ) -> tuple[SimulatedProcess, NodeProcess]:
+        """Start a node."""
+        process = self.world.process(f"{name}-node", zone, host)
+        settings = NodeSettings(
+            name=name,
+            zone=zone,
+            controls=self._control_texts(),
+            http=f"{host}:{_HTTP_PORT}",
+            data="node",
+            tenant=self.deployment.name,
+            service=plan.name,
+            listen=f"{host}:0",
+            worker=f"{host}:{_WORKER_PORT}",
+            stop_seconds=30.0,
+        )
+        node = NodeProcess(process, settings)
+        self.world.start(process, node.start)
+        return process, node
+
+    def of(self, service: str) -> list[SimulatedPair]:
+        """Return the pairs of a service."""
+        return [pair for pair in self.pairs if pair.plan.name == service]
+
+    def client(self, name: str = "client") -> Client:
+        """Return a client on a machine of its own."""
+        process = self.world.process(name, CLIENT_ZONE)
+        return Client(process, self.edge_address, self.deployment.name, self.deployment.token)
+
+    def apply(self, name: str, text: str, base: int, request: str) -> tuple[int, dict]:
+        """Send an edit to control; return HTTP status and answer."""
+        process = self.world.process(f"operator-{request}", CLIENT_ZONE)
+        body = json.dumps({"text": text, "base": base, "request": request}).encode()
+        headers = [
+            ("Authorization", f"Bearer {OPERATOR_TOKEN}"),
+            ("Content-Type", "application/json"),
+        ]
+        address = (self.control_addresses[0][0], _HTTP_PORT)
+        http = HttpClient(process, address)
+        response = http.request("PUT", f"/v1/documents/{name}", headers, body)
+        answer = json.loads(response.read())
+        http.close()
+        return response.status, answer
--- /dev/null
+++ b/src/cranklane_lab/simulation/process.py
@@ -0,0 +1,122 @@
+"""A simulated process and its runtime."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent import Greenlet
+
+from cranklane.runtime.interface import (
+    Address,
+    ConnectionHandler,
+    Listener,
+    Runtime,
+    Storage,
+)
+from cranklane_lab.simulation.disk import Disk, SimulatedStorage
+from cranklane_lab.simulation.loop import current_owner
+from cranklane_lab.simulation.network import SimulatedConnection
+
+if TYPE_CHECKING:
+    from cranklane_lab.simulation.world import World
+
+WALL_START = 1_800_000_000.0
+
+
+def _inherit_owner(task: Greenlet) -> None:
+    owner = current_owner()
+    if owner is not None:
+        task.owner = owner
+        owner.tasks[id(task)] = task
+        task.rawlink(owner.task_ended)
+
+
+Greenlet.add_spawn_callback(_inherit_owner)
+
+
+class SimulatedProcess(Runtime):
+    """One process: its clocks, connections, files and tasks.
+
+    :ivar host: IP number of its machine.
+    :ivar clock_rate: its seconds for each true second.
+    :ivar wall_offset: seconds its wall clock is wrong by.
+    """
+
+    def __init__(self, world: World, name: str, zone: str, host: str, disk: Disk) -> None:
+        self._world = world
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self.disk = disk
+        self.frozen_until = 0.0
+        self.dead = False
+        self.clock_rate = 1.0
+        self.wall_offset = 0.0
+        self.tasks: dict[int, Greenlet] = {}
+        self.connections: dict[int, SimulatedConnection] = {}
+        self.random = Random(world.random.getrandbits(64))
+
+    def task_ended(self, task: Greenlet) -> None:
+        """Forget a task that has ended."""
+        self.tasks.pop(id(task), None)
+
+    def monotonic(self) -> float:
+        """Return the process's own seconds."""
+        return self._world.loop.now() * self.clock_rate
+
+    def wall(self) -> float:
+        """Return seconds since 1970 on the process's own clock."""
+        return WALL_START + self._world.loop.now() * self.clock_rate + self.wall_offset
+
+    def spawn(self, function: Callable[..., Any], *arguments: Any) -> Greenlet:
+        """Start a task of this process."""
+        task = Greenlet(function, *arguments)
+        task.owner = self
+        self.tasks[id(task)] = task
+        task.rawlink(self.task_ended)
+        task.start()
+        return task
+
+    def connect(self, address: Address, timeout: float) -> SimulatedConnection:
+        """Open a simulated connection."""
+        return self._world.network.connect(self, address, timeout)
+
+    def listen(self, address: Address, handler: ConnectionHandler, shared: bool = True) -> Listener:
+        """Accept simulated connections."""
+        return self._world.network.listen(self, address, handler, shared)
+
+    def hung_up(self, connections: Iterable[Any]) -> list[Any]:
+        """Return those connections whose far end has closed or broken."""
+        return [connection for connection in connections if connection.hung_up]
+
+    def storage(self, folder: str) -> Storage:
+        """Return the files of a folder on the machine's disk."""
+        return SimulatedStorage(self.disk, folder)
+
+    def freeze(self, seconds: float) -> None:
+        """Let nothing of this process run for a while; nobody is told."""
+        self.frozen_until = self._world.loop.now() + seconds
+
+    def kill(self, power_lost: bool = False) -> None:
+        """End the process at once.
+
+        :param power_lost: its machine fails: peers are not told, and what is
+            not synced on its disk is lost.
+        """
+        self.dead = True
+        self._world.network.forget(self)
+        for connection in list(self.connections.values()):
+            if not power_lost:
+                self._world.network.later(connection, connection.peer, connection.peer.reset)
+            connection.abandon()
+        self.connections.clear()
+        if power_lost:
+            self.disk.lose_power()
+        # Its tasks end without running on: their clean-up must not touch the
+        # disk or the network of a machine that is gone.
+        for task in list(self.tasks.values()):
+            task.kill(block=False)
+        gevent.sleep(0)
--- a/src/cranklane_lab/standins/client.py
+++ b/src/cranklane_lab/standins/client.py
@@ -19,8 +19,8 @@
 class Told:
     """What a client was told of one request.
 
-    :ivar outcome: ``answered``, ``not_run``, ``unknown``, or ``lost`` when the
-        connection to the edge failed.
+    :ivar outcome: ``answered``, ``not_run``, ``unknown``; ``cut`` when an answer
+        began and the client saw that it is not whole; ``lost`` when none began.
     :ivar wrong: what is wrong with an answer that claims to be whole.
     :ivar seconds: from sending to the last byte.
     """
@@ -50,11 +50,16 @@
         self._token = token
         self._http = HttpClient(runtime, edge, concurrency=4096)
 
-    def send(self, kind: RequestKind, nonce: str, key: str = "") -> Told:
-        """Send one request and return what was told."""
+    def send(self, kind: RequestKind, nonce: str, key: str = "", deadline_ms: int = 0) -> Told:
+        """Send one request and return what was told.
+
+        :param deadline_ms: a deadline shorter than the route's; 0 for none.
+        """
         started = self._runtime.monotonic()
         path = f"/{self._tenant}/{kind.service}{kind.path.format(n=nonce)}?nonce={nonce}"
         headers = [("Authorization", f"Bearer {self._token}")]
+        if deadline_ms:
+            headers.append((header_names.DEADLINE_MS, str(deadline_ms)))
         if kind.once:
             headers.append((header_names.IDEMPOTENCY_KEY, key))
         response: HttpResponse | None = None
@@ -62,7 +67,8 @@
             response = self._http.request(kind.method, path, headers, timeout=CLIENT_SECONDS)
             body = response.read()
         except (HttpRequestError, AnswerCutError) as error:
-            return Told(kind.name, nonce, key, "lost", 0, str(error), "", self._since(started))
+            outcome = "cut" if isinstance(error, AnswerCutError) else "lost"
+            return Told(kind.name, nonce, key, outcome, 0, str(error), "", self._since(started))
         finally:
             if response is not None:
                 response.close()
--- a/src/cranklane_lab/standins/worker.py
+++ b/src/cranklane_lab/standins/worker.py
@@ -14,7 +14,7 @@
 import gevent
 
 from cranklane.common import headers as header_names
-from cranklane.common.http_client import HttpClient, HttpRequestError
+from cranklane.common.http_client import HttpClient, HttpRequestError, HttpResponse
 from cranklane.common.http_server import CONNECTION_KEY, HttpServer
 from cranklane.errors import AnswerCutError
 from cranklane.outcome import Outcome
@@ -29,6 +29,21 @@
 _NO_DEADLINE_MS = 3_600_000
 
 
+@dataclass(frozen=True)
+class WorkerRun:
+    """One call that a worker has in truth started.
+
+    :ivar at: monotonic second at the worker.
+    """
+
+    at: float
+    nonce: str
+    key: str
+    service: str
+    path: str
+    worker: str
+
+
 @dataclass
 class WorkerState:
     """What a test can see and change of a worker.
@@ -36,6 +51,8 @@
     :ivar runs: (nonce, idempotency key) of each call it has started.
     :ivar finished: nonces of the calls it has run to their end.
     :ivar slow_factor: multiplies the time of all work.
+    :ivar fail_part: part of its calls that it runs and then answers with 500.
+    :ivar child_retries: how often it repeats a child call that failed, at once.
     :ivar cold_until: monotonic second until which work takes longer.
     """
 
@@ -46,6 +63,8 @@
     shed: int = 0
     cancelled: int = 0
     slow_factor: float = 1.0
+    fail_part: float = 0.0
+    child_retries: int = 0
     cold_until: float = 0.0
     draining: bool = False
 
@@ -66,7 +85,7 @@
         address: Address,
         node: Address,
         sheds: bool = True,
-        on_run: Callable[[str, str], None] | None = None,
+        on_run: Callable[[WorkerRun], None] | None = None,
     ) -> None:
         self._runtime = runtime
         self._name = name
@@ -115,7 +134,10 @@
         state.most_running = max(state.most_running, state.running)
         state.runs.append((nonce, key))
         if self._on_run is not None:
-            self._on_run(nonce, key)
+            run = WorkerRun(
+                self._runtime.monotonic(), nonce, key, self._plan.name, request.path, self._name
+            )
+            self._on_run(run)
         try:
             done = self._work(request, work) and self._call_children(request, work, nonce)
         finally:
@@ -124,6 +146,9 @@
             state.cancelled += 1
             response.status = falcon.HTTP_504
             return
+        if self._runtime.random.random() < state.fail_part:
+            response.status = falcon.HTTP_500
+            return
         state.finished.append(nonce)
         response.content_type = "application/octet-stream"
         response.stream = self._body(nonce, work)
@@ -167,10 +192,27 @@
 
     def _call_child(
         self, service: str, path: str, nonce: str, headers: list[tuple[str, str]]
+    ) -> bool:
+        attempts = 1 + self.state.child_retries
+        return any(self._try_child(service, path, nonce, headers) for _ in range(attempts))
+
+    def _request_again_when_stale(
+        self, target: str, headers: list[tuple[str, str]]
+    ) -> HttpResponse:
+        """Do as common HTTP clients do when a kept connection was closed meanwhile."""
+        try:
+            return self._node.request("GET", target, headers)
+        except HttpRequestError as error:
+            if error.timed_out:
+                raise
+            return self._node.request("GET", target, headers)
+
+    def _try_child(
+        self, service: str, path: str, nonce: str, headers: list[tuple[str, str]]
     ) -> bool:
         target = f"/{self._tenant}/{service}{path}?nonce={nonce}"
         try:
-            response = self._node.request("GET", target, headers)
+            response = self._request_again_when_stale(target, headers)
             for _ in response.body():
                 pass
         except (HttpRequestError, AnswerCutError):
