--- a/src/cranklane/cli/client.py
+++ b/src/cranklane/cli/client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import gevent
 from result import Err, Ok, Result
 
 from cranklane.common.http_client import HttpClient, HttpRequestError
@@ -14,6 +15,7 @@
 from cranklane.runtime.real import RealRuntime
 
 TIMEOUT_SECONDS = 75.0
+_UNAVAILABLE = 503
 
 
 @dataclass(frozen=True)
@@ -26,9 +28,20 @@
     status: int
     lines: list[str] = field(default_factory=list)
 
+    @property
+    def another_may_answer(self) -> bool:
+        """Whether it is worth asking another control process, or this one later."""
+        return self.status in (0, _UNAVAILABLE)
+
+
+ROUNDS = 5
+"""How often all control processes are asked while none of them leads."""
+
+ROUND_SECONDS = 0.6
+
 
 class OperatorClient:
-    """Calls the first control process that answers."""
+    """Calls the control process that leads, whichever of those given it is."""
 
     def __init__(self, controls: list[str], token: str) -> None:
         self._runtime = RealRuntime()
@@ -38,11 +51,16 @@
     def call(self, method: str, path: str, media: Any = None) -> Result[dict, OperatorProblem]:
         """Make one call and return the answer's JSON."""
         problem = OperatorProblem(0, ["no control address is given"])
-        for control in self._controls:
-            result = self._call_one(control, method, path, media)
-            if not isinstance(result, Err) or result.err_value.status:
-                return result
-            problem = result.err_value
+        for round_ in range(ROUNDS):
+            if round_:
+                gevent.sleep(ROUND_SECONDS)
+            for control in self._controls:
+                result = self._call_one(control, method, path, media)
+                if not isinstance(result, Err):
+                    return result
+                problem = result.err_value
+                if not problem.another_may_answer:
+                    return result
         return Err(problem)
 
     def _call_one(
--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from cranklane.common.logs import configure_logs
-from cranklane.errors import DamagedLogError, SettingsError
+from cranklane.errors import DamagedLogError, InvariantError, SettingsError
 from cranklane.runtime.real import RealRuntime
 from cranklane.settings import load
 
@@ -62,6 +62,9 @@
         print("\n".join(error.problems), file=sys.stderr)
         return EXIT_SETTINGS
     configure_logs()
+    # An error of this kind in any task ends the process, not only the task.
+    hub = gevent.get_hub()
+    hub.SYSTEM_ERROR = (*hub.SYSTEM_ERROR, InvariantError)
     process: Process = process_kind(RealRuntime(), settings)
     try:
         process.start()
--- a/src/cranklane/cli/entry.py
+++ b/src/cranklane/cli/entry.py
@@ -9,13 +9,28 @@
 import sys
 
 
+def _is_daemon(arguments: list[str]) -> bool:
+    """Return whether to run a daemon.
+
+    ``control`` followed by flags is the daemon; followed by a word, it is one of
+    the operators' commands on control.
+
+    >>> _is_daemon(["control", "--name", "c1"]), _is_daemon(["control", "list"])
+    (True, False)
+    """
+    command = arguments[0] if arguments else ""
+    if command in ("node", "edge"):
+        return True
+    return command == "control" and len(arguments) > 1 and arguments[1].startswith("--")
+
+
 def main() -> None:
     """Run the command that the first argument names."""
-    command = sys.argv[1] if len(sys.argv) > 1 else ""
-    if command in ("node", "edge", "control"):
+    arguments = sys.argv[1:]
+    if _is_daemon(arguments):
         from cranklane.cli.daemon import run
 
-        sys.exit(run(command, sys.argv[2:]))
+        sys.exit(run(arguments[0], arguments[1:]))
     from cranklane.cli.main import application
 
     application()
--- a/src/cranklane/cli/main.py
+++ b/src/cranklane/cli/main.py
@@ -6,12 +6,12 @@
 import hashlib
 import secrets
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
-from result import Err
 
-from cranklane.cli.client import OperatorClient, OperatorProblem
+from cranklane.cli.common import Control, Token, call, fail
+from cranklane.cli.control import control_commands
 from cranklane.cli.explain import explain_target, show_policy
 from cranklane.errors import PolicyError
 from cranklane.policy.compiler import compile_policy
@@ -23,15 +23,7 @@
 config_commands = typer.Typer(no_args_is_help=True, help="Read and change what is in force.")
 application.add_typer(policy_commands, name="policy")
 application.add_typer(config_commands, name="config")
-
-Control = Annotated[str, typer.Option(envvar="CRANKLANE_CONTROL", help="host:port of control")]
-Token = Annotated[str, typer.Option(envvar="CRANKLANE_TOKEN", help="the operator's token")]
-
-
-def _fail(lines: list[str]) -> typer.Exit:
-    for line in lines:
-        typer.echo(line, err=True)
-    return typer.Exit(1)
+application.add_typer(control_commands, name="control")
 
 
 def _read(path: Path) -> Policy:
@@ -39,9 +31,9 @@
         policy = parse(path.read_text())
         compile_policy(policy)
     except OSError as error:
-        raise _fail([f"{path}: cannot be read: {error.strerror}"]) from error
+        raise fail([f"{path}: cannot be read: {error.strerror}"]) from error
     except PolicyError as error:
-        raise _fail([f"{path}: {problem}" for problem in error.problems]) from error
+        raise fail([f"{path}: {problem}" for problem in error.problems]) from error
     return policy
 
 
@@ -72,7 +64,7 @@
     """Print which branch sets each value of TENANT.SERVICE or TENANT.SERVICE.ROUTE."""
     lines = explain_target(_read(path), target)
     if not lines:
-        raise _fail([f"{path}: no {target}"])
+        raise fail([f"{path}: no {target}"])
     for line in lines:
         typer.echo(line)
 
@@ -87,38 +79,30 @@
         typer.echo(line)
 
 
-def _call(control: str, token: str, method: str, path: str, media: Any = None) -> dict[str, Any]:
-    result = OperatorClient(control.split(","), token).call(method, path, media)
-    if isinstance(result, Err):
-        problem: OperatorProblem = result.err_value
-        raise _fail(problem.lines)
-    return result.ok_value
-
-
 @config_commands.command("list")
 def config_list(control: Control, token: Token) -> None:
     """List the documents and their versions."""
-    for document in _call(control, token, "GET", "/v1/documents")["documents"]:
+    for document in call(control, token, "GET", "/v1/documents")["documents"]:
         typer.echo(f"{document['version']:>8}  {document['name']}")
 
 
 @config_commands.command("get")
 def config_get(name: str, control: Control, token: Token) -> None:
     """Print a document's text."""
-    typer.echo(_call(control, token, "GET", f"/v1/documents/{name}")["text"])
+    typer.echo(call(control, token, "GET", f"/v1/documents/{name}")["text"])
 
 
 @config_commands.command("history")
 def config_history(name: str, control: Control, token: Token) -> None:
     """List a document's accepted edits, newest first."""
-    for entry in _call(control, token, "GET", f"/v1/documents/{name}/history")["history"]:
+    for entry in call(control, token, "GET", f"/v1/documents/{name}/history")["history"]:
         typer.echo(f"{entry['version']:>8}  from {entry['base']:>8}  by {entry['operator']}")
 
 
 @config_commands.command("diff")
 def config_diff(name: str, path: Path, control: Control, token: Token) -> None:
     """Print what a file would change in a document's text."""
-    current = _call(control, token, "GET", f"/v1/documents/{name}")
+    current = call(control, token, "GET", f"/v1/documents/{name}")
     for line in difflib.unified_diff(
         current["text"].splitlines(), path.read_text().splitlines(), name, str(path), lineterm=""
     ):
@@ -153,10 +137,10 @@
     control: str, token: str, name: str, text: str, base: int | None, request: str
 ) -> int:
     if base is None:
-        listed = _call(control, token, "GET", "/v1/documents")["documents"]
+        listed = call(control, token, "GET", "/v1/documents")["documents"]
         base = next((item["version"] for item in listed if item["name"] == name), 0)
     media = {"text": text, "base": base, "request": request}
-    answer = _call(control, token, "PUT", f"/v1/documents/{name}", media)
+    answer = call(control, token, "PUT", f"/v1/documents/{name}", media)
     typer.echo(f"{name}: {answer['result']}, version {answer['version']}")
     return int(answer["version"])
 
@@ -164,16 +148,16 @@
 @config_commands.command("wait")
 def config_wait(version: int, control: Control, token: Token, seconds: float = 10.0) -> None:
     """Wait until a version is in force on all live nodes; name those behind."""
-    answer = _call(control, token, "GET", f"/v1/wait?version={version}&seconds={seconds}")
+    answer = call(control, token, "GET", f"/v1/wait?version={version}&seconds={seconds}")
     if not answer["in_force"]:
-        raise _fail([f"version {version} is not in force on: {', '.join(answer['behind'])}"])
+        raise fail([f"version {version} is not in force on: {', '.join(answer['behind'])}"])
     typer.echo(f"version {version} is in force everywhere")
 
 
 @application.command("status")
 def status(control: Control, token: Token) -> None:
     """Print the state of control and of the members it knows."""
-    answer = _call(control, token, "GET", "/v1/status")
+    answer = call(control, token, "GET", "/v1/status")
     typer.echo(f"{answer['name']}: revision {answer['revision']}")
     for member in answer["members"]:
         typer.echo(
--- a/src/cranklane/control/editor.py
+++ b/src/cranklane/control/editor.py
@@ -8,9 +8,9 @@
 from result import Err, Ok, Result
 
 from cranklane.control.compilation import DocumentCompiler
-from cranklane.control.replica import Replica
 from cranklane.control.store import ConfigurationStore, EditAnswer, EditResult
 from cranklane.records.messages import EditCommand
+from cranklane.replication.replica import ProposalFailure, Replica
 from cranklane.runtime.interface import Runtime
 
 _INVALID = 422
@@ -39,11 +39,13 @@
 
     :ivar status: HTTP status.
     :ivar not_run: whether the edit certainly changed nothing.
+    :ivar leader: where operators reach the leader, when this is another process.
     """
 
     status: int
     problems: list[str] = field(default_factory=list)
     not_run: bool = True
+    leader: str = ""
 
 
 class Editor:
@@ -60,17 +62,40 @@
         """Commit an edit; a resend gets the first answer."""
         with self._editing:
             for _ in range(_MAX_COMPILATIONS):
+                if not self._replica.may_read:
+                    return Err(self.not_leading())
                 known = self._store.answered(edit.operator, edit.request)
                 if known is not None:
                     return Ok(known)
                 compiled = self._compiler.compile(edit.document, edit.text)
                 if isinstance(compiled, Err):
                     return Err(EditProblem(_INVALID, compiled.err_value.problems))
-                answer = self._replica.propose(self._command(edit, compiled.ok_value))
+                command = self._command(edit, compiled.ok_value)
+                proposed = self._replica.propose(command.pack())
+                if isinstance(proposed, Err):
+                    return Err(self._not_committed(proposed.err_value))
+                answer: EditAnswer = proposed.ok_value
                 if answer.result is not EditResult.STALE:
                     return Ok(answer)
         return Err(EditProblem(_UNAVAILABLE, ["other edits came in between; try again"]))
 
+    def not_leading(self) -> EditProblem:
+        """Return the answer of a process that does not lead for certain."""
+        leader = self._replica.leader_member()
+        if leader is None or leader.identity == self._replica.identity:
+            return EditProblem(_UNAVAILABLE, ["no control process leads now; try again"])
+        problem = f"this control process does not lead; {leader.name} at {leader.http} does"
+        return EditProblem(_UNAVAILABLE, [problem], leader=leader.http)
+
+    def _not_committed(self, failure: ProposalFailure) -> EditProblem:
+        if failure is ProposalFailure.NOT_LEADER:
+            return self.not_leading()
+        return EditProblem(
+            _UNAVAILABLE,
+            ["whether the edit was accepted is not known; send it again with its request id"],
+            not_run=False,
+        )
+
     def _command(self, edit: Edit, rows: list) -> EditCommand:
         return EditCommand(
             base=edit.base,
--- a/src/cranklane/control/operator_api.py
+++ b/src/cranklane/control/operator_api.py
@@ -2,23 +2,26 @@
 
 from __future__ import annotations
 
+import base64
 import hashlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import falcon
 import gevent
-from result import Err
+from result import Err, Ok, Result
 
-from cranklane.control.editor import Edit
+from cranklane.control import backup
+from cranklane.control.editor import Edit, EditProblem
+from cranklane.control.status import ALL_TENANTS, group_of, status_of
 from cranklane.control.store import ROOT, EditResult
+from cranklane.replication.membership_change import ChangeFailure
 
 if TYPE_CHECKING:
     from cranklane.control.process import ControlProcess
 
 MAX_WAIT_SECONDS = 60.0
 MAX_DOCUMENT_BYTES = 1024 * 1024
-ALL_TENANTS = "*"
 _BEARER = "bearer "
 
 
@@ -51,6 +54,9 @@
         add("/v1/documents/{name}/history", self, suffix="history")
         add("/v1/wait", self, suffix="wait")
         add("/v1/status", self, suffix="status")
+        add("/v1/replicas", self, suffix="replicas")
+        add("/v1/replicas/{name}", self, suffix="replica")
+        add("/v1/snapshot", self, suffix="snapshot")
 
     def _operator(self, request: falcon.Request) -> Operator:
         credentials = request.auth or ""
@@ -71,6 +77,8 @@
     def on_get_documents(self, request: falcon.Request, response: falcon.Response) -> None:
         """List the documents within the operator's scope."""
         operator = self._operator(request)
+        if not self._may_read(response):
+            return
         response.media = {
             "documents": [
                 {"name": document.name, "version": document.version}
@@ -84,6 +92,8 @@
     ) -> None:
         """Return one document."""
         self._within_scope(request, name)
+        if not self._may_read(response):
+            return
         document = self._process.store.document(name)
         if document is None:
             raise falcon.HTTPNotFound(description=f"no document {name}")
@@ -97,9 +107,7 @@
         edit = _read_edit(request, name, operator.name)
         result = self._process.editor.submit(edit)
         if isinstance(result, Err):
-            problem = result.err_value
-            response.status = falcon.code_to_http_status(problem.status)
-            response.media = {"problems": problem.problems, "not_run": problem.not_run}
+            _write_problem(response, result.err_value)
             return
         answer = result.ok_value
         response.media = {
@@ -115,6 +123,8 @@
     def on_get_history(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
         """Return a document's accepted edits, newest first."""
         self._within_scope(request, name)
+        if not self._may_read(response):
+            return
         response.media = {
             "history": [
                 {
@@ -145,7 +155,78 @@
     def on_get_status(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the state of control and the members it knows."""
         operator = self._operator(request)
-        response.media = self._process.status(operator.scope)
+        response.media = status_of(self._process, operator.scope)
+
+    def on_get_replicas(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the replicas of the control group as this process knows them."""
+        self._for_all(request)
+        response.media = group_of(self._process)
+
+    def on_delete_replica(
+        self, request: falcon.Request, response: falcon.Response, name: str
+    ) -> None:
+        """Remove a replica from the group, unless that puts its quorum at risk."""
+        self._for_all(request)
+        if self._may_read(response):
+            self._write_change(response, self._process.changes.remove(name))
+
+    def on_put_replica(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
+        """State whether a learner is to vote once it has caught up."""
+        self._for_all(request)
+        media = request.get_media()
+        voter = media.get("voter") if isinstance(media, dict) else None
+        if not isinstance(voter, bool):
+            raise falcon.HTTPBadRequest(description="voter: expected true or false")
+        if self._may_read(response):
+            self._write_change(response, self._process.changes.promote(name, voter))
+
+    def on_get_snapshot(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return a back-up of all that is accepted, in base 64."""
+        self._for_all(request)
+        if self._may_read(response):
+            data = backup.take(self._process.replica)
+            response.media = {"snapshot": base64.b64encode(data).decode()}
+
+    @staticmethod
+    def _write_change(response: falcon.Response, result: Result[None, ChangeFailure]) -> None:
+        if isinstance(result, Ok):
+            response.media = {"result": "accepted"}
+            return
+        status, problem = _CHANGE_PROBLEMS[result.err_value]
+        response.status = falcon.code_to_http_status(status)
+        response.media = {"problems": [problem]}
+
+    def _for_all(self, request: falcon.Request) -> None:
+        if self._operator(request).scope != ALL_TENANTS:
+            raise falcon.HTTPForbidden(description="an operator of all tenants is needed")
+
+    def _may_read(self, response: falcon.Response) -> bool:
+        """Answer that another process leads, unless this one does for certain."""
+        if self._process.replica.may_read:
+            return True
+        _write_problem(response, self._process.editor.not_leading())
+        return False
+
+
+_CHANGE_PROBLEMS = {
+    ChangeFailure.NOT_LEADER: (503, "this control process does not lead"),
+    ChangeFailure.BUSY: (409, "another change of replicas is under way; try again"),
+    ChangeFailure.UNKNOWN_NAME: (404, "no replica of this name"),
+    ChangeFailure.QUORUM_AT_RISK: (
+        409,
+        "too few of the voters that would be left answer now; add one first",
+    ),
+    ChangeFailure.NOT_KNOWN: (503, "whether the change was made is not known; look again"),
+}
+
+
+def _write_problem(response: falcon.Response, problem: EditProblem) -> None:
+    response.status = falcon.code_to_http_status(problem.status)
+    response.media = {
+        "problems": problem.problems,
+        "not_run": problem.not_run,
+        "leader": problem.leader,
+    }
 
 
 def _read_operators(lines: list[str]) -> dict[str, Operator]:
--- a/src/cranklane/control/publisher.py
+++ b/src/cranklane/control/publisher.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
+import gevent
 from gevent.event import Event
 
 from cranklane.control.membership import Membership
@@ -18,18 +18,21 @@
     ConfigDelta,
     ConfigRow,
     Heartbeat,
-    Hello,
     Member,
     MemberDelta,
     Ping,
     ServiceRow,
     Subscribe,
 )
-from cranklane.runtime.interface import Address, Runtime
+from cranklane.runtime.interface import Runtime
 
 SILENT_SECONDS = 6.0
 """Seconds without a heartbeat after which a subscriber counts as lost."""
 
+MERGE_SECONDS = 0.05
+"""Seconds that changes are gathered before subscribers are told of them: when
+many nodes join at once, each hears of many in one record."""
+
 PING_SECONDS = 2.0
 """Seconds between pings to a subscriber that there is no news for."""
 
@@ -47,17 +50,17 @@
 class Subscriber:
     """One subscribed node.
 
-    :ivar version: the version in force there, as it last said.
+    :ivar since: when it subscribed.
     """
 
     def __init__(self, identity: Subscribe, records: RecordConnection) -> None:
         self.identity = identity
         self.records = records
-        self.version = identity.version
         self.sent_version = identity.version
         self.sent_services: frozenset[str] | None = frozenset()
         self.sent_members = 0
         self.news = Event()
+        self.since = 0.0
 
     @property
     def service(self) -> str:
@@ -72,54 +75,70 @@
     :ivar subscribers: by the node's name.
     """
 
-    def __init__(
-        self,
-        runtime: Runtime,
-        source: RowSource,
-        membership: Membership,
-        hello: Callable[[], Hello],
-    ) -> None:
+    def __init__(self, runtime: Runtime, source: RowSource, membership: Membership) -> None:
         self._runtime = runtime
         self._source = source
         self._membership = membership
-        self._hello = hello
+        self._changed = Event()
         self.subscribers: dict[str, Subscriber] = {}
         self.bytes_sent = 0
         self.records_sent = 0
+        runtime.spawn(self._wake_subscribers)
 
     def changed(self) -> None:
-        """Wake the tasks of all subscribers: there is news."""
-        for subscriber in list(self.subscribers.values()):
-            subscriber.news.set()
-
-    def serve(self, connection: Any, _address: Address) -> None:
+        """Take that there is news for subscribers."""
+        self._changed.set()
+
+    def _wake_subscribers(self) -> None:
+        while True:
+            self._changed.wait()
+            gevent.sleep(MERGE_SECONDS)
+            self._changed.clear()
+            for subscriber in list(self.subscribers.values()):
+                subscriber.news.set()
+
+    def serve(self, records: RecordConnection, identity: Subscribe) -> None:
         """Serve one subscriber's connection until it ends."""
-        records = RecordConnection(connection, SILENT_SECONDS)
-        subscriber: Subscriber | None = None
+        subscriber = Subscriber(identity, records)
+        subscriber.since = self._runtime.monotonic()
         try:
-            records.greet(self._hello())
-            subscriber = Subscriber(records.expect(Subscribe), records)
             self._join(subscriber)
             while True:
-                self._heard(subscriber, records.expect(Heartbeat))
+                self._membership.heard(identity, records.expect(Heartbeat))
         except (ConnectionLostError, MalformedRecordError):
             pass
         finally:
             records.close()
             self.bytes_sent += records.bytes_sent
             self.records_sent += records.records_sent
-            if subscriber is not None:
-                self._leave(subscriber)
+            self._leave(subscriber)
+
+    def send_away(self, before: float, last_resort_before: float) -> int:
+        """End subscriptions, so that their nodes go to another control process.
+
+        :param before: those older than this monotonic second.
+        :param last_resort_before: the same for nodes that found no other process.
+        :returns: how many were ended.
+        """
+        ended = 0
+        for subscriber in list(self.subscribers.values()):
+            limit = last_resort_before if subscriber.identity.last_resort else before
+            if subscriber.since < limit:
+                subscriber.records.close()
+                ended += 1
+        return ended
 
     def _join(self, subscriber: Subscriber) -> None:
         name = subscriber.identity.node
         replaced = self.subscribers.get(name)
         if replaced is not None:
-            if replaced.identity.incarnation > subscriber.identity.incarnation:
+            newer = (replaced.identity.incarnation, replaced.identity.session)
+            if newer > (subscriber.identity.incarnation, subscriber.identity.session):
                 raise ConnectionLostError("a newer process of this name is subscribed")
             replaced.records.close()
         self.subscribers[name] = subscriber
-        if subscriber.version >= self._source.delta(subscriber.version).version:
+        version = subscriber.identity.version
+        if version >= self._source.delta(version).version:
             # It restarts with what is in force: it has the rows of its services.
             subscriber.sent_services = self._services_of(subscriber)
         self._membership.joined(subscriber.identity)
@@ -129,11 +148,6 @@
         subscriber.news.set()
         if self.subscribers.get(subscriber.identity.node) is subscriber:
             del self.subscribers[subscriber.identity.node]
-            self._membership.lost(subscriber.identity)
-
-    def _heard(self, subscriber: Subscriber, heartbeat: Heartbeat) -> None:
-        subscriber.version = heartbeat.version
-        self._membership.heard(subscriber.identity, heartbeat)
 
     def _publish(self, subscriber: Subscriber) -> None:
         records = subscriber.records
@@ -187,6 +201,8 @@
 
     def _needs(self, subscriber: Subscriber, member: Member) -> bool:
         services = subscriber.sent_services
+        if not member.service:
+            return False
         return services is None or f"{member.tenant}.{member.service}" in services
 
 
--- a/src/cranklane/control/store.py
+++ b/src/cranklane/control/store.py
@@ -102,8 +102,15 @@
         ]
         return changed + gone
 
-    def apply(self, command: EditCommand) -> EditAnswer:
-        """Apply a committed edit and return its answer."""
+    def apply(self, data: bytes) -> EditAnswer:
+        """Apply a committed edit and return its answer.
+
+        :param data: an EditCommand.
+        """
+        return self.edit(EditCommand.unpack(data))
+
+    def edit(self, command: EditCommand) -> EditAnswer:
+        """Apply an edit and return its answer."""
         known = self.answered(command.operator, command.request)
         if known is not None:
             return known
--- a/src/cranklane/errors.py
+++ b/src/cranklane/errors.py
@@ -47,3 +47,7 @@
 
 class DamagedLogError(CranklaneError):
     """A log file is damaged before its end, so records would be lost by going on."""
+
+
+class InvariantError(CranklaneError):
+    """Something happened that must never happen; the process stops."""
--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -130,14 +130,22 @@
         self._runtime.random.shuffle(self._controls)
         backoff = MIN_BACKOFF_SECONDS
         while not self._stopped:
+            self._identity.last_resort = False
             for address in self._controls:
                 if not self._stopped and self._follow_one(address):
                     backoff = MIN_BACKOFF_SECONDS
+            if backoff > MIN_BACKOFF_SECONDS:
+                # None of them is in touch with its group: better one that knows
+                # the members around it than none.
+                self._identity.last_resort = True
+                for address in self._controls:
+                    if not self._stopped and self._follow_one(address):
+                        break
             gevent.sleep(backoff * (0.5 + self._runtime.random.random()))
             backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
 
     def _follow_one(self, address: Address) -> bool:
-        """Follow one control process until it is lost; return whether it answered."""
+        """Follow one control process until it is lost; return whether it served."""
         try:
             connection = self._runtime.connect(address, CONNECT_SECONDS)
         except OSError:
@@ -146,14 +154,14 @@
         try:
             records.greet(Hello(incarnation=self._identity.incarnation, node=self._identity.node))
             self._identity.version = self._configuration.version
+            self._identity.session += 1
             records.send(self._identity)
             self._records = records
             self._runtime.spawn(self._send_heartbeats, records)
             while True:
                 self._take(records)
         except (ConnectionLostError, MalformedRecordError) as error:
-            self._lost(records, error)
-        return True
+            return self._lost(records, error)
 
     def _take(self, records: RecordConnection) -> None:
         _, message = records.receive()
@@ -208,11 +216,15 @@
         if self._records is not None:
             self._records.close()
 
-    def _lost(self, records: RecordConnection, error: Exception) -> None:
+    def _lost(self, records: RecordConnection, error: Exception) -> bool:
+        """Take that a connection ended; return whether it had served."""
         records.close()
         self._earlier_received += records.bytes_received
         self._earlier_sent += records.bytes_sent
-        self._records = None
-        if self.connected:
-            self.connected = False
+        if self._records is records:
+            self._records = None
+        served = self.connected
+        self.connected = False
+        if served:
             self._log.warning("control_lost", error=str(error))
+        return served
--- a/src/cranklane/records/connection.py
+++ b/src/cranklane/records/connection.py
@@ -131,6 +131,12 @@
             raise MalformedRecordError(f"{kind.__name__} expected, {type(message).__name__} came")
         return message
 
+    def set_silent_after(self, seconds: float) -> None:
+        """Change how long the peer may be silent."""
+        if seconds != self.silent_after:
+            self.silent_after = seconds
+            self._connection.settimeout(seconds)
+
     def greet(self, own: Hello) -> Hello:
         """Exchange greetings and return the peer's.
 
@@ -139,12 +145,25 @@
         own.protocol = PROTOCOL_VERSION
         self.send(own)
         peer = self.expect(Hello)
-        if peer.protocol != PROTOCOL_VERSION:
-            raise MalformedRecordError(f"protocol {peer.protocol}, not {PROTOCOL_VERSION}")
+        _check_protocol(peer)
         return peer
 
+    def welcome(self, peer: Hello, own: Hello) -> None:
+        """Answer a greeting that has come already.
+
+        :raises MalformedRecordError: when the peer speaks another protocol version.
+        """
+        own.protocol = PROTOCOL_VERSION
+        self.send(own)
+        _check_protocol(peer)
+
     def close(self) -> None:
         """Close the connection; safe to call again."""
         if not self.closed:
             self.closed = True
             self._connection.close()
+
+
+def _check_protocol(peer: Hello) -> None:
+    if peer.protocol != PROTOCOL_VERSION:
+        raise MalformedRecordError(f"protocol {peer.protocol}, not {PROTOCOL_VERSION}")
--- a/src/cranklane/records/generate.py
+++ b/src/cranklane/records/generate.py
@@ -20,11 +20,13 @@
     "f64": "float",
     "bool": "bool",
     "str": "str",
+    "text": "str",
     "bytes": "bytes",
     "strings": "list[str]",
     "pairs": "list[tuple[str, str]]",
 }
 _LENGTH = {"str": "H"}
+_TEXTS = ("str", "text")
 _HEADER = '''"""Record classes generated from schema.py by generate.py; do not edit."""
 
 # ruff: noqa
@@ -70,7 +72,7 @@
 
 
 def _encode(name: str, kind: str) -> str:
-    if kind == "str":
+    if kind in _TEXTS:
         return f"self.{name}.encode()"
     if kind == "bytes":
         return f"self.{name}"
@@ -80,7 +82,7 @@
 
 
 def _decode(kind: str, part: str) -> str:
-    if kind == "str":
+    if kind in _TEXTS:
         return f"{part}.decode()"
     if kind == "bytes":
         return part
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -433,14 +433,16 @@
 
 @dataclass(slots=True)
 class Subscribe:
-    """A node asks a control process for configuration and members: those of its own service and of those it calls, or everything."""
+    """A node asks a control process for configuration and members: those of its own service and of those it calls, or everything. ``session`` counts its connections; ``last_resort`` takes a control process that has lost touch with the others too."""
 
     KIND: ClassVar[int] = 20
-    LAYOUT: ClassVar[Struct] = Struct("!QQ?HHHHH")
+    LAYOUT: ClassVar[Struct] = Struct("!QQI??HHHHH")
 
     incarnation: int = 0
     version: int = 0
+    session: int = 0
     everything: bool = False
+    last_resort: bool = False
     node: str = ""
     tenant: str = ""
     service: str = ""
@@ -454,7 +456,7 @@
         zone = self.zone.encode()
         address = self.address.encode()
         try:
-            head = self.LAYOUT.pack(self.incarnation, self.version, self.everything, len(node), len(tenant), len(service), len(zone), len(address))
+            head = self.LAYOUT.pack(self.incarnation, self.version, self.session, self.everything, self.last_resort, len(node), len(tenant), len(service), len(zone), len(address))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, node, tenant, service, zone, address))
@@ -462,7 +464,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> Subscribe:
         try:
-            incarnation, version, everything, node_size, tenant_size, service_size, zone_size, address_size, = cls.LAYOUT.unpack_from(payload)
+            incarnation, version, session, everything, last_resort, node_size, tenant_size, service_size, zone_size, address_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + node_size
             node = payload[start:end].decode()
@@ -483,7 +485,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"Subscribe of {len(payload)} bytes, not {start}")
-        return cls(incarnation, version, everything, node, tenant, service, zone, address)
+        return cls(incarnation, version, session, everything, last_resort, node, tenant, service, zone, address)
 
 
 @dataclass(slots=True)
@@ -679,7 +681,7 @@
 
 @dataclass(slots=True)
 class LedgerBegin:
-    """Asks to create the started entry of a once-call."""
+    """Asks to create the started entry of a once-call. ``lease_ms`` is the longest time from this request until the first byte goes to the worker."""
 
     KIND: ClassVar[int] = 30
     LAYOUT: ClassVar[Struct] = Struct("!QIIHHH")
@@ -728,7 +730,7 @@
 
 @dataclass(slots=True)
 class LedgerGrant:
-    """Answer to LedgerBegin; ``decision`` is a LedgerDecision."""
+    """Answer to LedgerBegin. ``decision`` is a LedgerDecision; a stored answer follows it."""
 
     KIND: ClassVar[int] = 31
     LAYOUT: ClassVar[Struct] = Struct("!BHII")
@@ -767,7 +769,7 @@
 
 @dataclass(slots=True)
 class LedgerFinish:
-    """Stores the outcome of a started entry."""
+    """Stores how a started entry ended. ``outcome`` is an Outcome."""
 
     KIND: ClassVar[int] = 32
     LAYOUT: ClassVar[Struct] = Struct("!QBHHHHII")
@@ -822,7 +824,7 @@
 
 @dataclass(slots=True)
 class LedgerDone:
-    """The outcome is stored."""
+    """Answer to LedgerFinish."""
 
     KIND: ClassVar[int] = 33
     LAYOUT: ClassVar[Struct] = Struct("!?")
@@ -848,6 +850,173 @@
         return cls(stored)
 
 
+@dataclass(slots=True)
+class LedgerUnavailable:
+    """This process cannot answer. ``not_run`` is whether the request certainly changed nothing; ``leader`` is who may answer, or empty."""
+
+    KIND: ClassVar[int] = 34
+    LAYOUT: ClassVar[Struct] = Struct("!?H")
+
+    not_run: bool = False
+    leader: str = ""
+
+    def pack(self) -> bytes:
+        leader = self.leader.encode()
+        try:
+            head = self.LAYOUT.pack(self.not_run, len(leader))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, leader))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerUnavailable:
+        try:
+            not_run, leader_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + leader_size
+            leader = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerUnavailable of {len(payload)} bytes, not {start}")
+        return cls(not_run, leader)
+
+
+@dataclass(slots=True)
+class LedgerEntry:
+    """One entry of the ledger. ``started`` and ``expires`` are seconds since 1970."""
+
+    KIND: ClassVar[int] = 35
+    LAYOUT: ClassVar[Struct] = Struct("!QB?ddHIHHHII")
+
+    attempt: int = 0
+    outcome: int = 0
+    finished: bool = False
+    started: float = 0.0
+    expires: float = 0.0
+    status: int = 0
+    digest: bytes = b""
+    tenant: str = ""
+    service: str = ""
+    key: str = ""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+
+    def pack(self) -> bytes:
+        digest = self.digest
+        tenant = self.tenant.encode()
+        service = self.service.encode()
+        key = self.key.encode()
+        headers = pack_pairs(self.headers)
+        body = self.body
+        try:
+            head = self.LAYOUT.pack(self.attempt, self.outcome, self.finished, self.started, self.expires, self.status, len(digest), len(tenant), len(service), len(key), len(headers), len(body))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, digest, tenant, service, key, headers, body))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerEntry:
+        try:
+            attempt, outcome, finished, started, expires, status, digest_size, tenant_size, service_size, key_size, headers_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + digest_size
+            digest = payload[start:end]
+            start = end
+            end = start + tenant_size
+            tenant = payload[start:end].decode()
+            start = end
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + key_size
+            key = payload[start:end].decode()
+            start = end
+            end = start + headers_size
+            headers = unpack_pairs(payload[start:end])
+            start = end
+            end = start + body_size
+            body = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerEntry of {len(payload)} bytes, not {start}")
+        return cls(attempt, outcome, finished, started, expires, status, digest, tenant, service, key, headers, body)
+
+
+@dataclass(slots=True)
+class LedgerBatch:
+    """One command of the ledger's log: many requests, applied in order. ``when`` is the leader's clock, seconds since 1970."""
+
+    KIND: ClassVar[int] = 36
+    LAYOUT: ClassVar[Struct] = Struct("!dII")
+
+    when: float = 0.0
+    begins: list[LedgerBegin] = field(default_factory=list)
+    finishes: list[LedgerFinish] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        begins = pack_records(self.begins)
+        finishes = pack_records(self.finishes)
+        try:
+            head = self.LAYOUT.pack(self.when, len(begins), len(finishes))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, begins, finishes))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerBatch:
+        try:
+            when, begins_size, finishes_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + begins_size
+            begins = unpack_records(LedgerBegin.unpack, payload[start:end])
+            start = end
+            end = start + finishes_size
+            finishes = unpack_records(LedgerFinish.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerBatch of {len(payload)} bytes, not {start}")
+        return cls(when, begins, finishes)
+
+
+@dataclass(slots=True)
+class LedgerState:
+    """The whole state of a ledger group."""
+
+    KIND: ClassVar[int] = 37
+    LAYOUT: ClassVar[Struct] = Struct("!dI")
+
+    now: float = 0.0
+    entries: list[LedgerEntry] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        entries = pack_records(self.entries)
+        try:
+            head = self.LAYOUT.pack(self.now, len(entries))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, entries))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> LedgerState:
+        try:
+            now, entries_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + entries_size
+            entries = unpack_records(LedgerEntry.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"LedgerState of {len(payload)} bytes, not {start}")
+        return cls(now, entries)
+
+
 @dataclass(slots=True)
 class TenantRow:
     """Compiled tenant: its share and its hashed tokens."""
@@ -934,10 +1103,10 @@
 
 @dataclass(slots=True)
 class ServiceRow:
-    """Compiled service. ``slots`` is the worker's stated concurrency; ``depth_below`` is 0 for a service that calls nobody."""
+    """Compiled service. ``slots`` is the worker's stated concurrency; ``depth_below`` is 0 for a service that calls nobody; ``ledgers`` are the groups its once-calls are spread over."""
 
     KIND: ClassVar[int] = 42
-    LAYOUT: ClassVar[Struct] = Struct("!IIBHHHIII")
+    LAYOUT: ClassVar[Struct] = Struct("!IIBHHHIIII")
 
     slots: int = 0
     queue: int = 0
@@ -947,6 +1116,7 @@
     name: str = ""
     calls: list[str] = field(default_factory=list)
     callers: list[str] = field(default_factory=list)
+    ledgers: list[str] = field(default_factory=list)
     routes: list[RouteRow] = field(default_factory=list)
 
     def pack(self) -> bytes:
@@ -954,17 +1124,18 @@
         name = self.name.encode()
         calls = pack_strings(self.calls)
         callers = pack_strings(self.callers)
+        ledgers = pack_strings(self.ledgers)
         routes = pack_records(self.routes)
         try:
-            head = self.LAYOUT.pack(self.slots, self.queue, self.depth_below, self.retry_ratio_permille, len(tenant), len(name), len(calls), len(callers), len(routes))
+            head = self.LAYOUT.pack(self.slots, self.queue, self.depth_below, self.retry_ratio_permille, len(tenant), len(name), len(calls), len(callers), len(ledgers), len(routes))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, tenant, name, calls, callers, routes))
+        return b''.join((head, tenant, name, calls, callers, ledgers, routes))
 
     @classmethod
     def unpack(cls, payload: bytes) -> ServiceRow:
         try:
-            slots, queue, depth_below, retry_ratio_permille, tenant_size, name_size, calls_size, callers_size, routes_size, = cls.LAYOUT.unpack_from(payload)
+            slots, queue, depth_below, retry_ratio_permille, tenant_size, name_size, calls_size, callers_size, ledgers_size, routes_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + tenant_size
             tenant = payload[start:end].decode()
@@ -978,6 +1149,9 @@
             end = start + callers_size
             callers = unpack_strings(payload[start:end])
             start = end
+            end = start + ledgers_size
+            ledgers = unpack_strings(payload[start:end])
+            start = end
             end = start + routes_size
             routes = unpack_records(RouteRow.unpack, payload[start:end])
             start = end
@@ -985,7 +1159,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ServiceRow of {len(payload)} bytes, not {start}")
-        return cls(slots, queue, depth_below, retry_ratio_permille, tenant, name, calls, callers, routes)
+        return cls(slots, queue, depth_below, retry_ratio_permille, tenant, name, calls, callers, ledgers, routes)
 
 
 @dataclass(slots=True)
@@ -1023,30 +1197,112 @@
         return cls(term, index, kind, data)
 
 
+@dataclass(slots=True)
+class ReplicaMember:
+    """One replica of a group. ``identity`` belongs to its data folder: an emptied folder is another replica. ``promote``: a learner that is to vote once it has caught up."""
+
+    KIND: ClassVar[int] = 51
+    LAYOUT: ClassVar[Struct] = Struct("!Q??HHH")
+
+    identity: int = 0
+    voter: bool = False
+    promote: bool = False
+    name: str = ""
+    address: str = ""
+    http: str = ""
+
+    def pack(self) -> bytes:
+        name = self.name.encode()
+        address = self.address.encode()
+        http = self.http.encode()
+        try:
+            head = self.LAYOUT.pack(self.identity, self.voter, self.promote, len(name), len(address), len(http))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, name, address, http))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ReplicaMember:
+        try:
+            identity, voter, promote, name_size, address_size, http_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+            end = start + address_size
+            address = payload[start:end].decode()
+            start = end
+            end = start + http_size
+            http = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ReplicaMember of {len(payload)} bytes, not {start}")
+        return cls(identity, voter, promote, name, address, http)
+
+
+@dataclass(slots=True)
+class ReplicaSet:
+    """The replicas of a group."""
+
+    KIND: ClassVar[int] = 52
+    LAYOUT: ClassVar[Struct] = Struct("!I")
+
+    members: list[ReplicaMember] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        members = pack_records(self.members)
+        try:
+            head = self.LAYOUT.pack(len(members))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, members))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ReplicaSet:
+        try:
+            members_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + members_size
+            members = unpack_records(ReplicaMember.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ReplicaSet of {len(payload)} bytes, not {start}")
+        return cls(members)
+
+
 @dataclass(slots=True)
 class LogSnapshot:
     """State after the entry ``index``; replaces all entries up to it."""
 
-    KIND: ClassVar[int] = 51
-    LAYOUT: ClassVar[Struct] = Struct("!QQI")
+    KIND: ClassVar[int] = 53
+    LAYOUT: ClassVar[Struct] = Struct("!QQII")
 
     term: int = 0
     index: int = 0
+    members: list[ReplicaMember] = field(default_factory=list)
     state: bytes = b""
 
     def pack(self) -> bytes:
+        members = pack_records(self.members)
         state = self.state
         try:
-            head = self.LAYOUT.pack(self.term, self.index, len(state))
+            head = self.LAYOUT.pack(self.term, self.index, len(members), len(state))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, state))
+        return b''.join((head, members, state))
 
     @classmethod
     def unpack(cls, payload: bytes) -> LogSnapshot:
         try:
-            term, index, state_size, = cls.LAYOUT.unpack_from(payload)
+            term, index, members_size, state_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
+            end = start + members_size
+            members = unpack_records(ReplicaMember.unpack, payload[start:end])
+            start = end
             end = start + state_size
             state = payload[start:end]
             start = end
@@ -1054,7 +1310,423 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"LogSnapshot of {len(payload)} bytes, not {start}")
-        return cls(term, index, state)
+        return cls(term, index, members, state)
+
+
+@dataclass(slots=True)
+class VoteState:
+    """What a replica must never forget, beside its log."""
+
+    KIND: ClassVar[int] = 54
+    LAYOUT: ClassVar[Struct] = Struct("!QQQ")
+
+    term: int = 0
+    identity: int = 0
+    voted_for: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.term, self.identity, self.voted_for)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> VoteState:
+        try:
+            term, identity, voted_for, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"VoteState of {len(payload)} bytes, not {start}")
+        return cls(term, identity, voted_for)
+
+
+@dataclass(slots=True)
+class ReplicaHello:
+    """First record each way between replicas: whose group, and who is there."""
+
+    KIND: ClassVar[int] = 55
+    LAYOUT: ClassVar[Struct] = Struct("!QHH")
+
+    identity: int = 0
+    group: str = ""
+    name: str = ""
+
+    def pack(self) -> bytes:
+        group = self.group.encode()
+        name = self.name.encode()
+        try:
+            head = self.LAYOUT.pack(self.identity, len(group), len(name))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, group, name))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ReplicaHello:
+        try:
+            identity, group_size, name_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + group_size
+            group = payload[start:end].decode()
+            start = end
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ReplicaHello of {len(payload)} bytes, not {start}")
+        return cls(identity, group, name)
+
+
+@dataclass(slots=True)
+class VoteRequest:
+    """Asks for a vote; ``trial`` only asks whether it would be given."""
+
+    KIND: ClassVar[int] = 56
+    LAYOUT: ClassVar[Struct] = Struct("!QQQQ?")
+
+    term: int = 0
+    candidate: int = 0
+    last_index: int = 0
+    last_term: int = 0
+    trial: bool = False
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.term, self.candidate, self.last_index, self.last_term, self.trial)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> VoteRequest:
+        try:
+            term, candidate, last_index, last_term, trial, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"VoteRequest of {len(payload)} bytes, not {start}")
+        return cls(term, candidate, last_index, last_term, trial)
+
+
+@dataclass(slots=True)
+class VoteReply:
+    """Answer to VoteRequest."""
+
+    KIND: ClassVar[int] = 57
+    LAYOUT: ClassVar[Struct] = Struct("!Q?")
+
+    term: int = 0
+    granted: bool = False
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.term, self.granted)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> VoteReply:
+        try:
+            term, granted, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"VoteReply of {len(payload)} bytes, not {start}")
+        return cls(term, granted)
+
+
+@dataclass(slots=True)
+class AppendRequest:
+    """The leader's entries after ``previous_index``, and what is committed."""
+
+    KIND: ClassVar[int] = 58
+    LAYOUT: ClassVar[Struct] = Struct("!QQQQQI")
+
+    term: int = 0
+    leader: int = 0
+    previous_index: int = 0
+    previous_term: int = 0
+    commit: int = 0
+    entries: list[LogEntry] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        entries = pack_records(self.entries)
+        try:
+            head = self.LAYOUT.pack(self.term, self.leader, self.previous_index, self.previous_term, self.commit, len(entries))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, entries))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> AppendRequest:
+        try:
+            term, leader, previous_index, previous_term, commit, entries_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + entries_size
+            entries = unpack_records(LogEntry.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"AppendRequest of {len(payload)} bytes, not {start}")
+        return cls(term, leader, previous_index, previous_term, commit, entries)
+
+
+@dataclass(slots=True)
+class AppendReply:
+    """Answer to AppendRequest. ``match`` is durable; on failure ``last`` is the newest entry held."""
+
+    KIND: ClassVar[int] = 59
+    LAYOUT: ClassVar[Struct] = Struct("!Q?QQ")
+
+    term: int = 0
+    success: bool = False
+    match: int = 0
+    last: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.term, self.success, self.match, self.last)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> AppendReply:
+        try:
+            term, success, match, last, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"AppendReply of {len(payload)} bytes, not {start}")
+        return cls(term, success, match, last)
+
+
+@dataclass(slots=True)
+class SnapshotChunk:
+    """A piece of the leader's snapshot for a replica that lags behind its log."""
+
+    KIND: ClassVar[int] = 70
+    LAYOUT: ClassVar[Struct] = Struct("!QQQQQI")
+
+    term: int = 0
+    leader: int = 0
+    index: int = 0
+    offset: int = 0
+    total: int = 0
+    data: bytes = b""
+
+    def pack(self) -> bytes:
+        data = self.data
+        try:
+            head = self.LAYOUT.pack(self.term, self.leader, self.index, self.offset, self.total, len(data))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, data))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> SnapshotChunk:
+        try:
+            term, leader, index, offset, total, data_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + data_size
+            data = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"SnapshotChunk of {len(payload)} bytes, not {start}")
+        return cls(term, leader, index, offset, total, data)
+
+
+@dataclass(slots=True)
+class SnapshotReply:
+    """Answer to SnapshotChunk."""
+
+    KIND: ClassVar[int] = 71
+    LAYOUT: ClassVar[Struct] = Struct("!QQ")
+
+    term: int = 0
+    received: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.term, self.received)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> SnapshotReply:
+        try:
+            term, received, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"SnapshotReply of {len(payload)} bytes, not {start}")
+        return cls(term, received)
+
+
+@dataclass(slots=True)
+class MemberReport:
+    """One control process tells another of the nodes subscribed to it: changed members, and (node, version in force) of those that changed."""
+
+    KIND: ClassVar[int] = 72
+    LAYOUT: ClassVar[Struct] = Struct("!?HII")
+
+    whole: bool = False
+    owner: str = ""
+    members: list[Member] = field(default_factory=list)
+    versions: list[NodeVersion] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        owner = self.owner.encode()
+        members = pack_records(self.members)
+        versions = pack_records(self.versions)
+        try:
+            head = self.LAYOUT.pack(self.whole, len(owner), len(members), len(versions))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, owner, members, versions))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> MemberReport:
+        try:
+            whole, owner_size, members_size, versions_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + owner_size
+            owner = payload[start:end].decode()
+            start = end
+            end = start + members_size
+            members = unpack_records(Member.unpack, payload[start:end])
+            start = end
+            end = start + versions_size
+            versions = unpack_records(NodeVersion.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"MemberReport of {len(payload)} bytes, not {start}")
+        return cls(whole, owner, members, versions)
+
+
+@dataclass(slots=True)
+class JoinRequest:
+    """A replica with an empty data folder asks to become part of its group."""
+
+    KIND: ClassVar[int] = 74
+    LAYOUT: ClassVar[Struct] = Struct("!Q?HHH")
+
+    identity: int = 0
+    voter: bool = False
+    name: str = ""
+    address: str = ""
+    http: str = ""
+
+    def pack(self) -> bytes:
+        name = self.name.encode()
+        address = self.address.encode()
+        http = self.http.encode()
+        try:
+            head = self.LAYOUT.pack(self.identity, self.voter, len(name), len(address), len(http))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, name, address, http))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> JoinRequest:
+        try:
+            identity, voter, name_size, address_size, http_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + name_size
+            name = payload[start:end].decode()
+            start = end
+            end = start + address_size
+            address = payload[start:end].decode()
+            start = end
+            end = start + http_size
+            http = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"JoinRequest of {len(payload)} bytes, not {start}")
+        return cls(identity, voter, name, address, http)
+
+
+@dataclass(slots=True)
+class JoinReply:
+    """Answer to JoinRequest. ``status`` is a JoinStatus; ``leader`` is whom to ask."""
+
+    KIND: ClassVar[int] = 75
+    LAYOUT: ClassVar[Struct] = Struct("!BH")
+
+    status: int = 0
+    leader: str = ""
+
+    def pack(self) -> bytes:
+        leader = self.leader.encode()
+        try:
+            head = self.LAYOUT.pack(self.status, len(leader))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, leader))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> JoinReply:
+        try:
+            status, leader_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + leader_size
+            leader = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"JoinReply of {len(payload)} bytes, not {start}")
+        return cls(status, leader)
+
+
+@dataclass(slots=True)
+class NodeVersion:
+    """A node and the version in force there."""
+
+    KIND: ClassVar[int] = 73
+    LAYOUT: ClassVar[Struct] = Struct("!QH")
+
+    version: int = 0
+    node: str = ""
+
+    def pack(self) -> bytes:
+        node = self.node.encode()
+        try:
+            head = self.LAYOUT.pack(self.version, len(node))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, node))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> NodeVersion:
+        try:
+            version, node_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + node_size
+            node = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"NodeVersion of {len(payload)} bytes, not {start}")
+        return cls(version, node)
 
 
 @dataclass(slots=True)
@@ -1062,7 +1734,7 @@
     """A checked edit of one document. ``base`` is the document's version it started from; ``compiled_at`` is the store's revision that ``rows`` were compiled at."""
 
     KIND: ClassVar[int] = 60
-    LAYOUT: ClassVar[Struct] = Struct("!QQdHHHHI")
+    LAYOUT: ClassVar[Struct] = Struct("!QQdHHHII")
 
     base: int = 0
     compiled_at: int = 0
@@ -1117,7 +1789,7 @@
     """One document of the settings tree."""
 
     KIND: ClassVar[int] = 61
-    LAYOUT: ClassVar[Struct] = Struct("!QHH")
+    LAYOUT: ClassVar[Struct] = Struct("!QHI")
 
     version: int = 0
     name: str = ""
@@ -1155,7 +1827,7 @@
     """One accepted edit."""
 
     KIND: ClassVar[int] = 62
-    LAYOUT: ClassVar[Struct] = Struct("!QQdHHHH")
+    LAYOUT: ClassVar[Struct] = Struct("!QQdHHHI")
 
     version: int = 0
     base: int = 0
@@ -1309,11 +1981,29 @@
     31: LedgerGrant,
     32: LedgerFinish,
     33: LedgerDone,
+    34: LedgerUnavailable,
+    35: LedgerEntry,
+    36: LedgerBatch,
+    37: LedgerState,
     40: TenantRow,
     41: RouteRow,
     42: ServiceRow,
     50: LogEntry,
-    51: LogSnapshot,
+    51: ReplicaMember,
+    52: ReplicaSet,
+    53: LogSnapshot,
+    54: VoteState,
+    55: ReplicaHello,
+    56: VoteRequest,
+    57: VoteReply,
+    58: AppendRequest,
+    59: AppendReply,
+    70: SnapshotChunk,
+    71: SnapshotReply,
+    72: MemberReport,
+    74: JoinRequest,
+    75: JoinReply,
+    73: NodeVersion,
     60: EditCommand,
     61: Document,
     62: HistoryEntry,
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -4,9 +4,9 @@
 one ``struct`` of its numbers and of the lengths of its variable fields,
 followed by the variable fields' bytes in order.
 
-Field types: ``u8 u16 u32 u64 f64 bool`` are numbers, ``str`` and ``bytes`` are
-variable, ``strings`` is a list of text, ``pairs`` is a list of (text, text),
-and ``[Name]`` is a list of another record.
+Field types: ``u8 u16 u32 u64 f64 bool`` are numbers, ``str`` (up to 64 KiB),
+``text`` and ``bytes`` are variable, ``strings`` is a list of text, ``pairs`` is
+a list of (text, text), and ``[Name]`` is a list of another record.
 """
 
 from __future__ import annotations
@@ -75,9 +75,10 @@
         20,
         "Subscribe",
         "A node asks a control process for configuration and members: those of its own "
-        "service and of those it calls, or everything.",
-        "incarnation:u64 version:u64 everything:bool node:str tenant:str service:str "
-        "zone:str address:str",
+        "service and of those it calls, or everything. ``session`` counts its connections; "
+        "``last_resort`` takes a control process that has lost touch with the others too.",
+        "incarnation:u64 version:u64 session:u32 everything:bool last_resort:bool node:str "
+        "tenant:str service:str zone:str address:str",
     ),
     Record(
         21,
@@ -113,22 +114,47 @@
     Record(
         30,
         "LedgerBegin",
-        "Asks to create the started entry of a once-call.",
+        "Asks to create the started entry of a once-call. ``lease_ms`` is the longest time "
+        "from this request until the first byte goes to the worker.",
         "attempt:u64 lease_ms:u32 digest:bytes tenant:str service:str key:str",
     ),
     Record(
         31,
         "LedgerGrant",
-        "Answer to LedgerBegin; ``decision`` is a LedgerDecision.",
+        "Answer to LedgerBegin. ``decision`` is a LedgerDecision; a stored answer follows it.",
         "decision:u8 status:u16 headers:pairs body:bytes",
     ),
     Record(
         32,
         "LedgerFinish",
-        "Stores the outcome of a started entry.",
+        "Stores how a started entry ended. ``outcome`` is an Outcome.",
         "attempt:u64 outcome:u8 status:u16 tenant:str service:str key:str headers:pairs body:bytes",
     ),
-    Record(33, "LedgerDone", "The outcome is stored.", "stored:bool"),
+    Record(33, "LedgerDone", "Answer to LedgerFinish.", "stored:bool"),
+    Record(
+        34,
+        "LedgerUnavailable",
+        "This process cannot answer. ``not_run`` is whether the request certainly changed "
+        "nothing; ``leader`` is who may answer, or empty.",
+        "not_run:bool leader:str",
+    ),
+    Record(
+        35,
+        "LedgerEntry",
+        "One entry of the ledger. ``started`` and ``expires`` are seconds since 1970.",
+        "attempt:u64 outcome:u8 finished:bool started:f64 expires:f64 status:u16 digest:bytes "
+        "tenant:str service:str key:str headers:pairs body:bytes",
+    ),
+    Record(
+        36,
+        "LedgerBatch",
+        "One command of the ledger's log: many requests, applied in order. ``when`` is the "
+        "leader's clock, seconds since 1970.",
+        "when:f64 begins:[LedgerBegin] finishes:[LedgerFinish]",
+    ),
+    Record(
+        37, "LedgerState", "The whole state of a ledger group.", "now:f64 entries:[LedgerEntry]"
+    ),
     Record(
         40,
         "TenantRow",
@@ -145,33 +171,101 @@
         42,
         "ServiceRow",
         "Compiled service. ``slots`` is the worker's stated concurrency; ``depth_below`` "
-        "is 0 for a service that calls nobody.",
+        "is 0 for a service that calls nobody; ``ledgers`` are the groups its once-calls "
+        "are spread over.",
         "slots:u32 queue:u32 depth_below:u8 retry_ratio_permille:u16 tenant:str name:str "
-        "calls:strings callers:strings routes:[RouteRow]",
+        "calls:strings callers:strings ledgers:strings routes:[RouteRow]",
     ),
     Record(
         50, "LogEntry", "One entry of a replicated log.", "term:u64 index:u64 kind:u8 data:bytes"
     ),
     Record(
         51,
+        "ReplicaMember",
+        "One replica of a group. ``identity`` belongs to its data folder: an emptied folder "
+        "is another replica. ``promote``: a learner that is to vote once it has caught up.",
+        "identity:u64 voter:bool promote:bool name:str address:str http:str",
+    ),
+    Record(52, "ReplicaSet", "The replicas of a group.", "members:[ReplicaMember]"),
+    Record(
+        53,
         "LogSnapshot",
         "State after the entry ``index``; replaces all entries up to it.",
-        "term:u64 index:u64 state:bytes",
+        "term:u64 index:u64 members:[ReplicaMember] state:bytes",
+    ),
+    Record(
+        54,
+        "VoteState",
+        "What a replica must never forget, beside its log.",
+        "term:u64 identity:u64 voted_for:u64",
+    ),
+    Record(
+        55,
+        "ReplicaHello",
+        "First record each way between replicas: whose group, and who is there.",
+        "identity:u64 group:str name:str",
+    ),
+    Record(
+        56,
+        "VoteRequest",
+        "Asks for a vote; ``trial`` only asks whether it would be given.",
+        "term:u64 candidate:u64 last_index:u64 last_term:u64 trial:bool",
+    ),
+    Record(57, "VoteReply", "Answer to VoteRequest.", "term:u64 granted:bool"),
+    Record(
+        58,
+        "AppendRequest",
+        "The leader's entries after ``previous_index``, and what is committed.",
+        "term:u64 leader:u64 previous_index:u64 previous_term:u64 commit:u64 entries:[LogEntry]",
+    ),
+    Record(
+        59,
+        "AppendReply",
+        "Answer to AppendRequest. ``match`` is durable; on failure ``last`` is the newest "
+        "entry held.",
+        "term:u64 success:bool match:u64 last:u64",
+    ),
+    Record(
+        70,
+        "SnapshotChunk",
+        "A piece of the leader's snapshot for a replica that lags behind its log.",
+        "term:u64 leader:u64 index:u64 offset:u64 total:u64 data:bytes",
+    ),
+    Record(71, "SnapshotReply", "Answer to SnapshotChunk.", "term:u64 received:u64"),
+    Record(
+        72,
+        "MemberReport",
+        "One control process tells another of the nodes subscribed to it: changed members, "
+        "and (node, version in force) of those that changed.",
+        "whole:bool owner:str members:[Member] versions:[NodeVersion]",
+    ),
+    Record(
+        74,
+        "JoinRequest",
+        "A replica with an empty data folder asks to become part of its group.",
+        "identity:u64 voter:bool name:str address:str http:str",
+    ),
+    Record(
+        75,
+        "JoinReply",
+        "Answer to JoinRequest. ``status`` is a JoinStatus; ``leader`` is whom to ask.",
+        "status:u8 leader:str",
     ),
+    Record(73, "NodeVersion", "A node and the version in force there.", "version:u64 node:str"),
     Record(
         60,
         "EditCommand",
         "A checked edit of one document. ``base`` is the document's version it started "
         "from; ``compiled_at`` is the store's revision that ``rows`` were compiled at.",
-        "base:u64 compiled_at:u64 when:f64 document:str operator:str request:str text:str "
+        "base:u64 compiled_at:u64 when:f64 document:str operator:str request:str text:text "
         "rows:[ConfigRow]",
     ),
-    Record(61, "Document", "One document of the settings tree.", "version:u64 name:str text:str"),
+    Record(61, "Document", "One document of the settings tree.", "version:u64 name:str text:text"),
     Record(
         62,
         "HistoryEntry",
         "One accepted edit.",
-        "version:u64 base:u64 when:f64 document:str operator:str request:str text:str",
+        "version:u64 base:u64 when:f64 document:str operator:str request:str text:text",
     ),
     Record(
         63,
--- /dev/null
+++ b/src/cranklane/replication/election.py
@@ -0,0 +1,79 @@
+"""Watches for a leader and, when there is none, tries to become it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+
+from cranklane.records.messages import ReplicaMember, VoteReply, VoteRequest
+from cranklane.replication.timing import ELECTION_SECONDS
+
+if TYPE_CHECKING:
+    from cranklane.replication.replica import Replica
+
+VOTE_SECONDS = 0.5
+"""Seconds a vote is waited for."""
+
+
+class Election:
+    """The part of a replica that follows and replaces leaders."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._heard_at = 0.0
+        self._patience = 0.0
+
+    def heard(self) -> None:
+        """Take that a leader is there, or that a vote was given."""
+        self._heard_at = self._replica.runtime.monotonic()
+        self._patience = ELECTION_SECONDS * (1 + self._replica.runtime.random.random())
+
+    def heard_lately(self) -> bool:
+        """Return whether a leader was heard within the shortest election time."""
+        age = self._replica.runtime.monotonic() - self._heard_at
+        return age < ELECTION_SECONDS
+
+    def watch(self) -> None:
+        """Stand for election whenever no leader was heard for long enough."""
+        replica = self._replica
+        while True:
+            left = self._heard_at + self._patience - replica.runtime.monotonic()
+            if left > 0:
+                gevent.sleep(left)
+                continue
+            self.heard()
+            if not replica.is_leader and replica.members.is_voter(replica.identity):
+                self._heard_at -= ELECTION_SECONDS
+                self.campaign()
+
+    def campaign(self) -> None:
+        """Ask for a trial vote first, so that a replica cut off disturbs nobody."""
+        replica = self._replica
+        if replica.is_leader or not self._won(replica.vote_request(trial=True)):
+            return
+        request = replica.stand()
+        if self._won(request):
+            replica.lead(request.term)
+
+    def _won(self, request: VoteRequest) -> bool:
+        replica = self._replica
+        voters = replica.members.voters()
+        others = [member for member in voters if member.identity != replica.identity]
+        tasks = [replica.runtime.spawn(self._ask, member, request) for member in others]
+        granted = 1
+        for task in gevent.iwait(tasks, timeout=VOTE_SECONDS):
+            granted += bool(task.value)
+            if granted >= replica.members.quorum():
+                break
+        return granted >= replica.members.quorum()
+
+    def _ask(self, member: ReplicaMember, request: VoteRequest) -> bool:
+        link = self._replica.link(member)
+        reply = link.call(request, VoteReply, VOTE_SECONDS)
+        if reply is None or link.peer != member.identity:
+            # Another identity at the address is not the voter that we know.
+            return False
+        if reply.term > request.term:
+            self._replica.newer_term_seen(reply.term)
+        return reply.granted
--- a/src/cranklane/control/log.py
+++ b/src/cranklane/replication/log.py
@@ -14,6 +14,8 @@
 import zlib
 from struct import Struct
 
+from gevent.lock import Semaphore
+
 from cranklane.errors import DamagedLogError, MalformedRecordError
 from cranklane.records.messages import LogEntry, LogSnapshot
 from cranklane.runtime.interface import Storage
@@ -60,6 +62,7 @@
         self._entries: list[LogEntry] = []
         self._size = 0
         self._synced = 0
+        self._syncing = Semaphore()
         self.syncs = 0
         self.snapshot = LogSnapshot()
 
@@ -162,14 +165,22 @@
 
     def sync(self) -> int:
         """Make the log durable; return the index that is durable now."""
-        size, index = self._size, self.last_index
-        self._storage.sync(LOG_FILE)
-        self.syncs += 1
-        self._synced = max(self._synced, size)
-        return index
+        with self._syncing:
+            size, index = self._size, self.last_index
+            self._storage.sync(LOG_FILE)
+            self.syncs += 1
+            self._synced = max(self._synced, size)
+            return index
 
     def compact(self, snapshot: LogSnapshot) -> None:
-        """Replace the entries up to the snapshot's by the snapshot."""
+        """Replace the entries up to the snapshot's by the snapshot.
+
+        Nothing may be appended meanwhile.
+        """
+        with self._syncing:
+            self._compact(snapshot)
+
+    def _compact(self, snapshot: LogSnapshot) -> None:
         kept = self.between(snapshot.index + 1, self.last_index)
         if snapshot.index > self.last_index or self.term_at(snapshot.index) != snapshot.term:
             kept = []
--- /dev/null
+++ b/src/cranklane/replication/peer_service.py
@@ -0,0 +1,145 @@
+"""Answers the requests of the other replicas of a group."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cranklane.errors import ConnectionLostError, InvariantError, MalformedRecordError
+from cranklane.records.connection import RecordConnection
+from cranklane.records.messages import (
+    AppendReply,
+    AppendRequest,
+    JoinReply,
+    JoinRequest,
+    LogEntry,
+    LogSnapshot,
+    Message,
+    ReplicaHello,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from cranklane.replication.replica import Replica
+
+
+class PeerService:
+    """The answering side of a replica.
+
+    :param join: answers a replica that asks to become part of the group.
+    """
+
+    def __init__(self, replica: Replica, join: Callable[[JoinRequest], JoinReply]) -> None:
+        self._replica = replica
+        self._join = join
+        self._incoming = b""
+
+    def serve(self, records: RecordConnection, hello: ReplicaHello) -> None:
+        """Answer one replica's requests until its connection ends.
+
+        :param hello: its first record.
+        """
+        try:
+            records.send(self._replica.hello())
+            if hello.group != self._replica.own.group:
+                return
+            while True:
+                _, message = records.receive()
+                records.send(self._answer(message))
+        except (ConnectionLostError, MalformedRecordError):
+            pass
+        finally:
+            records.close()
+
+    def _answer(self, message: Message) -> Message:
+        match message:
+            case VoteRequest():
+                return self._vote(message)
+            case AppendRequest():
+                return self._append(message)
+            case SnapshotChunk():
+                return self._receive_snapshot(message)
+            case JoinRequest():
+                return self._join(message)
+        raise MalformedRecordError(f"{type(message).__name__} from a replica")
+
+    def _vote(self, request: VoteRequest) -> VoteReply:
+        replica = self._replica
+        with replica.changing:
+            if replica.election.heard_lately() or replica.is_leader:
+                # A leader is there: whoever asks has lost touch with it, and its
+                # lease must hold.
+                return VoteReply(replica.term, False)
+            own = (replica.log.last_term, replica.log.last_index)
+            up_to_date = (request.last_term, request.last_index) >= own
+            if request.trial:
+                return VoteReply(replica.term, request.term >= replica.term and up_to_date)
+            replica.take_term(request.term)
+            free = replica.votes.state.voted_for in (0, request.candidate)
+            granted = request.term == replica.term and free and up_to_date
+            if granted:
+                replica.votes.save(replica.term, request.candidate)
+                replica.election.heard()
+            return VoteReply(replica.term, granted)
+
+    def _append(self, request: AppendRequest) -> AppendReply:
+        replica = self._replica
+        with replica.changing:
+            if request.term < replica.term:
+                return AppendReply(replica.term, False, 0, replica.log.last_index)
+            replica.follow(request.term, request.leader)
+            if not self._matches(request):
+                return AppendReply(replica.term, False, 0, replica.log.last_index)
+            new = [entry for entry in request.entries if self._is_new(entry)]
+            if new:
+                self._append_new(new)
+            match = request.previous_index + len(request.entries)
+            replica.commit(min(request.commit, match))
+            return AppendReply(replica.term, True, match, replica.log.last_index)
+
+    def _append_new(self, entries: list[LogEntry]) -> None:
+        replica = self._replica
+        if entries[0].index <= replica.commit_index:
+            raise InvariantError(f"a leader would replace the committed entry {entries[0].index}")
+        replica.log.append(entries)
+        for entry in entries:
+            replica.take_members(entry)
+        replica.log.sync()
+
+    def _matches(self, request: AppendRequest) -> bool:
+        log = self._replica.log
+        if request.previous_index < log.snapshot.index:
+            # All up to the snapshot is committed, so it is the leader's too.
+            return True
+        return log.term_at(request.previous_index) == request.previous_term
+
+    def _is_new(self, entry: LogEntry) -> bool:
+        log = self._replica.log
+        if entry.index <= log.snapshot.index:
+            return False
+        return log.term_at(entry.index) != entry.term
+
+    def _receive_snapshot(self, chunk: SnapshotChunk) -> SnapshotReply:
+        replica = self._replica
+        with replica.changing:
+            if chunk.term < replica.term:
+                return SnapshotReply(replica.term, 0)
+            replica.follow(chunk.term, chunk.leader)
+            if chunk.offset == 0:
+                self._incoming = b""
+            if chunk.offset != len(self._incoming):
+                return SnapshotReply(replica.term, len(self._incoming))
+            self._incoming += chunk.data
+            received = len(self._incoming)
+            if received == chunk.total:
+                self._install(LogSnapshot.unpack(self._incoming))
+                self._incoming = b""
+            return SnapshotReply(replica.term, received)
+
+    def _install(self, snapshot: LogSnapshot) -> None:
+        replica = self._replica
+        if snapshot.index <= replica.commit_index:
+            return
+        replica.log.compact(snapshot)
+        replica.restore(snapshot)
+        replica.installed()
--- /dev/null
+++ b/src/cranklane/replication/vote_file.py
@@ -0,0 +1,58 @@
+"""The term, the vote and the identity of a replica, on disk."""
+
+from __future__ import annotations
+
+import zlib
+from random import Random
+from struct import Struct
+
+from cranklane.errors import DamagedLogError
+from cranklane.records.messages import VoteState
+from cranklane.runtime.interface import Storage
+
+VOTE_FILE = "vote"
+_CHECKSUM = Struct("!I")
+_IDENTITY_BITS = 63
+
+
+class VoteFile:
+    """What a replica must never forget.
+
+    :ivar state: the term, who got this replica's vote in it, and its identity.
+    """
+
+    def __init__(self, storage: Storage) -> None:
+        self._storage = storage
+        self.state = VoteState()
+
+    def open(self, random: Random, has_log: bool) -> None:
+        """Read the file; an empty data folder becomes a replica of its own.
+
+        :param has_log: whether the folder holds a log or a snapshot.
+        :raises DamagedLogError: when the file is damaged, or missing beside a log.
+        """
+        data = self._storage.read(VOTE_FILE)
+        if data is None:
+            if has_log:
+                raise DamagedLogError(
+                    "the vote file is missing beside a log: this replica may have voted; "
+                    "empty the data folder so that it rejoins as a new one"
+                )
+            self._write(VoteState(identity=random.getrandbits(_IDENTITY_BITS) | 1))
+            return
+        payload = data[_CHECKSUM.size :]
+        if len(data) < _CHECKSUM.size or _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+            raise DamagedLogError(
+                "the vote file is damaged; empty the data folder so that this replica "
+                "rejoins as a new one"
+            )
+        self.state = VoteState.unpack(payload)
+
+    def save(self, term: int, voted_for: int) -> None:
+        """Put a term and a vote on disk, synced, and then in force."""
+        self._write(VoteState(term, self.state.identity, voted_for))
+
+    def _write(self, state: VoteState) -> None:
+        payload = state.pack()
+        self._storage.replace(VOTE_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+        self.state = state
--- a/src/cranklane/runtime/real.py
+++ b/src/cranklane/runtime/real.py
@@ -98,7 +98,9 @@
 
     def sync(self, name: str) -> None:
         """Make all that was appended durable; runs in a thread, so others go on."""
-        gevent.get_hub().threadpool.apply(os.fdatasync, (self._open_files[name],))
+        descriptor = self._open_files.get(name)
+        if descriptor is not None:
+            gevent.get_hub().threadpool.apply(os.fdatasync, (descriptor,))
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes and sync it."""
--- a/src/cranklane/settings.py
+++ b/src/cranklane/settings.py
@@ -62,8 +62,29 @@
 OPTIONAL_ADDRESS = Check(
     "an address like 127.0.0.1:7000, or nothing", lambda v: v == "" or _is_address(v)
 )
+ADDRESSES_OR_NONE = Check(
+    "a list of addresses like 127.0.0.1:7000, or an empty one",
+    lambda value: value == [] or _is_addresses(value),
+    lambda text: text.split(",") if text else [],
+)
 TEXT = Check("a text", lambda value: isinstance(value, str) and bool(value))
-OPTIONAL_TEXT = Check("a text", lambda value: isinstance(value, str))
+OPTIONAL_ADDRESSES_OR_NONE = Check(
+    "a list of addresses like 127.0.0.1:7000, or an empty one",
+    lambda value: value == [] or _is_addresses(value),
+    lambda text: text.split(",") if text else [],
+)
+TEXT = Check("a text", lambda value: isinstance(value, str))
+
+
+def _parse_yes_or_no(text: str) -> bool:
+    if text not in ("yes", "no"):
+        raise ValueError(text)
+    return text == "yes"
+
+
+YES_OR_NO = Check(
+    "true or false (yes or no as a flag)", lambda v: isinstance(v, bool), _parse_yes_or_no
+)
 
 
 def seconds(least: float, most: float) -> Check:
--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -52,6 +52,14 @@
     raise typer.Exit(report(run_seeds(scenario, chosen, tuple(without), jobs), json))
 
 
+@application.command()
+def fleet() -> None:
+    """Kill, freeze and empty control machines as processes, under edits."""
+    from cranklane_lab.fleet.control_run import run_control
+
+    raise typer.Exit(run_control())
+
+
 @application.command()
 def latency(
     calls: Annotated[int, typer.Option(min=100, help="pairs of calls")] = 4000,
--- a/src/cranklane_lab/demo.py
+++ b/src/cranklane_lab/demo.py
@@ -12,6 +12,7 @@
 from gevent.pool import Pool
 
 from cranklane.common.http_client import HttpClient
+from cranklane.runtime.interface import format_address
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.deployments import DEPLOYMENTS, EXAMPLES
 from cranklane_lab.fleet.processes import start
@@ -68,7 +69,7 @@
             f"{name}-apply",
             "cranklane.cli.entry",
             ["config", "apply", str(EXAMPLES / f"{name}.policy"), "--token", OPERATOR_TOKEN]
-            + ["--control", f"{site.control_http[0]}:{site.control_http[1]}"],
+            + ["--control", ",".join(format_address(i.http) for i in site.control_addresses)],
             site.folder,
         )
         if apply.process.wait() != 0:
--- a/src/cranklane_lab/fleet/site.py
+++ b/src/cranklane_lab/fleet/site.py
@@ -32,27 +32,35 @@
     admin: Address
 
 
+@dataclass(frozen=True)
+class ControlAddresses:
+    """Where one control process is reached."""
+
+    listen: Address
+    http: Address
+
+
 @dataclass
 class Site:
     """A running deployment."""
 
     deployment: Deployment
     folder: Path
-    control: FleetProcess
-    control_http: Address
-    control_listen: Address
+    controls: list[FleetProcess]
+    control_addresses: list[ControlAddresses]
     edge: FleetProcess
     edge_http: Address
     pairs: list[WorkerPair] = field(default_factory=list)
 
     def operator(self) -> OperatorClient:
         """Return a client of the operator interface."""
-        return OperatorClient([format_address(self.control_http)], OPERATOR_TOKEN)
+        addresses = [format_address(item.http) for item in self.control_addresses]
+        return OperatorClient(addresses, OPERATOR_TOKEN)
 
     def processes(self) -> list[FleetProcess]:
         """Return every process of the site."""
         pairs = [process for pair in self.pairs for process in (pair.worker, pair.node)]
-        return [self.control, self.edge, *pairs]
+        return [*self.controls, self.edge, *pairs]
 
     def of(self, service: str) -> list[WorkerPair]:
         """Return the pairs of one service."""
@@ -72,74 +80,100 @@
     return LOOPBACK, free_port()
 
 
+def new_addresses(count: int) -> list[ControlAddresses]:
+    """Return free addresses for some control processes."""
+    return [ControlAddresses(loopback(), loopback()) for _ in range(count)]
+
+
 def start_control(
     deployment: Deployment,
     folder: Path,
     name: str,
-    http: Address | None = None,
-    listen: Address | None = None,
-) -> tuple[FleetProcess, Address, Address]:
-    """Start a control process; return it with its operators' and nodes' addresses.
+    own: ControlAddresses,
+    group: list[ControlAddresses],
+    founder: bool,
+) -> FleetProcess:
+    """Start a control process, or its replacement at the same addresses.
 
-    :param http: the operators' address of a process that this one replaces.
-    :param listen: its nodes' address.
+    :param group: the addresses of all control processes.
     """
-    http, listen = http or loopback(), listen or loopback()
     digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
-    arguments = ["control", "--name", name, "--zone", deployment.zones[0]]
-    arguments += ["--listen", format_address(listen), "--http", format_address(http)]
-    arguments += ["--data", str(folder / name), "--operators", f"lab:*:{digest}"]
-    return start(name, "cranklane.cli.entry", arguments, folder), http, listen
+    flags = {
+        "name": name,
+        "zone": deployment.zones[0],
+        "listen": format_address(own.listen),
+        "http": format_address(own.http),
+        "data": str(folder / name),
+        "operators": f"lab:*:{digest}",
+        "replicas": _joined([item.listen for item in group]),
+        "founder": "yes" if founder else "no",
+    }
+    return start(name, "cranklane.cli.entry", ["control", *_flags(flags)], folder)
+
+
+def _joined(addresses: list[Address]) -> str:
+    return ",".join(format_address(address) for address in addresses)
+
+
+def _flags(values: dict[str, str]) -> list[str]:
+    return [part for key, value in values.items() for part in (f"--{key}", value)]
 
 
 def start_edge(
-    deployment: Deployment, folder: Path, control: Address, http: Address, name: str
+    deployment: Deployment, folder: Path, controls: list[Address], http: Address, name: str
 ) -> FleetProcess:
     """Start an edge."""
-    arguments = ["edge", "--name", name, "--zone", deployment.zones[0]]
-    arguments += ["--controls", format_address(control), "--http", format_address(http)]
-    arguments += ["--data", str(folder / name)]
-    return start(name, "cranklane.cli.entry", arguments, folder)
+    flags = {
+        "name": name,
+        "zone": deployment.zones[0],
+        "controls": _joined(controls),
+        "http": format_address(http),
+        "data": str(folder / name),
+    }
+    return start(name, "cranklane.cli.entry", ["edge", *_flags(flags)], folder)
 
 
 def start_pair(
-    deployment: Deployment, folder: Path, control: Address, service: str, number: int
+    deployment: Deployment, folder: Path, controls: list[Address], service: str, number: int
 ) -> WorkerPair:
     """Start a worker and its node."""
     name = f"{deployment.name}-{service}-{number}"
     worker_address, node_http, admin = loopback(), loopback(), loopback()
-    worker = start(
-        f"{name}-worker",
-        "cranklane_lab.standins.worker_main",
-        [
-            deployment.name,
-            service,
-            name,
-            format_address(worker_address),
-            format_address(node_http),
-        ],
-        folder,
-    )
-    arguments = ["node", "--name", name, "--tenant", deployment.name, "--service", service]
-    arguments += ["--zone", deployment.zones[number % len(deployment.zones)]]
-    arguments += ["--controls", format_address(control), "--http", format_address(node_http)]
-    arguments += ["--worker", format_address(worker_address), "--admin", format_address(admin)]
-    arguments += ["--data", str(folder / name), "--stop-seconds", "20"]
-    node = start(name, "cranklane.cli.entry", arguments, folder)
+    worker_arguments = [deployment.name, service, name]
+    worker_arguments += [format_address(worker_address), format_address(node_http)]
+    worker = start(f"{name}-worker", "cranklane_lab.standins.worker_main", worker_arguments, folder)
+    flags = {
+        "name": name,
+        "tenant": deployment.name,
+        "service": service,
+        "zone": deployment.zones[number % len(deployment.zones)],
+        "controls": _joined(controls),
+        "http": format_address(node_http),
+        "worker": format_address(worker_address),
+        "admin": format_address(admin),
+        "data": str(folder / name),
+        "stop-seconds": "20",
+    }
+    node = start(name, "cranklane.cli.entry", ["node", *_flags(flags)], folder)
     return WorkerPair(service, worker, node, worker_address, node_http, admin)
 
 
-def start_site(deployment: Deployment, folder: Path) -> Site:
+def start_site(deployment: Deployment, folder: Path, controls: int = 3) -> Site:
     """Start a whole deployment; returns before its processes are ready."""
-    control, control_http, control_listen = start_control(
-        deployment, folder, f"{deployment.name}-control"
-    )
+    group = new_addresses(controls)
+    listen = [item.listen for item in group]
+    processes = [
+        start_control(
+            deployment, folder, f"{deployment.name}-control-{number}", own, group, number == 0
+        )
+        for number, own in enumerate(group)
+    ]
     edge_http = loopback()
-    edge = start_edge(deployment, folder, control_listen, edge_http, f"{deployment.name}-edge")
-    site = Site(deployment, folder, control, control_http, control_listen, edge, edge_http)
+    edge = start_edge(deployment, folder, listen, edge_http, f"{deployment.name}-edge")
+    site = Site(deployment, folder, processes, group, edge, edge_http)
     for plan in deployment.services:
         for number in range(plan.workers):
-            site.pairs.append(start_pair(deployment, folder, control_listen, plan.name, number))
+            site.pairs.append(start_pair(deployment, folder, listen, plan.name, number))
     return site
 
 
@@ -148,8 +182,10 @@
     with gevent.Timeout(START_SECONDS, False):
         while True:
             result = site.operator().call("GET", "/v1/status")
-            if isinstance(result, Ok) and len(result.ok_value["members"]) >= count:
-                return True
+            if isinstance(result, Ok):
+                members = [item for item in result.ok_value["members"] if item["service"]]
+                if len(members) >= count:
+                    return True
             gevent.sleep(0.2)
     return False
 
--- a/src/cranklane_lab/latency.py
+++ b/src/cranklane_lab/latency.py
@@ -19,13 +19,11 @@
 from hdrh.histogram import HdrHistogram
 from result import Err
 
-from cranklane.cli.client import OperatorClient
 from cranklane.common.http_client import HttpClient, HttpRequestError
-from cranklane.runtime.interface import format_address
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.deployments import PAIR
 from cranklane_lab.fleet.processes import FleetProcess
-from cranklane_lab.fleet.site import OPERATOR_TOKEN, Site, start_site, wait_for_members
+from cranklane_lab.fleet.site import Site, start_site, wait_for_members
 
 WARM_UP_CALLS = 300
 START_SECONDS = 20.0
@@ -90,7 +88,7 @@
         """Put the policy in force and warm up; return a problem, or nothing."""
         if not wait_for_members(self._site, len(self._site.pairs)):
             return "the nodes have not joined"
-        operator = OperatorClient([format_address(self._site.control_http)], OPERATOR_TOKEN)
+        operator = self._site.operator()
         media = {"text": PAIR.policy(), "base": 0, "request": "latency"}
         result = operator.call("PUT", f"/v1/documents/{PAIR.name}", media)
         if isinstance(result, Err):
--- a/src/cranklane_lab/scale/run.py
+++ b/src/cranklane_lab/scale/run.py
@@ -22,6 +22,7 @@
     OPERATOR_TOKEN,
     WorkerPair,
     loopback,
+    new_addresses,
     start_control,
     start_pair,
 )
@@ -52,11 +53,12 @@
         self._pairs: list[WorkerPair] = []
         self._versions: dict[str, int] = {}
         self._request = 0
+        self._addresses = new_addresses(1)
         self.result = ScaleResult()
 
     def run(self, steps: list[int]) -> ScaleResult:
         """Measure each number of hollow nodes, then a restart of control."""
-        self._control, self._http, self._listen = start_control(PAIR, self._folder, "control")
+        self._start_control()
         try:
             self._prepare()
             for nodes in steps:
@@ -67,6 +69,10 @@
             self._stop()
         return self.result
 
+    def _start_control(self) -> None:
+        own = self._addresses[0]
+        self._control = start_control(PAIR, self._folder, "control", own, self._addresses, True)
+
     def _stop(self) -> None:
         pairs = [process for pair in self._pairs for process in (pair.worker, pair.node)]
         for process in [self._control, *pairs, *(process for _, process in self._hollow)]:
@@ -83,10 +89,12 @@
             self._apply(tenant_name(tenant), tenant_document(tenant, self._tenants))
         for number in range(REAL_PAIRS):
             for plan in PAIR.services:
-                self._pairs.append(start_pair(PAIR, self._folder, self._listen, plan.name, number))
+                self._pairs.append(
+                    start_pair(PAIR, self._folder, [self._addresses[0].listen], plan.name, number)
+                )
 
     def _operator(self) -> OperatorClient:
-        return OperatorClient([format_address(self._http)], OPERATOR_TOKEN)
+        return OperatorClient([format_address(self._addresses[0].http)], OPERATOR_TOKEN)
 
     def _control_answers(self) -> bool:
         return not isinstance(self._operator().call("GET", "/v1/status"), Err)
@@ -133,7 +141,7 @@
                 count=count,
                 tenants=self._tenants,
                 zones=list(DESIGN_ZONES),
-                controls=[format_address(self._listen)],
+                controls=[format_address(self._addresses[0].listen)],
                 http=format_address(loopback()),
                 folder=str(self._folder / name),
             )
@@ -189,9 +197,7 @@
     def _restart(self) -> None:
         self._control.kill()
         started = time.monotonic()
-        self._control = start_control(
-            PAIR, self._folder, "control", http=self._http, listen=self._listen
-        )[0]
+        self._start_control()
         self._wait("control does not come back", self._control_answers)
         total = sum(plan.count for plan, _ in self._hollow) + len(self._pairs)
         self._wait("not all nodes came back", lambda: self._subscribers() >= total)
--- a/src/cranklane_lab/scenarios/base.py
+++ b/src/cranklane_lab/scenarios/base.py
@@ -160,6 +160,8 @@
         scenario.script(run)
         run.watching = False
         check_all(run.recorder, run.allowance, run.edge_lost)
+        for error in world.loop.task_errors:
+            run.recorder.violate("no-task-fails", error)
         return Result(
             scenario=scenario.name,
             seed=seed,
--- a/src/cranklane_lab/scenarios/library.py
+++ b/src/cranklane_lab/scenarios/library.py
@@ -8,6 +8,13 @@
 
 from cranklane_lab.deployments import SONGHAN, Deployment, RequestKind, chain
 from cranklane_lab.scenarios.base import Run, Scenario
+from cranklane_lab.scenarios.control import (
+    config_monotonic,
+    control_cut,
+    operator_race,
+    restart_after_changes,
+    second_loss,
+)
 from cranklane_lab.scenarios.faults import (
     fail_over_edge,
     fail_over_node,
@@ -25,6 +32,7 @@
 
 
 SMALL = _smaller(SONGHAN, 2)
+TINY = chain(2, workers=2)
 DEEP = chain(14, workers=2)
 
 
@@ -223,6 +231,46 @@
         mechanisms=("planned-stop",),
     ),
     Scenario("deep-slowdown", _deep_slowdown.__doc__ or "", SMALL, _deep_slowdown),
+    Scenario(
+        "config-monotonic",
+        config_monotonic.__doc__ or "",
+        TINY,
+        config_monotonic,
+        mechanisms=("version-order",),
+        controls=3,
+    ),
+    Scenario(
+        "control-cut",
+        control_cut.__doc__ or "",
+        TINY,
+        control_cut,
+        mechanisms=("leader-lease", "send-away"),
+        controls=3,
+    ),
+    Scenario(
+        "operator-race",
+        operator_race.__doc__ or "",
+        TINY,
+        operator_race,
+        mechanisms=("request-memory",),
+        controls=3,
+    ),
+    Scenario(
+        "second-loss",
+        second_loss.__doc__ or "",
+        TINY,
+        second_loss,
+        mechanisms=("replica-identity",),
+        controls=3,
+    ),
+    Scenario(
+        "restart-after-changes",
+        restart_after_changes.__doc__ or "",
+        TINY,
+        restart_after_changes,
+        mechanisms=("log-sync",),
+        controls=3,
+    ),
     Scenario("all-at-once", _all_at_once.__doc__ or "", SMALL, _all_at_once),
 )
 
--- a/src/cranklane_lab/scenarios/mechanisms.py
+++ b/src/cranklane_lab/scenarios/mechanisms.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
+from cranklane.control.publisher import Publisher, Subscriber
+from cranklane.control.store import ConfigurationStore
 from cranklane.node.admission import Admission
 from cranklane.node.allowance import Allowance
 from cranklane.node.configuration import NodeConfiguration
@@ -19,9 +22,13 @@
 from cranklane.node.peer_connection import PeerCall, PeerConnection
 from cranklane.node.process import NodeProcess
 from cranklane.node.retry_budget import RetryBudget
+from cranklane.node.subscription import Subscription
 from cranklane.outcome import Criticality
 from cranklane.records.connection import CONNECTION_CALL
 from cranklane.records.messages import AnswerAbort, AnswerEnd, Credit
+from cranklane.replication.leadership import Leadership
+from cranklane.replication.log import Log
+from cranklane.replication.replica import Replica
 
 PER_HOP_RETRIES = 3
 _MISSING = object()
@@ -158,7 +165,46 @@
         self.version = 0 if delta.whole else delta.base
         return original(self, delta)
 
-    return [Replacement(NodeConfiguration, "adopt", adopt)]
+    def take(self: Subscription, records: Any, delta: Any) -> None:
+        self._file.save(delta)
+        self._configuration.adopt(delta)
+        self._on_change()
+        records.send(self._heartbeat())
+
+    original_init = Subscriber.__init__
+
+    def init(self: Subscriber, *arguments: Any) -> None:
+        original_init(self, *arguments)
+        self.sent_version = 0
+
+    return [
+        Replacement(NodeConfiguration, "adopt", adopt),
+        Replacement(Subscription, "_adopt", take),
+        Replacement(Subscriber, "__init__", init),
+    ]
+
+
+def _leader_without_lease() -> list[Replacement]:
+    return [Replacement(Leadership, "has_lease", lambda _self: True)]
+
+
+def _subscribers_kept() -> list[Replacement]:
+    return [Replacement(Publisher, "send_away", lambda _self, *_limits: 0)]
+
+
+def _requests_forgotten() -> list[Replacement]:
+    return [Replacement(ConfigurationStore, "answered", lambda _self, *_request: None)]
+
+
+def _identity_by_name() -> list[Replacement]:
+    def identity(self: Replica) -> int:
+        return zlib.crc32(self.own.name.encode()) | 1
+
+    return [Replacement(Replica, "identity", property(identity))]
+
+
+def _unsynced_log() -> list[Replacement]:
+    return [Replacement(Log, "sync", lambda self: self.last_index)]
 
 
 _ALL = (
@@ -172,6 +218,13 @@
     Mechanism("drain", "the node refuses new work from the drain signal on", _deaf_to_drain),
     Mechanism("planned-stop", "a stop waits for what is in flight", _abrupt_stop),
     Mechanism("version-order", "a node adopts only what follows", _any_order),
+    Mechanism("leader-lease", "a leader answers only while it has a lease", _leader_without_lease),
+    Mechanism(
+        "send-away", "a control process out of touch sends its nodes away", _subscribers_kept
+    ),
+    Mechanism("request-memory", "a resend gets the first answer", _requests_forgotten),
+    Mechanism("replica-identity", "an empty disk is another replica", _identity_by_name),
+    Mechanism("log-sync", "an entry counts only once it is synced", _unsynced_log),
 )
 
 MECHANISMS = {mechanism.name: mechanism for mechanism in _ALL}
--- a/src/cranklane_lab/simulation/disk.py
+++ b/src/cranklane_lab/simulation/disk.py
@@ -80,7 +80,9 @@
 
     def sync(self, name: str) -> None:
         """Make all that was appended before this call durable."""
-        file = self._disk.files[self._name(name)]
+        file = self._disk.files.get(self._name(name))
+        if file is None:
+            return
         size = len(file.pending)
         self._wait()
         if self._disk.lose_syncs or self._disk.files.get(self._name(name)) is not file:
--- a/src/cranklane_lab/simulation/fleet.py
+++ b/src/cranklane_lab/simulation/fleet.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
 
-from cranklane.common.http_client import HttpClient
 from cranklane.control.process import ControlProcess, ControlSettings
 from cranklane.node.process import NodeProcess, NodeSettings
 from cranklane.runtime.interface import Address, format_address
@@ -17,9 +15,9 @@
 from cranklane_lab.simulation.process import SimulatedProcess
 from cranklane_lab.simulation.world import World
 from cranklane_lab.standins.client import Client
+from cranklane_lab.standins.operator import OPERATOR_TOKEN, OperatorAnswer, SimulatedOperator
 from cranklane_lab.standins.worker import Worker, WorkerRun
 
-OPERATOR_TOKEN = "lab-operator"
 _HTTP_PORT = 80
 _PEER_PORT = 7000
 _WORKER_PORT = 8080
@@ -56,18 +54,35 @@
 
     def start(self, controls: int = 1) -> None:
         """Start everything, put the policy in force and wait until nodes have it."""
-        for number in range(controls):
-            self.start_control(number)
+        hosts = [self.world.new_host() for _ in range(controls)]
+        self.control_addresses = [(host, _PEER_PORT) for host in hosts]
+        for number, host in enumerate(hosts):
+            self.start_control(number, host)
         self.start_edge()
         for plan in self.deployment.services:
             for number in range(plan.workers):
                 self.pairs.append(self.start_pair(plan, number))
-        gevent.sleep(1.0)
+        self._wait_for_group(controls)
         self.apply(self.deployment.name, self.deployment.policy(), 0, "first")
         gevent.sleep(1.0)
 
-    def start_control(self, number: int, host: str | None = None) -> None:
-        """Start a control process."""
+    def _wait_for_group(self, controls: int) -> None:
+        """Wait until one control process leads and all vote."""
+        while True:
+            gevent.sleep(1.0)
+            leader = self.leader()
+            if leader is not None and len(leader.replica.members.voters()) == controls:
+                return
+
+    def leader(self) -> ControlProcess | None:
+        """Return the control process that leads for certain, or None."""
+        for control, process in zip(self.controls, self.control_processes, strict=True):
+            if not process.dead and control.replica.may_read:
+                return control
+        return None
+
+    def start_control(self, number: int, host: str) -> None:
+        """Start a control process on a machine."""
         world = self.world
         name = f"control-{number}"
         zones = self.deployment.zones
@@ -80,6 +95,8 @@
             http=f"{process.host}:{_HTTP_PORT}",
             data="control",
             operators=[f"lab:*:{digest}"],
+            replicas=self._control_texts(),
+            founder=number == 0,
         )
         control = ControlProcess(process, settings)
         world.start(process, control.start)
@@ -89,7 +106,6 @@
             return
         self.controls.append(control)
         self.control_processes.append(process)
-        self.control_addresses.append((process.host, _PEER_PORT))
 
     def _control_texts(self) -> list[str]:
         return [format_address(address) for address in self.control_addresses]
@@ -166,17 +182,12 @@
         process = self.world.process(name, CLIENT_ZONE)
         return Client(process, self.edge_address, self.deployment.name, self.deployment.token)
 
-    def apply(self, name: str, text: str, base: int, request: str) -> tuple[int, dict]:
-        """Send an edit to control; return HTTP status and answer."""
-        process = self.world.process(f"operator-{request}", CLIENT_ZONE)
-        body = json.dumps({"text": text, "base": base, "request": request}).encode()
-        headers = [
-            ("Authorization", f"Bearer {OPERATOR_TOKEN}"),
-            ("Content-Type", "application/json"),
-        ]
-        address = (self.control_addresses[0][0], _HTTP_PORT)
-        http = HttpClient(process, address)
-        response = http.request("PUT", f"/v1/documents/{name}", headers, body)
-        answer = json.loads(response.read())
-        http.close()
-        return response.status, answer
+    def operator(self, name: str) -> SimulatedOperator:
+        """Return an operator on a machine of its own."""
+        process = self.world.process(f"operator-{name}", CLIENT_ZONE)
+        addresses = [(host, _HTTP_PORT) for host, _ in self.control_addresses]
+        return SimulatedOperator(process, addresses)
+
+    def apply(self, name: str, text: str, base: int, request: str) -> OperatorAnswer:
+        """Edit a document; return control's answer."""
+        return self.operator(request).edit(name, text, base, request)
--- a/src/cranklane_lab/simulation/loop.py
+++ b/src/cranklane_lab/simulation/loop.py
@@ -159,6 +159,7 @@
         self._order = 0
         self._broken = False
         self.error_handler: Any = None
+        self.task_errors: list[str] = []
         self.steps = 0
 
     # What gevent asks of a loop.
@@ -271,6 +272,15 @@
     """The run took more virtual time than it may."""
 
 
+class _Hub(Hub):
+    """Keeps the errors that end tasks, besides printing them."""
+
+    def handle_error(self, context: Any, kind: Any, value: Any, trace: Any) -> None:
+        if not issubclass(kind, self.NOT_ERROR):
+            self.loop.task_errors.append(f"{kind.__name__}: {value} in {context}")
+        super().handle_error(context, kind, value, trace)
+
+
 def run_virtual(function: Callable[[VirtualLoop], Any]) -> Any:
     """Run a function in a task on a new virtual loop and return what it returns.
 
@@ -278,7 +288,7 @@
     """
     before = get_hub()
     loop = VirtualLoop()
-    hub = Hub(loop=loop)
+    hub = _Hub(loop=loop)
     set_hub(hub)
     try:
         return gevent.spawn(function, loop).get()
--- a/tests/test_compilation.py
+++ b/tests/test_compilation.py
@@ -24,7 +24,7 @@
         text=text,
         rows=compiler.compile(name, text).unwrap(),
     )
-    assert store.apply(command).result is EditResult.ACCEPTED
+    assert store.edit(command).result is EditResult.ACCEPTED
 
 
 @pytest.fixture
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -19,6 +19,7 @@
     "f64": 1.5,
     "bool": True,
     "str": "grāmata",
+    "text": "ž" * 70_000,
     "bytes": b"\x00\xff",
     "strings": ["a", "", "ž"],
     "pairs": [("a", "b"), ("", "c")],
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,192 @@
+"""Replicas on the virtual clock: joining, elections, lagging, changes of members."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from result import Ok
+
+from cranklane.control.process import STALE_SECONDS
+from cranklane.replication import replica as replica_module
+from cranklane.replication.membership_change import ChangeFailure
+from cranklane_lab.deployments import chain
+from cranklane_lab.scenarios.base import Run
+from cranklane_lab.scenarios.control import cut_from_others, leader_number
+from cranklane_lab.simulation.fleet import SimulatedFleet
+from cranklane_lab.simulation.world import simulate
+
+DEPLOYMENT = chain(1, workers=1)
+
+
+def play(script, controls=3, seed=1):
+    def scenario(world):
+        fleet = SimulatedFleet(world, DEPLOYMENT)
+        run = Run(world, fleet)
+        fleet.start(controls)
+        result = script(run)
+        assert not world.loop.task_errors
+        return result
+
+    return simulate(seed, DEPLOYMENT.between_zones, scenario)
+
+
+def edit(run, number, base):
+    text = f"{run.fleet.deployment.policy()}\n# {number}\n"
+    answer = run.fleet.operator(f"o{number}").edit(DEPLOYMENT.name, text, base, f"r{number}")
+    assert answer.accepted, answer
+    return answer.media["version"]
+
+
+def replica(run, number):
+    return run.fleet.controls[number].replica
+
+
+def test_only_one_leader_is_certain_while_control_is_cut_both_ways():
+    def script(run):
+        old = leader_number(run)
+        cut_from_others(run, old)
+        certain = []
+        for _ in range(100):
+            gevent.sleep(0.05)
+            certain.append(sum(replica(run, number).may_read for number in range(3)))
+        return max(certain), replica(run, old).may_read, run.fleet.leader() is not None
+
+    for seed in range(1, 6):
+        assert play(script, seed=seed) == (1, False, True)
+
+
+def test_a_frozen_leader_wakes_up_and_may_not_answer():
+    def script(run):
+        old = leader_number(run)
+        run.fleet.control_processes[old].freeze(120.0)
+        gevent.sleep(10.0)
+        version = edit(run, 1, 1)
+        gevent.sleep(110.0)
+        believed = replica(run, old).may_read
+        gevent.sleep(5.0)
+        return believed, run.fleet.controls[old].store.revision == version
+
+    assert play(script) == (False, True)
+
+
+def test_clocks_that_differ_in_rate_keep_one_certain_leader():
+    def script(run):
+        for number, process in enumerate(run.fleet.control_processes):
+            process.clock_rate = (0.8, 1.0, 1.2)[number]
+        most = 0
+        for _ in range(60):
+            gevent.sleep(0.3)
+            most = max(most, sum(replica(run, number).may_read for number in range(3)))
+            if run.world.random.random() < 0.1:
+                cut_from_others(run, leader_number(run))
+                gevent.sleep(2.0)
+                run.world.network.heal_all()
+        return most
+
+    assert {play(script, seed=seed) for seed in range(1, 5)} == {1}
+
+
+def test_a_replica_that_was_cut_off_disturbs_nobody_when_it_returns():
+    def script(run):
+        leader = leader_number(run)
+        cut_from_others(run, (leader + 1) % 3)
+        term = replica(run, leader).term
+        gevent.sleep(60.0)
+        run.world.network.heal_all()
+        gevent.sleep(3.0)
+        return replica(run, leader).term - term, leader_number(run) == leader
+
+    assert play(script) == (0, True)
+
+
+def test_a_replica_far_behind_gets_a_snapshot(monkeypatch):
+    monkeypatch.setattr(replica_module, "SNAPSHOT_BYTES", 4096)
+
+    def script(run):
+        behind = (leader_number(run) + 1) % 3
+        cut_from_others(run, behind)
+        version = 1
+        for number in range(20):
+            version = edit(run, number, version)
+        leader = leader_number(run)
+        assert replica(run, leader).log.snapshot.index > replica(run, behind).log.last_index
+        run.world.network.heal_all()
+        gevent.sleep(4.0)
+        return run.fleet.controls[behind].store.pack() == run.fleet.controls[leader].store.pack()
+
+    assert play(script)
+
+
+def test_an_emptied_founder_does_not_found_a_second_group():
+    def script(run):
+        process = run.fleet.control_processes[0]
+        process.kill(power_lost=True)
+        process.disk.wipe()
+        cut_names = [other.name for other in run.fleet.control_processes[1:]]
+        for name in cut_names:
+            run.world.network.cut("control-0", name)
+        run.fleet.start_control(0, process.host)
+        gevent.sleep(20.0)
+        alone = replica(run, 0).is_member
+        run.world.network.heal_all()
+        gevent.sleep(10.0)
+        return alone, replica(run, 0).is_member, len(replica(run, 1).members.voters())
+
+    assert play(script) == (False, True, 3)
+
+
+def test_a_name_that_a_live_replica_has_is_not_given_away():
+    def script(run):
+        settings = run.fleet.controls[1].settings
+        other = run.world.process("impostor", settings.zone)
+        settings = type(settings)(**{**vars(settings), "listen": f"{other.host}:7000"})
+        settings.http = f"{other.host}:80"
+        from cranklane.control.process import ControlProcess
+
+        impostor = ControlProcess(other, settings)
+        run.world.start(other, impostor.start)
+        gevent.sleep(10.0)
+        return impostor.replica.is_member, replica(run, 1).is_member
+
+    assert play(script) == (False, True)
+
+
+def test_a_quorum_is_never_given_away_by_removing():
+    def script(run):
+        leader = leader_number(run)
+        others = [number for number in range(3) if number != leader]
+        run.fleet.control_processes[others[0]].kill()
+        gevent.sleep(5.0)
+        changes = run.fleet.controls[leader].changes
+        return changes.remove(run.fleet.controls[others[1]].settings.name).err_value
+
+    assert play(script) is ChangeFailure.QUORUM_AT_RISK
+
+
+def test_a_lost_replica_can_be_removed_and_the_group_goes_on():
+    def script(run):
+        leader = leader_number(run)
+        lost = (leader + 1) % 3
+        run.fleet.control_processes[lost].kill(power_lost=True)
+        gevent.sleep(5.0)
+        removed = run.fleet.controls[leader].changes.remove(f"control-{lost}")
+        edit(run, 1, 1)
+        return removed, len(replica(run, leader).members.voters())
+
+    assert play(script) == (Ok(None), 2)
+
+
+def test_a_control_process_out_of_touch_serves_nodes_only_as_a_last_resort():
+    def script(run):
+        gevent.sleep(2.0)
+        old = leader_number(run)
+        cut_from_others(run, old)
+        gevent.sleep(STALE_SECONDS + 4.0)
+        return len(run.fleet.controls[old].publisher.subscribers)
+
+    assert play(script) == 0
+
+
+@pytest.mark.parametrize("controls", [1, 3, 5])
+def test_groups_of_several_sizes_form_and_accept_edits(controls):
+    assert play(lambda run: edit(run, 1, 1), controls=controls) == 2
