Ledger: signatures and payments run at most once; an edge's stop cuts no kept connection

Change: `cranklane ledger`, replicas of ledger groups with the same replicated log. Before the first byte goes to a worker the node asks the group to create the entry of (tenant, service, key); only its creator runs, and only within a lease. Resends get the stored answer, in progress, unknown, or a conflict for another body. A started once-call runs on when its caller is gone, so that a resend finds its answer. Without a leader it is refused at once with Retry-After. The leader commits what waits as one batch. Policies name groups with `ledger`.

Now an answer keeps what its head promised; test_simulation holds it.

--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -1,4 +1,4 @@
-"""Runs a node, an edge or a control process until it is told to stop."""
+"""Runs a node, an edge, a control or a ledger process until it is told to stop."""
 
 from __future__ import annotations
 
@@ -38,6 +38,10 @@
         from cranklane.control.process import ControlProcess, ControlSettings
 
         return ControlProcess, ControlSettings
+    if command == "ledger":
+        from cranklane.ledger.process import LedgerProcess, LedgerSettings
+
+        return LedgerProcess, LedgerSettings
     from cranklane.node.process import NodeProcess, NodeSettings
 
     return NodeProcess, NodeSettings
--- a/src/cranklane/cli/explain.py
+++ b/src/cranklane/cli/explain.py
@@ -9,10 +9,12 @@
 from cranklane.policy.model import Policy, Route, Service, Tenant
 
 _ROUTE_SETTINGS = ("criticality", "repeat", "deadline_ms", "retries")
-_SERVICE_SETTINGS = ("slots", "queue", "retry_ratio_permille")
+_SERVICE_SETTINGS = ("slots", "queue", "retry_ratio_permille", "ledger")
 
 
 def _text(value: Any) -> str:
+    if isinstance(value, tuple):
+        return ", ".join(value)
     return value.name.lower() if isinstance(value, Enum) else str(value)
 
 
--- a/src/cranklane/common/http_server.py
+++ b/src/cranklane/common/http_server.py
@@ -32,8 +32,8 @@
         try:
             super().handle_one_response()
         finally:
-            if self.server.stopping:
-                self.close_connection = True
+            # An answer whose head promised to keep the connection keeps it, also
+            # when the server began to stop since: the client may be sending on it.
             if self.socket is not None:
                 self.server.idle[id(self.socket)] = self.socket
 
--- a/src/cranklane/control/publisher.py
+++ b/src/cranklane/control/publisher.py
@@ -13,6 +13,7 @@
 
 from cranklane.control.membership import Membership
 from cranklane.errors import ConnectionLostError, MalformedRecordError
+from cranklane.policy.names import SYSTEM_TENANT
 from cranklane.records.connection import RecordConnection
 from cranklane.records.messages import (
     ConfigDelta,
@@ -184,8 +185,9 @@
             return None
         own = subscriber.identity
         value = self._source.value(f"service/{own.tenant}/{own.service}")
-        calls = ServiceRow.unpack(value).calls if value else []
-        return frozenset({subscriber.service, *calls})
+        row = ServiceRow.unpack(value) if value else ServiceRow()
+        ledgers = [f"{SYSTEM_TENANT}.{group}" for group in row.ledgers]
+        return frozenset({subscriber.service, *row.calls, *ledgers})
 
     def _send_members(self, subscriber: Subscriber) -> bool:
         changed, position = self._membership.since(subscriber.sent_members)
--- /dev/null
+++ b/src/cranklane/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""What may run only once: replicated entries that nodes ask before they run a call."""
--- /dev/null
+++ b/src/cranklane/ledger/process.py
@@ -0,0 +1,133 @@
+"""A ledger process: one replica of one ledger group."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from cranklane.common.logs import logger
+from cranklane.errors import ConnectionLostError, MalformedRecordError
+from cranklane.ledger.service import LedgerService
+from cranklane.ledger.store import LedgerStore
+from cranklane.node.configuration import NodeConfiguration
+from cranklane.node.members import MemberState
+from cranklane.node.subscription import Subscription
+from cranklane.policy.names import SYSTEM_TENANT
+from cranklane.records.connection import RecordConnection
+from cranklane.records.messages import Hello, ReplicaHello, Subscribe
+from cranklane.replication.joining import Joining
+from cranklane.replication.membership_change import MembershipChange
+from cranklane.replication.peer_service import PeerService
+from cranklane.replication.replica import Replica, ReplicaIdentity
+from cranklane.runtime.interface import Address, Runtime, parse_address
+from cranklane.settings import (
+    ADDRESS,
+    ADDRESSES,
+    ADDRESSES_OR_NONE,
+    NAME,
+    TEXT,
+    YES_OR_NO,
+    setting,
+)
+
+SILENT_SECONDS = 10.0
+"""Seconds without a byte after which a node or replica counts as lost."""
+
+_SUBSCRIPTION_FOLDER = "subscription"
+
+
+@dataclass
+class LedgerSettings:
+    """Settings of a ledger process."""
+
+    name: str = setting(NAME, help="name of this process, unique in the fleet")
+    zone: str = setting(NAME, help="zone this machine stands in")
+    group: str = setting(NAME, help="ledger group, as policies name it")
+    listen: str = setting(ADDRESS, help="address for nodes and the group's other replicas")
+    controls: list[str] = setting(ADDRESSES, help="control processes to follow")
+    data: str = setting(TEXT, help="data folder")
+    replicas: list[str] = setting(
+        ADDRESSES_OR_NONE, [], help="listen addresses of the group's other replicas"
+    )
+    founder: bool = setting(
+        YES_OR_NO, False, help="found the group when all replicas named say there is none"
+    )
+    voter: bool = setting(YES_OR_NO, True, help="vote, or only follow")
+
+
+class LedgerProcess:
+    """One replica of a ledger group that answers nodes while it leads."""
+
+    def __init__(self, runtime: Runtime, settings: LedgerSettings) -> None:
+        self.runtime = runtime
+        self.settings = settings
+        self._log = logger(process="ledger", node=settings.name)
+        self.incarnation = int(runtime.wall() * 1000)
+        self.store = LedgerStore()
+        self.replica = Replica(
+            runtime,
+            runtime.storage(settings.data),
+            self.store,
+            ReplicaIdentity(f"ledger/{settings.group}", settings.name, settings.listen),
+            lambda: None,
+            self._log,
+        )
+        changes = MembershipChange(self.replica)
+        self._peers = PeerService(self.replica, changes.join)
+        self.service = LedgerService(runtime, self.replica)
+
+    def start(self) -> None:
+        """Come back to the last state, open the port, find the group and control."""
+        settings = self.settings
+        self.replica.open()
+        self._listener = self.runtime.listen(parse_address(settings.listen), self._accept)
+        joining = Joining(self.replica, settings.replicas, settings.founder, settings.voter)
+        self.runtime.spawn(joining.run)
+        self._subscription = self._new_subscription()
+        self.runtime.spawn(self._subscription.follow)
+        self._log.info("started", entries=len(self.store))
+
+    def stop(self) -> bool:
+        """Stop; everything acknowledged is on disk already."""
+        self._subscription.stop()
+        self._listener.close()
+        self._log.info("stopped", entries=len(self.store))
+        return True
+
+    def _new_subscription(self) -> Subscription:
+        """Make this process known to nodes as a member of the system's own service."""
+        settings = self.settings
+        identity = Subscribe(
+            incarnation=self.incarnation,
+            node=settings.name,
+            tenant=SYSTEM_TENANT,
+            service=settings.group,
+            zone=settings.zone,
+            address=settings.listen,
+        )
+        return Subscription(
+            self.runtime,
+            [parse_address(text) for text in settings.controls],
+            identity,
+            NodeConfiguration(),
+            self.runtime.storage(f"{settings.data}/{_SUBSCRIPTION_FOLDER}"),
+            lambda _delta: None,
+            lambda: None,
+            lambda: MemberState.LIVE,
+            self._log,
+        )
+
+    def _accept(self, connection: Any, _address: Address) -> None:
+        records = RecordConnection(connection, SILENT_SECONDS)
+        try:
+            _, first = records.receive()
+            if isinstance(first, ReplicaHello):
+                self._peers.serve(records, first)
+                return
+            if not isinstance(first, Hello):
+                raise MalformedRecordError(f"{type(first).__name__} as the first record")
+            hello = Hello(incarnation=self.incarnation, node=self.settings.name)
+            records.welcome(first, hello)
+            self.service.serve(records)
+        except (ConnectionLostError, MalformedRecordError):
+            records.close()
--- a/src/cranklane/node/configuration.py
+++ b/src/cranklane/node/configuration.py
@@ -41,6 +41,7 @@
     retry_ratio: float
     calls: frozenset[str]
     callers: frozenset[str]
+    ledgers: tuple[str, ...]
     routes: tuple[Route, ...]
 
     @property
@@ -93,6 +94,7 @@
         retry_ratio=row.retry_ratio_permille / 1000,
         calls=frozenset(row.calls),
         callers=frozenset(row.callers),
+        ledgers=tuple(row.ledgers),
         routes=tuple(_route(route) for route in row.routes),
     )
 
--- a/src/cranklane/node/inbound.py
+++ b/src/cranklane/node/inbound.py
@@ -3,23 +3,26 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from itertools import chain
 from typing import Any
 
-from gevent.event import Event
 from result import Err, Ok, Result
 
 from cranklane.common.headers import HOP_BY_HOP, is_own
 from cranklane.common.http_client import HttpResponse
 from cranklane.errors import AnswerCutError, ConnectionLostError, MalformedRecordError
+from cranklane.ledger.store import MAX_STORED_BODY
 from cranklane.node.admission import Admission, Refusal, Slot
 from cranklane.node.allowance import Allowance
 from cranklane.node.configuration import NodeConfiguration, Service
 from cranklane.node.context import CallContext, ContextTable
+from cranklane.node.inbound_call import InboundCall
 from cranklane.node.metrics import NodeMetrics
+from cranklane.node.once import OnceCalls, OnceRefusal, OnceTicket
 from cranklane.node.peer_connection import SILENT_SECONDS
 from cranklane.node.worker import WorkerClient, WorkerFailure
-from cranklane.outcome import Criticality, Outcome, Reason
+from cranklane.outcome import Criticality, Outcome, Reason, Repeat
 from cranklane.records.connection import CONNECTION_CALL, RecordConnection
 from cranklane.records.messages import (
     AnswerAbort,
@@ -37,61 +40,6 @@
 )
 from cranklane.runtime.interface import Address, Runtime
 
-CREDIT_SECONDS = 30.0
-"""Seconds a caller may leave a full window before its answer is cut."""
-
-
-class InboundCall:
-    """One call from another node, run by a task of its own."""
-
-    def __init__(
-        self, records: RecordConnection, number: int, message: CallOpen, context: CallContext
-    ) -> None:
-        self._records = records
-        self.number = number
-        self.message = message
-        self.context = context
-        self._window = message.window
-        self._credited = Event()
-
-    def send(self, message: Message) -> None:
-        """Send a record of this call's answer.
-
-        :raises ConnectionLostError: when the caller is gone.
-        """
-        self._records.send(message, self.number)
-
-    def queue(self, message: Message) -> None:
-        """Add a record that leaves with the next one sent."""
-        self._records.queue(message, self.number)
-
-    def send_queued(self) -> None:
-        """Send the records added by :meth:`queue`."""
-        self._records.flush()
-
-    def credit(self, size: int) -> None:
-        """Let the answer go on by ``size`` bytes."""
-        self._window += size
-        self._credited.set()
-
-    def cancel(self, reason: Reason) -> None:
-        """Stop the call: nobody waits."""
-        self.context.cancel(reason)
-        self._credited.set()
-
-    def wait_for_window(self, size: int) -> None:
-        """Wait until the caller can take ``size`` bytes, and take them off the window.
-
-        :raises AnswerCutError: when it takes none for too long, or is gone.
-        """
-        while self._window <= 0:
-            self._credited.clear()
-            if not self._credited.wait(CREDIT_SECONDS):
-                raise AnswerCutError("the caller takes no more bytes")
-            if self.context.cancelled is not None:
-                raise AnswerCutError("cancelled")
-        self._window -= size
-
 
 class Inbound:
     """The serving half of a node.
@@ -107,6 +55,7 @@
         admission: Admission,
         worker: WorkerClient,
         contexts: ContextTable,
+        once: OnceCalls,
         metrics: NodeMetrics,
         hello: Callable[[], Hello],
     ) -> None:
@@ -114,6 +63,7 @@
         self._service = service
         self._configuration = configuration
         self._admission = admission
+        self._once = once
         self._worker = worker
         self._contexts = contexts
         self._metrics = metrics
@@ -266,28 +216,90 @@
 
     def _answer(self, call: InboundCall) -> bool:
         """Run the call in the worker; return whether the worker ran it."""
+        service = self._own_service()
+        path = call.message.path.partition("?")[0]
+        route = service.route(call.message.method, path) if service is not None else None
+        if service is None or route is None or route.repeat is not Repeat.ONCE:
+            return self._run_in_worker(call, None)
+        remaining = call.context.deadline - self._runtime.monotonic()
+        begun = self._once.begin(call.message, service.ledgers, remaining)
+        if isinstance(begun, Err):
+            self._answer_without_run(call, begun.err_value)
+            return False
+        # From here on it runs to its end, so that a resend gets its answer.
+        call.detached = True
+        ticket = begun.ok_value
+        try:
+            return self._run_in_worker(call, ticket)
+        finally:
+            ticket.finish(Outcome.UNKNOWN)
+
+    def _answer_without_run(self, call: InboundCall, refusal: OnceRefusal) -> None:
+        self._metrics.event(f"once_{refusal.reason.label}")
+        if refusal.stored is None:
+            told = Refusal(refusal.reason, refusal.retry_after_ms)
+            call.send(self._refusal(call, refusal.outcome, told))
+            return
+        head = self._head(call, Outcome.ANSWERED, Reason.NONE)
+        head.status = refusal.stored.status
+        head.headers = refusal.stored.headers
+        self._send_whole(call, head, refusal.stored.body)
+
+    def _send_whole(self, call: InboundCall, head: AnswerHead, body: bytes) -> None:
+        call.queue(head)
+        if body:
+            call.queue(AnswerBody(0, body))
+        call.send(AnswerEnd(len(body), zlib.crc32(body), call.context.allowance.remaining))
+
+    def _run_in_worker(self, call: InboundCall, ticket: OnceTicket | None) -> bool:
         context = call.context
         started = self._runtime.monotonic()
 
         def may_start(connection: Any) -> bool:
-            if context.cancelled is not None:
+            if context.cancelled is not None or (ticket and not ticket.may_start()):
                 return False
-            context.on_cancel(lambda _reason: connection.close())
+            if ticket is None:
+                context.on_cancel(lambda _reason: connection.close())
             return True
 
         result = self._worker.run(
             call.message, context.token, context.deadline - started, may_start
         )
         if isinstance(result, Err):
+            if ticket is not None:
+                ticket.finish(result.err_value.outcome)
             return self._worker_failed(call, result.err_value)
         response = result.ok_value
         self._metrics.worker(self._runtime.monotonic() - started)
         try:
-            self._stream(call, response)
+            if ticket is None:
+                self._stream(call, response, self._answer_head(call, response), response.body())
+            else:
+                self._stream_once(call, response, ticket)
         finally:
             response.close()
         return True
 
+    def _stream_once(self, call: InboundCall, response: HttpResponse, ticket: OnceTicket) -> None:
+        """Store an answer, when it is short enough, before its caller has it."""
+        head = self._answer_head(call, response)
+        pieces: list[bytes] = []
+        stored = 0
+        body = response.body()
+        try:
+            for data in body:
+                pieces.append(data)
+                stored += len(data)
+                if stored > MAX_STORED_BODY:
+                    break
+            else:
+                ticket.finish(Outcome.ANSWERED, head.status, head.headers, b"".join(pieces))
+        except AnswerCutError:
+            self._metrics.event("answer_cut")
+            call.send(self._refusal(call, Outcome.UNKNOWN, Refusal(Reason.ANSWER_CUT)))
+            return
+        self._stream(call, response, head, chain(pieces, body))
+
     def _worker_failed(self, call: InboundCall, failure: WorkerFailure) -> bool:
         if failure.reason is Reason.WORKER_SHED:
             self._admission.concurrency.shed()
@@ -297,7 +309,7 @@
             call.send(self._refusal(call, failure.outcome, refusal))
         return failure.outcome is Outcome.UNKNOWN
 
-    def _stream(self, call: InboundCall, response: HttpResponse) -> None:
+    def _answer_head(self, call: InboundCall, response: HttpResponse) -> AnswerHead:
         head = self._head(call, Outcome.ANSWERED, Reason.NONE)
         head.status = response.status
         head.headers = [
@@ -305,10 +317,19 @@
             for name, value in response.headers
             if name.lower() not in HOP_BY_HOP and not is_own(name)
         ]
+        return head
+
+    def _stream(
+        self,
+        call: InboundCall,
+        response: HttpResponse,
+        head: AnswerHead,
+        body: Iterable[bytes],
+    ) -> None:
         call.queue(head)
         sequence = length = checksum = 0
         try:
-            for data in response.body():
+            for data in body:
                 call.wait_for_window(len(data))
                 call.queue(AnswerBody(sequence, data))
                 if not response.whole:
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -16,8 +16,10 @@
 from cranklane.node.configuration import NodeConfiguration
 from cranklane.node.context import ContextTable
 from cranklane.node.inbound import Inbound
+from cranklane.node.ledger_client import LedgerClient
 from cranklane.node.members import MemberState, MemberTable, MemberView
 from cranklane.node.metrics import NodeMetrics
+from cranklane.node.once import OnceCalls
 from cranklane.node.outbound import Outbound
 from cranklane.node.peers import PeerPool
 from cranklane.node.subscription import Subscription
@@ -41,7 +43,7 @@
 PORT_MARGIN_SECONDS = 5.0
 """Seconds waited for the port beyond a predecessor's longest stop."""
 
-IDLE_GRACE_SECONDS = 2.0
+IDLE_GRACE_SECONDS = 10.0
 """Seconds that clients' kept connections to an edge stay open after the last call."""
 
 STOP_ANNOUNCE_SECONDS = 0.2
@@ -150,6 +152,7 @@
             self.admission,
             WorkerClient(self._runtime, parse_address(settings.worker)),
             self.contexts,
+            OnceCalls(self._runtime, LedgerClient(self._runtime, self.members, self._hello)),
             self.metrics,
             self._hello,
         )
@@ -247,13 +250,18 @@
         if self.inbound is None:
             # A client may be sending on a kept connection right now: it still
             # gets an answer, and is told to close.
-            gevent.sleep(IDLE_GRACE_SECONDS)
+            self._wait_for_clients_to_close()
             finished = self._wait_until_idle() and finished
         self.http.stop_accepting()
         self.http.close_idle()
         self._log.info("stopped", cut=self._in_flight())
         return finished
 
+    def _wait_for_clients_to_close(self) -> None:
+        until = self._runtime.monotonic() + IDLE_GRACE_SECONDS
+        while self.http.connections and self._runtime.monotonic() < until:
+            gevent.sleep(0.05)
+
     def _in_flight(self) -> int:
         inbound = self.inbound.calls if self.inbound is not None else 0
         return inbound + self.callers.calls
--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -93,6 +93,7 @@
     Reason.KEY_MISSING: 400,
     Reason.KEY_CONFLICT: 422,
     Reason.IN_PROGRESS: 409,
+    Reason.ALREADY_RUN: 409,
     Reason.TOO_DEEP: 508,
 }
 
--- a/src/cranklane/policy/compiler.py
+++ b/src/cranklane/policy/compiler.py
@@ -12,6 +12,7 @@
 from cranklane.errors import PolicyError
 from cranklane.outcome import Criticality, Repeat
 from cranklane.policy.model import Branch, Policy, Position, Route, Service, Tenant
+from cranklane.policy.names import SYSTEM_TENANT
 from cranklane.records.messages import RouteRow, ServiceRow, TenantRow
 
 MAX_RETRIES = 16
@@ -30,6 +31,7 @@
     "slots": 8,
     "queue": 64,
     "retry_ratio_permille": 100,
+    "ledger": ("main",),
 }
 """Values of a branch that nothing sets."""
 
@@ -99,10 +101,18 @@
         name=service.name,
         calls=[str(item.value) for item in service.calls],
         callers=[str(item.value) for item in service.callers],
+        ledgers=list(value("ledger")) if _has_once(branches, service) else [],
         routes=[_route_row(branches, route) for route in service.routes],
     )
 
 
+def _has_once(outer: list[tuple[str, Branch]], service: Service) -> bool:
+    return any(
+        effective("repeat", [*outer, (route.name, route)]).value is Repeat.ONCE
+        for route in service.routes
+    )
+
+
 def branches_of(
     policy: Policy, tenant: Tenant, service: Service, route: Route | None = None
 ) -> list[tuple[str, Branch]]:
@@ -143,6 +153,8 @@
     names: set[str] = set()
     for tenant in policy.tenants:
         problems += _repeated(names, tenant.name, f"tenant {tenant.name}", tenant.position)
+        if tenant.name == SYSTEM_TENANT:
+            problems.append(_at(tenant.position, f"the tenant {SYSTEM_TENANT} is the system's own"))
         problems += _range_problems(tenant)
         problems += _tenant_problems(tenant)
     return problems
--- a/src/cranklane/policy/model.py
+++ b/src/cranklane/policy/model.py
@@ -37,12 +37,14 @@
 
     :ivar deadline_ms: time a root request has, in milliseconds.
     :ivar retries: retries that one root request may cause in its whole tree.
+    :ivar ledger: ledger groups that once-calls are spread over.
     """
 
     criticality: Stated[Criticality] | None = None
     repeat: Stated[Repeat] | None = None
     deadline_ms: Stated[int] | None = None
     retries: Stated[int] | None = None
+    ledger: Stated[tuple[str, ...]] | None = None
 
 
 @dataclass(frozen=True)
--- a/src/cranklane/policy/syntax.py
+++ b/src/cranklane/policy/syntax.py
@@ -174,7 +174,7 @@
 
     def _setting(self, branch: Branch, tree: Tree[Any]) -> None:
         token = tree.children[0]
-        name, value = _setting_value(str(tree.data), str(token))
+        name, value = _setting_value(str(tree.data), [str(item) for item in tree.children])
         if getattr(branch, name) is not None:
             where = _position(token)
             word = str(tree.data).replace("_", "-")
@@ -184,8 +184,11 @@
         setattr(branch, name, Stated(value, _position(token)))
 
 
-def _setting_value(word: str, text: str) -> tuple[str, Any]:
+def _setting_value(word: str, texts: list[str]) -> tuple[str, Any]:
+    text = texts[0]
     match word:
+        case "ledger":
+            return word, tuple(texts)
         case "criticality":
             return word, Criticality[text.upper()]
         case "repeat":
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -681,13 +681,14 @@
 
 @dataclass(slots=True)
 class LedgerBegin:
-    """Asks to create the started entry of a once-call. ``lease_ms`` is the longest time from this request until the first byte goes to the worker."""
+    """Asks to create the started entry of a once-call. ``lease_ms`` is the longest time from this request until the first byte goes to the worker, ``run_ms`` the longest that the call may then run."""
 
     KIND: ClassVar[int] = 30
-    LAYOUT: ClassVar[Struct] = Struct("!QIIHHH")
+    LAYOUT: ClassVar[Struct] = Struct("!QIIIHHH")
 
     attempt: int = 0
     lease_ms: int = 0
+    run_ms: int = 0
     digest: bytes = b""
     tenant: str = ""
     service: str = ""
@@ -699,7 +700,7 @@
         service = self.service.encode()
         key = self.key.encode()
         try:
-            head = self.LAYOUT.pack(self.attempt, self.lease_ms, len(digest), len(tenant), len(service), len(key))
+            head = self.LAYOUT.pack(self.attempt, self.lease_ms, self.run_ms, len(digest), len(tenant), len(service), len(key))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, digest, tenant, service, key))
@@ -707,7 +708,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> LedgerBegin:
         try:
-            attempt, lease_ms, digest_size, tenant_size, service_size, key_size, = cls.LAYOUT.unpack_from(payload)
+            attempt, lease_ms, run_ms, digest_size, tenant_size, service_size, key_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + digest_size
             digest = payload[start:end]
@@ -725,7 +726,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"LedgerBegin of {len(payload)} bytes, not {start}")
-        return cls(attempt, lease_ms, digest, tenant, service, key)
+        return cls(attempt, lease_ms, run_ms, digest, tenant, service, key)
 
 
 @dataclass(slots=True)
@@ -885,15 +886,16 @@
 
 @dataclass(slots=True)
 class LedgerEntry:
-    """One entry of the ledger. ``started`` and ``expires`` are seconds since 1970."""
+    """One entry of the ledger. ``started``, ``running_until`` and ``expires`` are seconds since 1970; ``outcome`` counts once it is finished."""
 
     KIND: ClassVar[int] = 35
-    LAYOUT: ClassVar[Struct] = Struct("!QB?ddHIHHHII")
+    LAYOUT: ClassVar[Struct] = Struct("!QB?dddHIHHHII")
 
     attempt: int = 0
     outcome: int = 0
     finished: bool = False
     started: float = 0.0
+    running_until: float = 0.0
     expires: float = 0.0
     status: int = 0
     digest: bytes = b""
@@ -911,7 +913,7 @@
         headers = pack_pairs(self.headers)
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.attempt, self.outcome, self.finished, self.started, self.expires, self.status, len(digest), len(tenant), len(service), len(key), len(headers), len(body))
+            head = self.LAYOUT.pack(self.attempt, self.outcome, self.finished, self.started, self.running_until, self.expires, self.status, len(digest), len(tenant), len(service), len(key), len(headers), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, digest, tenant, service, key, headers, body))
@@ -919,7 +921,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> LedgerEntry:
         try:
-            attempt, outcome, finished, started, expires, status, digest_size, tenant_size, service_size, key_size, headers_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            attempt, outcome, finished, started, running_until, expires, status, digest_size, tenant_size, service_size, key_size, headers_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + digest_size
             digest = payload[start:end]
@@ -943,7 +945,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"LedgerEntry of {len(payload)} bytes, not {start}")
-        return cls(attempt, outcome, finished, started, expires, status, digest, tenant, service, key, headers, body)
+        return cls(attempt, outcome, finished, started, running_until, expires, status, digest, tenant, service, key, headers, body)
 
 
 @dataclass(slots=True)
@@ -986,16 +988,16 @@
 
 @dataclass(slots=True)
 class LedgerState:
-    """The whole state of a ledger group."""
+    """The whole state of a ledger group; ``entries`` are packed LedgerEntry records, each after its length."""
 
     KIND: ClassVar[int] = 37
     LAYOUT: ClassVar[Struct] = Struct("!dI")
 
     now: float = 0.0
-    entries: list[LedgerEntry] = field(default_factory=list)
+    entries: bytes = b""
 
     def pack(self) -> bytes:
-        entries = pack_records(self.entries)
+        entries = self.entries
         try:
             head = self.LAYOUT.pack(self.now, len(entries))
         except StructError as error:
@@ -1008,7 +1010,7 @@
             now, entries_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + entries_size
-            entries = unpack_records(LedgerEntry.unpack, payload[start:end])
+            entries = payload[start:end]
             start = end
         except (StructError, UnicodeDecodeError) as error:
             raise MalformedRecordError(f"cannot unpack: {error}") from error
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -115,8 +115,9 @@
         30,
         "LedgerBegin",
         "Asks to create the started entry of a once-call. ``lease_ms`` is the longest time "
-        "from this request until the first byte goes to the worker.",
-        "attempt:u64 lease_ms:u32 digest:bytes tenant:str service:str key:str",
+        "from this request until the first byte goes to the worker, ``run_ms`` the longest "
+        "that the call may then run.",
+        "attempt:u64 lease_ms:u32 run_ms:u32 digest:bytes tenant:str service:str key:str",
     ),
     Record(
         31,
@@ -141,9 +142,10 @@
     Record(
         35,
         "LedgerEntry",
-        "One entry of the ledger. ``started`` and ``expires`` are seconds since 1970.",
-        "attempt:u64 outcome:u8 finished:bool started:f64 expires:f64 status:u16 digest:bytes "
-        "tenant:str service:str key:str headers:pairs body:bytes",
+        "One entry of the ledger. ``started``, ``running_until`` and ``expires`` are seconds "
+        "since 1970; ``outcome`` counts once it is finished.",
+        "attempt:u64 outcome:u8 finished:bool started:f64 running_until:f64 expires:f64 "
+        "status:u16 digest:bytes tenant:str service:str key:str headers:pairs body:bytes",
     ),
     Record(
         36,
@@ -153,7 +155,11 @@
         "when:f64 begins:[LedgerBegin] finishes:[LedgerFinish]",
     ),
     Record(
-        37, "LedgerState", "The whole state of a ledger group.", "now:f64 entries:[LedgerEntry]"
+        37,
+        "LedgerState",
+        "The whole state of a ledger group; ``entries`` are packed LedgerEntry records, each "
+        "after its length.",
+        "now:f64 entries:bytes",
     ),
     Record(
         40,
--- a/src/cranklane_lab/scenarios/faults.py
+++ b/src/cranklane_lab/scenarios/faults.py
@@ -65,6 +65,39 @@
     process.kill()
 
 
+def disturb_ledger(run: Run, seconds: float) -> None:
+    """Kill, freeze or cut one ledger replica after the other."""
+    random = run.world.random
+    until = run.world.loop.now() + seconds
+    while run.world.loop.now() < until:
+        gevent.sleep(random.uniform(0.3, 1.0))
+        number = random.randrange(len(run.fleet.ledgers))
+        process = run.fleet.ledger_processes[number]
+        kind = random.choice(("kill", "freeze", "cut"))
+        run.world.log(f"ledger fault {kind} {number}")
+        match kind:
+            case "kill":
+                process.kill(power_lost=random.random() < 0.5)
+                gevent.sleep(random.uniform(0.1, 1.0))
+                run.fleet.restart_ledger(number)
+            case "freeze":
+                process.freeze(random.uniform(0.5, 2.0))
+            case "cut":
+                _cut_ledger(run, process.name)
+        gevent.sleep(random.uniform(1.0, 2.0))
+
+
+def _cut_ledger(run: Run, name: str) -> None:
+    others = [process.name for process in run.fleet.ledger_processes if process.name != name]
+    for other in others:
+        run.world.network.cut(name, other)
+        run.world.network.cut(other, name)
+    gevent.sleep(run.world.random.uniform(0.5, 2.0))
+    for other in others:
+        run.world.network.heal(name, other)
+        run.world.network.heal(other, name)
+
+
 def random_faults(run: Run, seconds: float) -> None:
     """Let something happen every few hundred milliseconds."""
     random = run.world.random
--- a/src/cranklane_lab/scenarios/library.py
+++ b/src/cranklane_lab/scenarios/library.py
@@ -16,6 +16,7 @@
     second_loss,
 )
 from cranklane_lab.scenarios.faults import (
+    disturb_ledger,
     fail_over_edge,
     fail_over_node,
     kill_worker,
@@ -131,6 +132,36 @@
     traffic.join()
 
 
+def _at_most_once(run: Run) -> None:
+    """Clients sign and resend while workers, nodes and ledger machines fail."""
+    fleet = run.fleet
+    client = fleet.client()
+    kinds = [_kind(run, "sign")]
+    traffic = [run.traffic(client, 15, 6.0, kinds, client_retries=4) for _ in range(2)]
+    ledger_faults = gevent.spawn(disturb_ledger, run, 6.0)
+    random = run.world.random
+    for _ in range(6):
+        gevent.sleep(random.uniform(0.3, 1.2))
+        pair = random.choice(fleet.of("signing"))
+        match random.choice(("worker", "node", "freeze", "cut")):
+            case "worker" if not pair.worker_process.dead:
+                kill_worker(run, pair)
+                gevent.sleep(0.2)
+                restart_worker(run, pair)
+            case "node" if not pair.node_process.dead:
+                restart_node(run, pair, after=0.3)
+            case "freeze":
+                pair.node_process.freeze(random.uniform(0.5, 5.0))
+            case "cut":
+                run.world.network.cut(pair.node_process.name, "edge")
+                gevent.sleep(random.uniform(0.2, 1.0))
+                run.world.network.heal(pair.node_process.name, "edge")
+    gevent.joinall([*traffic, ledger_faults])
+    signed = [sent for sent in run.recorder.sent if sent.told.good]
+    if len(signed) < 20:
+        run.recorder.violate("at-most-once", f"only {len(signed)} signatures were answered")
+
+
 def _leaving(run: Run) -> None:
     """A node drains while its worker's load endpoint says that all is well."""
     fleet = run.fleet
@@ -205,6 +236,7 @@
         _retry_bound.__doc__ or "",
         DEEP,
         _retry_bound,
+        ledgers=0,
         mechanisms=("allowance",),
     ),
     Scenario(
@@ -222,6 +254,14 @@
         mechanisms=("answer-end", "call-numbers"),
     ),
     Scenario("not-run", _not_run.__doc__ or "", SMALL, _not_run, mechanisms=("unknown-memory",)),
+    Scenario(
+        "at-most-once",
+        _at_most_once.__doc__ or "",
+        SMALL,
+        _at_most_once,
+        mechanisms=("ledger",),
+        ledgers=3,
+    ),
     Scenario("leaving", _leaving.__doc__ or "", SMALL, _leaving, mechanisms=("drain",)),
     Scenario(
         "planned-stop",
@@ -238,6 +278,7 @@
         config_monotonic,
         mechanisms=("version-order",),
         controls=3,
+        ledgers=0,
     ),
     Scenario(
         "control-cut",
@@ -246,6 +287,7 @@
         control_cut,
         mechanisms=("leader-lease", "send-away"),
         controls=3,
+        ledgers=0,
     ),
     Scenario(
         "operator-race",
@@ -254,6 +296,7 @@
         operator_race,
         mechanisms=("request-memory",),
         controls=3,
+        ledgers=0,
     ),
     Scenario(
         "second-loss",
@@ -262,6 +305,7 @@
         second_loss,
         mechanisms=("replica-identity",),
         controls=3,
+        ledgers=0,
     ),
     Scenario(
         "restart-after-changes",
@@ -270,8 +314,9 @@
         restart_after_changes,
         mechanisms=("log-sync",),
         controls=3,
+        ledgers=0,
     ),
-    Scenario("all-at-once", _all_at_once.__doc__ or "", SMALL, _all_at_once),
+    Scenario("all-at-once", _all_at_once.__doc__ or "", SMALL, _all_at_once, controls=3, ledgers=3),
 )
 
 SCENARIOS = {scenario.name: scenario for scenario in _SCENARIOS}
--- a/src/cranklane_lab/scenarios/mechanisms.py
+++ b/src/cranklane_lab/scenarios/mechanisms.py
@@ -14,6 +14,7 @@
 
 from cranklane.control.publisher import Publisher, Subscriber
 from cranklane.control.store import ConfigurationStore
+from cranklane.ledger.store import LedgerDecision, LedgerStore
 from cranklane.node.admission import Admission
 from cranklane.node.allowance import Allowance
 from cranklane.node.configuration import NodeConfiguration
@@ -25,7 +26,7 @@
 from cranklane.node.subscription import Subscription
 from cranklane.outcome import Criticality
 from cranklane.records.connection import CONNECTION_CALL
-from cranklane.records.messages import AnswerAbort, AnswerEnd, Credit
+from cranklane.records.messages import AnswerAbort, AnswerEnd, Credit, LedgerGrant
 from cranklane.replication.leadership import Leadership
 from cranklane.replication.log import Log
 from cranklane.replication.replica import Replica
@@ -203,6 +204,13 @@
     return [Replacement(Replica, "identity", property(identity))]
 
 
+def _every_attempt_runs() -> list[Replacement]:
+    def begin(_self: LedgerStore, _request: Any) -> LedgerGrant:
+        return LedgerGrant(LedgerDecision.RUN)
+
+    return [Replacement(LedgerStore, "_begin", begin)]
+
+
 def _unsynced_log() -> list[Replacement]:
     return [Replacement(Log, "sync", lambda self: self.last_index)]
 
@@ -224,6 +232,7 @@
     ),
     Mechanism("request-memory", "a resend gets the first answer", _requests_forgotten),
     Mechanism("replica-identity", "an empty disk is another replica", _identity_by_name),
+    Mechanism("ledger", "only the attempt that created an entry runs", _every_attempt_runs),
     Mechanism("log-sync", "an entry counts only once it is synced", _unsynced_log),
 )
 
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -8,11 +8,15 @@
 import pytest
 from gevent.event import Event
 
+from cranklane.common.http_client import HttpClient
+from cranklane.common.http_server import HttpServer
 from cranklane_lab.scenarios.base import run_seed
 from cranklane_lab.scenarios.library import SCENARIOS
 from cranklane_lab.simulation.world import simulate
 
 PRINT_DIGEST = """
+from cranklane.common.http_client import HttpClient
+from cranklane.common.http_server import HttpServer
 from cranklane_lab.scenarios.base import run_seed
 from cranklane_lab.scenarios.library import SCENARIOS
 from cranklane_lab.simulate import quiet
@@ -160,3 +164,31 @@
 
     assert simulate(1, delay, lambda world: scenario(world, False)) == "ConnectionResetError"
     assert simulate(1, delay, lambda world: scenario(world, True)) == "TimeoutError"
+
+
+def test_a_kept_connection_outlives_a_stop_that_begins_during_its_answer():
+    """Found by planned-stop, seed 29: the head promised to keep the connection."""
+
+    def scenario(world):
+        server, client = world.process("server", "a"), world.process("client", "b")
+
+        def application(_environment, start_response):
+            start_response("200 OK", [("Content-Length", "2")])
+            yield b"a"
+            gevent.sleep(1.0)
+            yield b"b"
+
+        address = (server.host, 80)
+        http_server = world.start(server, lambda: HttpServer(server, address, application))
+        http = HttpClient(client, address)
+        first = client.spawn(lambda: http.request("GET", "/1").read())
+        gevent.sleep(0.5)
+        http_server.stop_accepting()
+        second = None
+        if first.get() == b"ab":
+            second = http.request("GET", "/2")
+        return second.read(), {name.lower(): value for name, value in second.headers}.get(
+            "connection"
+        )
+
+    assert simulate(1, delay, scenario) == (b"ab", "close")
