--- a/src/cranklane/node/admission.py
+++ b/src/cranklane/node/admission.py
@@ -107,7 +107,7 @@
         if self.in_flight < self.concurrency.limit and not self._queue.size:
             self._last_empty = now
             return Ok(self._occupy(tenant, criticality))
-        if self._wait_for(tenant, criticality) + self.concurrency.service_time > deadline - now:
+        if self._wait_for(tenant, criticality) + self.concurrency.likely_time > deadline - now:
             return Err(self._refuse(tenant, criticality, Reason.DEADLINE_TOO_NEAR))
         return self._wait(tenant, criticality, deadline, on_wait)
 
@@ -205,7 +205,7 @@
             call = self._queue.take(self._in_flight, overloaded)
             if call is None:
                 return
-            if call.deadline <= now + self.concurrency.service_time / 2:
+            if call.deadline <= now + self.concurrency.likely_time:
                 call.settle(Reason.DEADLINE_TOO_NEAR)
                 continue
             self._count(call.tenant)
--- a/src/cranklane/node/configuration.py
+++ b/src/cranklane/node/configuration.py
@@ -16,6 +16,8 @@
 class Route:
     """One route, ready to match.
 
+    :ivar criticality: of a root request on this route.
+    :ivar caps: whether it also bounds the calls made for a more critical request.
     :ivar deadline_ms: time a root request on this route has.
     :ivar allowance: retries a root request on this route may cause.
     """
@@ -24,10 +26,19 @@
     method: str
     pattern: re.Pattern[str]
     criticality: Criticality
+    caps: bool
     repeat: Repeat
     deadline_ms: int
     allowance: int
 
+    def criticality_for(self, root: Criticality) -> Criticality:
+        """Return the criticality of a call made for a root request.
+
+        A child call is as critical as its root request, which fails without it,
+        unless the policy states that this route's calls matter less.
+        """
+        return min(root, self.criticality) if self.caps else root
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -78,6 +89,7 @@
         method=row.method,
         pattern=_pattern(row.pattern),
         criticality=Criticality(row.criticality),
+        caps=row.caps,
         repeat=Repeat(row.repeat),
         deadline_ms=row.deadline_ms,
         allowance=row.allowance,
--- a/src/cranklane/node/outbound.py
+++ b/src/cranklane/node/outbound.py
@@ -159,7 +159,7 @@
         route = service.route(request.method, request.path.partition("?")[0]) if service else None
         if service is None or route is None:
             return self._refuse(request, context.criticality, Reason.UNKNOWN_ROUTE)
-        criticality = min(context.criticality, route.criticality)
+        criticality = route.criticality_for(context.criticality)
         reason = self._forbidden(context, request, service, route)
         if reason is not None:
             return self._refuse(request, criticality, reason)
--- a/src/cranklane/policy/compiler.py
+++ b/src/cranklane/policy/compiler.py
@@ -126,8 +126,10 @@
 
 def _route_row(outer: list[tuple[str, Branch]], route: Route) -> RouteRow:
     branches = [*outer, (route.name, route)]
+    criticality = effective("criticality", branches)
     return RouteRow(
-        criticality=effective("criticality", branches).value,
+        criticality=criticality.value,
+        caps=criticality.position is not None,
         repeat=effective("repeat", branches).value,
         deadline_ms=effective("deadline_ms", branches).value,
         allowance=effective("retries", branches).value,
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -1059,12 +1059,13 @@
 
 @dataclass(slots=True)
 class RouteRow:
-    """Compiled route, flat: no inheritance is left to work out."""
+    """Compiled route, flat: no inheritance is left to work out. ``caps`` is whether ``criticality`` was stated, and so bounds calls made for a more critical request."""
 
     KIND: ClassVar[int] = 41
-    LAYOUT: ClassVar[Struct] = Struct("!BBIHHHH")
+    LAYOUT: ClassVar[Struct] = Struct("!B?BIHHHH")
 
     criticality: int = 0
+    caps: bool = False
     repeat: int = 0
     deadline_ms: int = 0
     allowance: int = 0
@@ -1077,7 +1078,7 @@
         method = self.method.encode()
         pattern = self.pattern.encode()
         try:
-            head = self.LAYOUT.pack(self.criticality, self.repeat, self.deadline_ms, self.allowance, len(name), len(method), len(pattern))
+            head = self.LAYOUT.pack(self.criticality, self.caps, self.repeat, self.deadline_ms, self.allowance, len(name), len(method), len(pattern))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, name, method, pattern))
@@ -1085,7 +1086,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> RouteRow:
         try:
-            criticality, repeat, deadline_ms, allowance, name_size, method_size, pattern_size, = cls.LAYOUT.unpack_from(payload)
+            criticality, caps, repeat, deadline_ms, allowance, name_size, method_size, pattern_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + name_size
             name = payload[start:end].decode()
@@ -1100,7 +1101,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"RouteRow of {len(payload)} bytes, not {start}")
-        return cls(criticality, repeat, deadline_ms, allowance, name, method, pattern)
+        return cls(criticality, caps, repeat, deadline_ms, allowance, name, method, pattern)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -170,8 +170,10 @@
     Record(
         41,
         "RouteRow",
-        "Compiled route, flat: no inheritance is left to work out.",
-        "criticality:u8 repeat:u8 deadline_ms:u32 allowance:u16 name:str method:str pattern:str",
+        "Compiled route, flat: no inheritance is left to work out. ``caps`` is whether "
+        "``criticality`` was stated, and so bounds calls made for a more critical request.",
+        "criticality:u8 caps:bool repeat:u8 deadline_ms:u32 allowance:u16 name:str method:str "
+        "pattern:str",
     ),
     Record(
         42,
--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -33,7 +34,6 @@
 ) -> None:
     """Run seeds of a scenario; exit 1 when a promise broke in any."""
     from cranklane_lab.scenarios.library import SCENARIOS
-    from cranklane_lab.scenarios.mechanisms import MECHANISMS
     from cranklane_lab.simulate import report, run_seeds
 
     if list_:
@@ -42,14 +42,8 @@
         raise typer.Exit
     if scenario not in SCENARIOS:
         raise typer.BadParameter(f"{scenario!r}: known are {', '.join(SCENARIOS)}")
-    unknown = [name for name in without if name not in MECHANISMS]
-    if unknown:
-        raise typer.BadParameter(f"{unknown}: known are {', '.join(MECHANISMS)}")
-    first, _, last = seeds.partition("-")
-    if not first.isdigit() or not (last or first).isdigit():
-        raise typer.BadParameter(f"--seeds {seeds!r}: expected A-B")
-    chosen = range(int(first), int(last or first) + 1)
-    raise typer.Exit(report(run_seeds(scenario, chosen, tuple(without), jobs), json))
+    switched_off = _check_mechanisms(without)
+    raise typer.Exit(report(run_seeds(scenario, _seeds(seeds), switched_off, jobs), json))
 
 
 @application.command()
@@ -71,18 +65,101 @@
     raise typer.Exit(run_latency(calls, json))
 
 
+def _check_mechanisms(names: list[str]) -> tuple[str, ...]:
+    from cranklane_lab.scenarios.mechanisms import MECHANISMS
+
+    unknown = [name for name in names if name not in MECHANISMS]
+    if unknown:
+        raise typer.BadParameter(f"{unknown}: known are {', '.join(MECHANISMS)}")
+    return tuple(names)
+
+
+def _seeds(text: str) -> range:
+    first, _, last = text.partition("-")
+    if not first.isdigit() or not (last or first).isdigit():
+        raise typer.BadParameter(f"--seeds {text!r}: expected A-B")
+    return range(int(first), int(last or first) + 1)
+
+
+@application.command()
+def replay(
+    trace: Path,
+    without: Annotated[list[str], typer.Option(help="a mechanism to switch off")] = [],  # noqa: B006
+) -> None:
+    """Play a recorded trace; exit 1 when a promise or a stated outcome does not hold."""
+    from cranklane_lab.replay.run import replay as play_file
+
+    raise typer.Exit(play_file(trace, _check_mechanisms(without)))
+
+
+@application.command()
+def search(
+    seeds: Annotated[str, typer.Option(help="first and last seed, as A-B")] = "1-10",
+    without: Annotated[list[str], typer.Option(help="a mechanism to switch off")] = [],  # noqa: B006
+    folder: Annotated[Path, typer.Option(help="where traces that break are written")] = Path(),
+) -> None:
+    """Play random traces of requests and failures; shorten those that break a promise."""
+    from cranklane_lab.replay.run import search as play_many
+
+    raise typer.Exit(play_many(_seeds(seeds), _check_mechanisms(without), folder))
+
+
+@application.command()
+def bench(
+    deployment: Annotated[str, typer.Option(help="songhan or gaujas")] = "songhan",
+    scenario: Annotated[str, typer.Option(help="the disturbance; see --list")] = "surge-2x",
+    seed: Annotated[int, typer.Option()] = 1,
+    compare: Annotated[list[str], typer.Option(help="a baseline")] = [],  # noqa: B006
+    json: Annotated[bool, typer.Option("--json", help="print results as JSON")] = False,
+    list_: Annotated[bool, typer.Option("--list", help="list scenarios and baselines")] = False,
+) -> None:
+    """Measure goodput and recovery in virtual time, beside baselines."""
+    from cranklane_lab.bench.run import run_bench
+    from cranklane_lab.bench.scenarios import BENCH_SCENARIOS
+    from cranklane_lab.bench.variants import VARIANTS
+    from cranklane_lab.deployments import DEPLOYMENTS
+
+    if list_:
+        for item in BENCH_SCENARIOS.values():
+            typer.echo(f"{item.name:<18}{item.purpose}")
+        for variant in VARIANTS.values():
+            typer.echo(f"{variant.name:<18}{variant.purpose}")
+        raise typer.Exit
+    for name, known in ((deployment, DEPLOYMENTS), (scenario, BENCH_SCENARIOS)):
+        if name not in known:
+            raise typer.BadParameter(f"{name!r}: known are {', '.join(known)}")
+    unknown = [name for name in compare if name not in VARIANTS]
+    if unknown:
+        raise typer.BadParameter(f"{unknown}: known are {', '.join(VARIANTS)}")
+    variants = ["product", *(name for name in compare if name != "product")]
+    raise typer.Exit(run_bench(deployment, scenario, seed, variants, json))
+
+
 @application.command()
 def scale(
-    steps: Annotated[str, typer.Option(help="numbers of hollow nodes")] = "50,200,800,2400",
+    steps: Annotated[str, typer.Option(help="numbers of hollow nodes or connections")] = "",
+    part: Annotated[str, typer.Option(help="control, peers or ledger")] = "control",
+    controls: Annotated[int, typer.Option(min=1, help="control processes")] = 3,
+    hollow_folder: Annotated[
+        str, typer.Option(help="folder for hollow nodes' files, as on a memory file system")
+    ] = "",
     json: Annotated[bool, typer.Option("--json", help="print results as JSON")] = False,
 ) -> None:
-    """Measure what control and nodes cost as the fleet grows."""
+    """Measure what each role costs as the fleet grows."""
+    from cranklane_lab.scale.ledger import run_ledger
+    from cranklane_lab.scale.peers import run_peers
     from cranklane_lab.scale.run import run_scale
 
-    numbers = steps.split(",")
-    if not all(number.isdigit() and int(number) for number in numbers):
+    defaults = {"control": "50,200,800,2400", "peers": "50,200,800,2400", "ledger": "1,16,64,256"}
+    if part not in defaults:
+        raise typer.BadParameter(f"--part {part!r}: known are {', '.join(defaults)}")
+    texts = (steps or defaults[part]).split(",")
+    if not all(text.isdigit() and int(text) for text in texts):
         raise typer.BadParameter(f"--steps {steps!r}: expected numbers like 50,200")
-    raise typer.Exit(run_scale(sorted(int(number) for number in numbers), json))
+    numbers = sorted(int(text) for text in texts)
+    if part == "control":
+        raise typer.Exit(run_scale(numbers, controls, hollow_folder, json))
+    raise typer.Exit((run_peers if part == "peers" else run_ledger)(numbers, json))
 
 
 def main() -> None:
--- a/src/cranklane_lab/fleet/site.py
+++ b/src/cranklane_lab/fleet/site.py
@@ -134,26 +134,29 @@
     return start(name, "cranklane.cli.entry", ["edge", *_flags(flags)], folder)
 
 
-def start_ledgers(
-    deployment: Deployment, folder: Path, controls: list[Address], count: int
-) -> list[FleetProcess]:
-    """Start the replicas of one ledger group."""
-    addresses = [loopback() for _ in range(count)]
-    processes = []
-    for number, own in enumerate(addresses):
-        name = f"{deployment.name}-ledger-{number}"
-        flags = {
-            "name": name,
-            "zone": deployment.zones[number % len(deployment.zones)],
-            "group": "main",
-            "listen": format_address(own),
-            "controls": _joined(controls),
-            "data": str(folder / name),
-            "replicas": _joined(addresses),
-            "founder": "yes" if number == 0 else "no",
-        }
-        processes.append(start(name, "cranklane.cli.entry", ["ledger", *_flags(flags)], folder))
-    return processes
+def start_ledger(
+    deployment: Deployment,
+    folder: Path,
+    controls: list[Address],
+    group: list[Address],
+    number: int,
+) -> FleetProcess:
+    """Start one replica of a ledger group.
+
+    :param group: the addresses of all its replicas.
+    """
+    name = f"{deployment.name}-ledger-{number}"
+    flags = {
+        "name": name,
+        "zone": deployment.zones[number % len(deployment.zones)],
+        "group": "main",
+        "listen": format_address(group[number]),
+        "controls": _joined(controls),
+        "data": str(folder / name),
+        "replicas": _joined(group),
+        "founder": "yes" if number == 0 else "no",
+    }
+    return start(name, "cranklane.cli.entry", ["ledger", *_flags(flags)], folder)
 
 
 def start_pair(
@@ -194,7 +197,10 @@
     edge_http = loopback()
     edge = start_edge(deployment, folder, listen, edge_http, f"{deployment.name}-edge")
     site = Site(deployment, folder, processes, group, edge, edge_http)
-    site.ledgers = start_ledgers(deployment, folder, listen, ledgers)
+    ledger_group = [loopback() for _ in range(ledgers)]
+    site.ledgers = [
+        start_ledger(deployment, folder, listen, ledger_group, number) for number in range(ledgers)
+    ]
     for plan in deployment.services:
         for number in range(plan.workers):
             site.pairs.append(start_pair(deployment, folder, listen, plan.name, number))
--- a/src/cranklane_lab/latency.py
+++ b/src/cranklane_lab/latency.py
@@ -105,9 +105,10 @@
 
     def _works(self) -> bool:
         try:
-            return self._through.request("GET", f"/{PAIR.name}/callee/work/1").read() != b""
-        except HttpRequestError:
+            self._call_through()
+        except (HttpRequestError, RuntimeError):
             return False
+        return True
 
     def _timed(self, call: Callable[[], None]) -> float:
         started = time.perf_counter()
--- /dev/null
+++ b/src/cranklane_lab/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces: what was sent and what failed when, with the outcomes stated."""
--- /dev/null
+++ b/src/cranklane_lab/replay/trace.py
@@ -0,0 +1,147 @@
+"""The format of a trace: JSON lines, a head and then events in the order of time.
+
+The head names what to start::
+
+    {"trace": 1, "deployment": "songhan", "workers": 2, "controls": 1, "ledgers": 1,
+     "seed": 7, "allowance": 3, "note": "why this trace is kept"}
+
+Each event has ``at``, seconds after the fleet serves, ``do``, and arguments:
+
+=============  ==========================================================
+request        ``kind``, ``nonce``, ``key``; ``expect``: outcomes allowed
+kill           ``process``: ends at once; its peers are told
+power          ``process``: its machine fails, unsynced bytes are lost
+restart        ``process``: starts again on its machine
+freeze         ``process``, ``seconds``
+cut, heal      ``source``, ``target``: one direction, silently
+slow           ``service``, ``factor``: all work takes so many times as long
+drain          ``process``: a node's drain signal
+=============  ==========================================================
+
+A process is named ``SERVICE-N-worker``, ``SERVICE-N-node``, ``control-N`` or
+``ledger-N``. Outcomes are those of :class:`cranklane_lab.standins.client.Told`.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, field, fields
+from pathlib import Path
+from typing import Any
+
+FORMAT = 1
+OUTCOMES = frozenset({"answered", "not_run", "unknown", "cut", "lost"})
+ACTIONS = frozenset(
+    {"request", "kill", "power", "restart", "freeze", "cut", "heal", "slow", "drain"}
+)
+
+
+class TraceError(Exception):
+    """A trace file cannot be read.
+
+    :ivar problems: one line for each problem.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+@dataclass(frozen=True)
+class Event:
+    """Something that happens at a time."""
+
+    at: float
+    do: str
+    kind: str = ""
+    nonce: str = ""
+    key: str = ""
+    expect: tuple[str, ...] = ()
+    process: str = ""
+    seconds: float = 0.0
+    source: str = ""
+    target: str = ""
+    service: str = ""
+    factor: float = 1.0
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the event without what it does not state."""
+        empty = Event(self.at, self.do)
+        return {
+            key: value
+            for key, value in asdict(self).items()
+            if key in ("at", "do") or value != getattr(empty, key)
+        }
+
+
+@dataclass(frozen=True)
+class Trace:
+    """A fleet and what happens to it."""
+
+    deployment: str = "songhan"
+    workers: int = 2
+    controls: int = 1
+    ledgers: int = 1
+    seed: int = 1
+    allowance: int = 3
+    note: str = ""
+    events: tuple[Event, ...] = field(default=())
+
+    def write(self, path: Path) -> None:
+        """Write the trace to a file."""
+        head = {key: value for key, value in asdict(self).items() if key != "events"}
+        lines = [json.dumps({"trace": FORMAT, **head})]
+        lines += [json.dumps(event.as_json()) for event in self.events]
+        path.write_text("\n".join(lines) + "\n")
+
+
+def read(path: Path) -> Trace:
+    """Return a trace from its file.
+
+    :raises TraceError: naming every line that is wrong.
+    """
+    try:
+        lines = path.read_text().splitlines()
+    except OSError as error:
+        raise TraceError([f"{path}: cannot be read: {error.strerror}"]) from error
+    problems: list[str] = []
+    parsed = [_parse(path, number, line, problems) for number, line in enumerate(lines, 1)]
+    if not parsed or parsed[0].pop("trace", None) != FORMAT:
+        problems.append(f"{path}: line 1: expected a head with trace {FORMAT}")
+    known = {item.name for item in fields(Trace)} - {"events"}
+    unknown = sorted(set(parsed[0] if parsed else {}) - known)
+    problems += [f"{path}: line 1: unknown key {key}" for key in unknown]
+    events = [_event(path, number, media, problems) for number, media in enumerate(parsed[1:], 2)]
+    if problems:
+        raise TraceError(problems)
+    return Trace(**parsed[0], events=tuple(events))
+
+
+def _parse(path: Path, number: int, line: str, problems: list[str]) -> dict[str, Any]:
+    try:
+        media = json.loads(line)
+    except ValueError as error:
+        problems.append(f"{path}: line {number}: is not JSON: {error}")
+        return {}
+    if not isinstance(media, dict):
+        problems.append(f"{path}: line {number}: expected an object")
+        return {}
+    return media
+
+
+def _event(path: Path, number: int, media: dict[str, Any], problems: list[str]) -> Event:
+    known = {item.name for item in fields(Event)}
+    if media.get("do") not in ACTIONS:
+        problems.append(f"{path}: line {number}: do: expected one of {', '.join(sorted(ACTIONS))}")
+        return Event(0.0, "")
+    unknown = sorted(set(media) - known)
+    problems += [f"{path}: line {number}: unknown key {key}" for key in unknown]
+    if not isinstance(media.get("at"), int | float):
+        problems.append(f"{path}: line {number}: at: expected seconds")
+    expect = media.get("expect", [])
+    if not set(expect) <= OUTCOMES:
+        problems.append(
+            f"{path}: line {number}: expect: expected some of {', '.join(sorted(OUTCOMES))}"
+        )
+    stated = {key: value for key, value in media.items() if key in known}
+    return Event(**{"at": 0.0, **stated, "expect": tuple(expect)})
--- a/src/cranklane_lab/scale/hollow.py
+++ b/src/cranklane_lab/scale/hollow.py
@@ -52,7 +52,8 @@
 class HollowReport:
     """What one process's hollow nodes have seen.
 
-    :ivar adopted: by version, (nodes where it came in force, last monotonic second).
+    :ivar in_force_at: by version, the monotonic second from which it, or a newer one,
+        was in force on all nodes of the process.
     """
 
     nodes: int = 0
@@ -61,7 +62,7 @@
     bytes_received: int = 0
     bytes_sent: int = 0
     members: int = 0
-    adopted: dict[int, tuple[int, float]] = field(default_factory=dict)
+    in_force_at: dict[int, float] = field(default_factory=dict)
 
 
 class HollowNode:
@@ -94,6 +95,10 @@
             logger(node=identity.node),
         )
 
+    def since(self, version: int) -> float:
+        """Return when a version, or a newer one, came in force."""
+        return min(at for adopted, at in self.adopted.items() if adopted >= version)
+
     def _members_changed(self, delta: MemberDelta) -> None:
         self.members += len(delta.members)
         self._table.apply(delta)
@@ -125,9 +130,8 @@
             report.members += node.members
             report.bytes_received += subscription.bytes_received
             report.bytes_sent += subscription.bytes_sent
-            for version, at in node.adopted.items():
-                count, last = report.adopted.get(version, (0, 0.0))
-                report.adopted[version] = (count + 1, max(last, at))
+        for version in range(1, report.least_version + 1):
+            report.in_force_at[version] = max(node.since(version) for node in self._nodes)
         return report
 
     def on_get_state(self, _request: falcon.Request, response: falcon.Response) -> None:
@@ -138,7 +142,7 @@
 def read_report(data: bytes) -> HollowReport:
     """Return a report from its JSON."""
     media = json.loads(data)
-    media["adopted"] = {int(key): tuple(value) for key, value in media["adopted"].items()}
+    media["in_force_at"] = {int(key): value for key, value in media["in_force_at"].items()}
     return HollowReport(**media)
 
 
--- a/src/cranklane_lab/scale/measure.py
+++ b/src/cranklane_lab/scale/measure.py
@@ -44,20 +44,26 @@
 class ScaleResult:
     """All steps of a run.
 
-    :ivar restart_seconds: after the last step, from control's kill until every
-        node is connected to its replacement.
-    :ivar restart_cpu: processor seconds of the replacement until then.
+    :ivar takeover_seconds: after the last step, from the kill of one control
+        process until its nodes are connected to others; 0 when there is one.
+    :ivar control_back_seconds: from the kill of all control processes, which
+        start again at once, until one leads and all vote.
+    :ivar restart_seconds: the same until every node is connected.
+    :ivar restart_cpu: processor seconds of all control processes until then.
     """
 
+    controls: int = 1
     steps: list[Step] = field(default_factory=list)
+    takeover_seconds: float = 0.0
+    control_back_seconds: float = 0.0
     restart_seconds: float = 0.0
     restart_cpu: float = 0.0
     log_bytes: int = 0
     revisions: int = 0
 
     def slope(self, name: str) -> tuple[float, float]:
-        """Return (change for each node, value at no nodes) of a measurement."""
-        nodes = [float(step.nodes) for step in self.steps]
+        """Return (change for each node of one control process, value at no nodes)."""
+        nodes = [step.nodes / self.controls for step in self.steps]
         values = [float(getattr(step, name)) for step in self.steps]
         if len(nodes) < 2:
             return 0.0, values[0]
@@ -89,9 +95,17 @@
         ("change_cpu", "ms", 1000),
     ):
         slope, intercept = result.slope(name)
-        print(f"{name}: {intercept * factor:.3f} + {slope * factor:.5f} {unit} for each node")
+        print(
+            f"{name}: {intercept * factor:.3f} + {slope * factor:.5f} {unit} for each node of "
+            "one control process"
+        )
+    print(
+        f"one of {result.controls} control processes killed: its nodes had another after "
+        f"{result.takeover_seconds:.2f} s"
+    )
     print(
-        f"control killed: all connected to its replacement after {result.restart_seconds:.2f} s, "
-        f"{result.restart_cpu:.2f} s of its processor time"
+        f"all killed and started again: a leader after {result.control_back_seconds:.2f} s, all "
+        f"nodes connected after {result.restart_seconds:.2f} s, "
+        f"{result.restart_cpu:.2f} s of their processor time"
     )
-    print(f"log: {result.log_bytes} bytes for {result.revisions} accepted changes")
+    print(f"data folder: {result.log_bytes} bytes after {result.revisions} accepted changes")
--- a/src/cranklane_lab/scale/run.py
+++ b/src/cranklane_lab/scale/run.py
@@ -27,13 +27,14 @@
     start_pair,
 )
 from cranklane_lab.scale.hollow import HollowPlan, HollowReport, address_of, read_report
-from cranklane_lab.scale.measure import ScaleResult, Step
+from cranklane_lab.scale.measure import ScaleResult, Step, print_result
 from cranklane_lab.scale.policy import SLOTS, TENANTS, tenant_document, tenant_name
 
 NODES_PER_PROCESS = 300
 IDLE_SECONDS = 10.0
 CHANGES = 10
-CHANGE_PAUSE_SECONDS = 0.3
+CHANGE_PAUSE_SECONDS = 2.0
+"""Long enough that one change is through before the next: all nodes share this machine."""
 WAIT_SECONDS = 120.0
 REAL_PAIRS = 2
 
@@ -45,37 +46,43 @@
 class ScaleRun:
     """One run: a control process, real nodes beside hollow ones, step by step."""
 
-    def __init__(self, folder: Path, tenants: int = TENANTS) -> None:
+    def __init__(
+        self, folder: Path, hollow_folder: Path, controls: int, tenants: int = TENANTS
+    ) -> None:
         self._folder = folder
+        self._hollow_folder = hollow_folder
         self._tenants = tenants
         self._runtime = RealRuntime()
         self._hollow: list[tuple[HollowPlan, FleetProcess]] = []
         self._pairs: list[WorkerPair] = []
         self._versions: dict[str, int] = {}
         self._request = 0
-        self._addresses = new_addresses(1)
-        self.result = ScaleResult()
+        self._addresses = new_addresses(controls)
+        self._controls: list[FleetProcess] = []
+        self.result = ScaleResult(controls)
 
     def run(self, steps: list[int]) -> ScaleResult:
-        """Measure each number of hollow nodes, then a restart of control."""
-        self._start_control()
+        """Measure each number of hollow nodes, then losses of control."""
+        self._controls = [self._start_control(number) for number in range(len(self._addresses))]
         try:
             self._prepare()
             for nodes in steps:
                 print(f"step: {nodes} hollow nodes", flush=True)
                 self.result.steps.append(self._step(nodes))
-            self._restart()
+            self._lose_one_control()
+            self._restart_all_controls()
         finally:
             self._stop()
         return self.result
 
-    def _start_control(self) -> None:
-        own = self._addresses[0]
-        self._control = start_control(PAIR, self._folder, "control", own, self._addresses, True)
+    def _start_control(self, number: int) -> FleetProcess:
+        own = self._addresses[number]
+        name = f"control-{number}"
+        return start_control(PAIR, self._folder, name, own, self._addresses, number == 0)
 
     def _stop(self) -> None:
         pairs = [process for pair in self._pairs for process in (pair.worker, pair.node)]
-        for process in [self._control, *pairs, *(process for _, process in self._hollow)]:
+        for process in [*self._controls, *pairs, *(process for _, process in self._hollow)]:
             if process.alive:
                 process.kill()
 
@@ -87,17 +94,25 @@
         self._apply(PAIR.name, PAIR.policy())
         for tenant in range(self._tenants):
             self._apply(tenant_name(tenant), tenant_document(tenant, self._tenants))
+        listen = [item.listen for item in self._addresses]
         for number in range(REAL_PAIRS):
             for plan in PAIR.services:
-                self._pairs.append(
-                    start_pair(PAIR, self._folder, [self._addresses[0].listen], plan.name, number)
-                )
+                self._pairs.append(start_pair(PAIR, self._folder, listen, plan.name, number))
 
     def _operator(self) -> OperatorClient:
-        return OperatorClient([format_address(self._addresses[0].http)], OPERATOR_TOKEN)
+        addresses = [format_address(item.http) for item in self._addresses]
+        return OperatorClient(addresses, OPERATOR_TOKEN)
 
     def _control_answers(self) -> bool:
-        return not isinstance(self._operator().call("GET", "/v1/status"), Err)
+        """Return whether a leader answers and all control processes vote."""
+        result = self._operator().call("GET", "/v1/snapshot")
+        if isinstance(result, Err):
+            return False
+        group = self._operator().call("GET", "/v1/replicas")
+        if isinstance(group, Err):
+            return False
+        voters = [item for item in group.ok_value["replicas"] if item["role"] == "voter"]
+        return len(voters) == len(self._addresses)
 
     def _apply(self, name: str, text: str) -> int:
         """Put a document in force; return its version."""
@@ -123,7 +138,7 @@
         step.join_seconds = time.monotonic() - started
         self._measure_idle(step)
         self._measure_changes(step)
-        step.control_memory = self._control.resident_bytes()
+        step.control_memory = self._mean([p.resident_bytes() for p in self._controls])
         step.real_memory = sum(p.node.resident_bytes() for p in self._pairs) // len(self._pairs)
         step.node_memory = sum(p.resident_bytes() for _, p in self._hollow) / nodes
         return step
@@ -141,9 +156,9 @@
                 count=count,
                 tenants=self._tenants,
                 zones=list(DESIGN_ZONES),
-                controls=[format_address(self._addresses[0].listen)],
+                controls=[format_address(item.listen) for item in self._addresses],
                 http=format_address(loopback()),
-                folder=str(self._folder / name),
+                folder=str(self._hollow_folder / name),
             )
             arguments = [json.dumps(asdict(plan))]
             process = start(name, "cranklane_lab.scale.hollow", arguments, self._folder)
@@ -152,11 +167,12 @@
 
     def _measure_idle(self, step: Step) -> None:
         before = self._totals()
-        control = self._control.cpu_seconds()
+        control = self._control_cpu()
         hollow = self._hollow_cpu()
         real = self._real_cpu()
         gevent.sleep(IDLE_SECONDS)
-        step.control_idle_cpu = (self._control.cpu_seconds() - control) / IDLE_SECONDS
+        used = self._control_cpu() - control
+        step.control_idle_cpu = used / IDLE_SECONDS / len(self._controls)
         step.node_idle_cpu = (self._hollow_cpu() - hollow) / IDLE_SECONDS / step.nodes
         step.real_idle_cpu = (self._real_cpu() - real) / IDLE_SECONDS / len(self._pairs)
         after = self._totals()
@@ -166,7 +182,7 @@
 
     def _measure_changes(self, step: Step) -> None:
         before = self._totals()
-        control = self._control.cpu_seconds()
+        control = self._control_cpu()
         started = time.monotonic()
         answered: dict[int, float] = {}
         for number in range(CHANGES):
@@ -179,37 +195,50 @@
             gevent.sleep(CHANGE_PAUSE_SECONDS)
         self._wait("a change is not in force", lambda: self._all_at(self._newest()))
         elapsed = time.monotonic() - started
-        cpu = self._control.cpu_seconds() - control - step.control_idle_cpu * elapsed
-        step.change_cpu = cpu / CHANGES
+        idle_cpu = step.control_idle_cpu * elapsed * len(self._controls)
+        step.change_cpu = (self._control_cpu() - control - idle_cpu) / CHANGES
         after = self._totals()
         received = after.bytes_received - before.bytes_received
         idle = step.node_idle_received * elapsed * step.nodes
         step.change_bytes = max(0.0, received - idle) / CHANGES / step.nodes
         step.change_seconds = [
-            max(0.0, self._in_force_at(after, version) - at) for version, at in answered.items()
+            max(0.0, after.in_force_at[version] - at) for version, at in answered.items()
         ]
 
-    @staticmethod
-    def _in_force_at(totals: HollowReport, version: int) -> float:
-        """Return when a version, or for a slow node a newer one, was in force everywhere."""
-        return max(last for at, (_, last) in totals.adopted.items() if at == version)
+    def _lose_one_control(self) -> None:
+        """Kill one control process; its nodes go to the others."""
+        if len(self._controls) == 1:
+            return
+        self._controls[-1].kill()
+        started = time.monotonic()
+        self._wait("not all nodes found another control process", self._all_connected)
+        self.result.takeover_seconds = time.monotonic() - started
+        self._controls[-1] = self._start_control(len(self._controls) - 1)
 
-    def _restart(self) -> None:
-        self._control.kill()
+    def _restart_all_controls(self) -> None:
+        for process in self._controls:
+            process.kill()
         started = time.monotonic()
-        self._start_control()
+        self._controls = [self._start_control(number) for number in range(len(self._addresses))]
         self._wait("control does not come back", self._control_answers)
-        total = sum(plan.count for plan, _ in self._hollow) + len(self._pairs)
-        self._wait("not all nodes came back", lambda: self._subscribers() >= total)
+        self.result.control_back_seconds = time.monotonic() - started
+        self._wait("not all nodes came back", self._all_connected)
         self.result.restart_seconds = time.monotonic() - started
-        self.result.restart_cpu = self._control.cpu_seconds()
+        self.result.restart_cpu = self._control_cpu()
         self.result.revisions = self._newest()
-        data = self._folder / "control"
+        data = self._folder / "control-0"
         self.result.log_bytes = sum(path.stat().st_size for path in data.iterdir())
 
-    def _subscribers(self) -> int:
-        result = self._operator().call("GET", "/v1/status")
-        return 0 if isinstance(result, Err) else result.ok_value["subscribers"]
+    def _all_connected(self) -> bool:
+        totals = self._totals()
+        return totals.connected == sum(plan.count for plan, _ in self._hollow)
+
+    def _control_cpu(self) -> float:
+        return sum(process.cpu_seconds() for process in self._controls)
+
+    @staticmethod
+    def _mean(values: list[int]) -> int:
+        return sum(values) // len(values)
 
     # What the processes say.
 
@@ -223,9 +252,8 @@
             total.connected += report.connected
             total.bytes_received += report.bytes_received
             total.bytes_sent += report.bytes_sent
-            for version, (count, last) in report.adopted.items():
-                known, latest = total.adopted.get(version, (0, 0.0))
-                total.adopted[version] = (known + count, max(latest, last))
+            for version, at in report.in_force_at.items():
+                total.in_force_at[version] = max(at, total.in_force_at.get(version, 0.0))
             least = report.least_version
             total.least_version = min(total.least_version or least, least)
         return total
@@ -259,13 +287,18 @@
             gevent.sleep(0.1)
 
 
-def run_scale(steps: list[int], as_json: bool) -> int:
-    """Run the steps, print what was measured, and return the exit status."""
-    from cranklane_lab.scale.measure import print_result
+def run_scale(steps: list[int], controls: int, hollow_folder: str, as_json: bool) -> int:
+    """Run the steps, print what was measured, and return the exit status.
 
-    with tempfile.TemporaryDirectory(prefix="cranklane-scale-") as folder:
+    :param hollow_folder: where hollow nodes keep their files; empty: beside
+        control's. All of them share what in a real fleet is a disk for each.
+    """
+    with (
+        tempfile.TemporaryDirectory(prefix="cranklane-scale-") as folder,
+        tempfile.TemporaryDirectory(prefix="hollow-", dir=hollow_folder or folder) as hollow,
+    ):
         try:
-            result = ScaleRun(Path(folder)).run(steps)
+            result = ScaleRun(Path(folder), Path(hollow), controls).run(steps)
         except ScaleError as error:
             print(f"problem: {error}")
             return 1
--- a/src/cranklane_lab/simulation/fleet.py
+++ b/src/cranklane_lab/simulation/fleet.py
@@ -11,6 +11,7 @@
 from cranklane.control.process import ControlProcess, ControlSettings
 from cranklane.ledger.process import LedgerProcess, LedgerSettings
 from cranklane.node.process import NodeProcess, NodeSettings
+from cranklane.policy.syntax import parse
 from cranklane.runtime.interface import Address, format_address
 from cranklane_lab.deployments import CLIENT_ZONE, Deployment, ServicePlan
 from cranklane_lab.simulation.process import SimulatedProcess
@@ -54,6 +55,7 @@
     edge_address: Address = ("", 0)
     pairs: list[SimulatedPair] = field(default_factory=list)
     on_run: Callable[[WorkerRun], None] | None = None
+    workers_shed: bool = True
 
     def start(self, controls: int = 1, ledgers: int = 0) -> None:
         """Start everything, put the policy in force and wait until nodes have it.
@@ -74,9 +76,20 @@
         self._wait_for_group(controls)
         while any(len(i.replica.members.voters()) < ledgers for i in self.ledgers):
             gevent.sleep(0.2)
-        self.apply(self.deployment.name, self.deployment.policy(), 0, "first")
+        for name, text in self._documents():
+            answer = self.apply(name, text, 0, f"first-{name}")
+            if not answer.accepted:
+                raise RuntimeError(f"the policy of {name} was not accepted: {answer}")
         gevent.sleep(1.0)
 
+    def _documents(self) -> list[tuple[str, str]]:
+        """Return the policy's documents: one for each tenant."""
+        text = self.deployment.policy()
+        tenants = parse(text).tenants
+        if len(tenants) == 1:
+            return [(tenants[0].name, text)]
+        return [(tenant.name, tenant.source) for tenant in tenants]
+
     def _wait_for_group(self, controls: int) -> None:
         """Wait until one control process leads and all vote."""
         while True:
@@ -187,6 +200,7 @@
                 plan,
                 (process.host, _WORKER_PORT),
                 (process.host, _HTTP_PORT),
+                sheds=self.workers_shed,
                 on_run=self.on_run,
             ),
         )
--- a/src/cranklane_lab/standins/worker.py
+++ b/src/cranklane_lab/standins/worker.py
@@ -12,6 +12,7 @@
 
 import falcon
 import gevent
+from gevent.lock import Semaphore
 
 from cranklane.common import headers as header_names
 from cranklane.common.http_client import HttpClient, HttpRequestError, HttpResponse
@@ -94,6 +95,7 @@
         self._sheds = sheds
         self._on_run = on_run
         self._node = HttpClient(runtime, node, concurrency=256)
+        self._free_slots = Semaphore(plan.slots)
         self.state = WorkerState()
         application = falcon.App()
         application.add_sink(self._serve, "/")
@@ -119,7 +121,11 @@
         if self.state.draining or (self._sheds and self.state.running >= self._plan.slots):
             self._shed(response)
             return
-        self._run(request, response, work)
+        if self._sheds:
+            self._run(request, response, work)
+            return
+        with self._free_slots:
+            self._run(request, response, work)
 
     def _shed(self, response: falcon.Response) -> None:
         self.state.shed += 1
