One sealed-file format, one replica port; tests of the operators' interface and back-ups

No change of behaviour.

Ruled out: joining the command line's client and the lab's operator, which look alike: one retries for people, the other must show each single answer.

--- a/src/cranklane/control/backup.py
+++ b/src/cranklane/control/backup.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import zlib
 from dataclasses import dataclass
 from random import Random
-from struct import Struct
 
+from cranklane.common.sealed import seal, unseal
 from cranklane.errors import DamagedLogError, MalformedRecordError
 from cranklane.records.messages import EditCommand, LogSnapshot, StoreState
 from cranklane.replication.log import SNAPSHOT_FILE, Log
@@ -14,8 +13,6 @@
 from cranklane.replication.vote_file import VOTE_FILE, VoteFile
 from cranklane.runtime.interface import Storage
 
-_CHECKSUM = Struct("!I")
-
 
 @dataclass(frozen=True)
 class Inspection:
@@ -41,8 +38,7 @@
     index = replica.applied_index
     term = replica.log.term_at(index) or replica.log.snapshot.term
     snapshot = LogSnapshot(term, index, replica.members.at(index), replica.machine.pack())
-    payload = snapshot.pack()
-    return _CHECKSUM.pack(zlib.crc32(payload)) + payload
+    return seal(snapshot.pack())
 
 
 def read(data: bytes) -> LogSnapshot:
@@ -50,8 +46,8 @@
 
     :raises DamagedLogError: when it is damaged.
     """
-    payload = data[_CHECKSUM.size :]
-    if len(data) < _CHECKSUM.size or _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+    payload = unseal(data)
+    if payload is None:
         raise DamagedLogError("the back-up is damaged: its checksum does not match")
     try:
         snapshot = LogSnapshot.unpack(payload)
@@ -123,6 +119,5 @@
         raise FileExistsError("the data folder is not empty")
     snapshot.members = []
     VoteFile(storage).open(Random(), has_log=False)
-    payload = snapshot.pack()
-    storage.replace(SNAPSHOT_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+    storage.replace(SNAPSHOT_FILE, seal(snapshot.pack()))
     return snapshot
--- a/src/cranklane/control/process.py
+++ b/src/cranklane/control/process.py
@@ -15,14 +15,14 @@
 from cranklane.control.operator_api import OperatorApi
 from cranklane.control.publisher import SILENT_SECONDS, Publisher
 from cranklane.control.store import ConfigurationStore
-from cranklane.errors import ConnectionLostError, MalformedRecordError
 from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Hello, MemberReport, ReplicaHello, ReplicaMember, Subscribe
+from cranklane.records.messages import Hello, MemberReport, ReplicaMember, Subscribe
 from cranklane.replication.joining import Joining
 from cranklane.replication.membership_change import MembershipChange
 from cranklane.replication.peer_service import PeerService
+from cranklane.replication.port import ReplicaPort
 from cranklane.replication.replica import Replica, ReplicaIdentity
-from cranklane.runtime.interface import Address, Runtime, parse_address
+from cranklane.runtime.interface import Runtime, parse_address
 from cranklane.settings import (
     ADDRESS,
     ADDRESSES_OR_NONE,
@@ -98,7 +98,8 @@
             runtime, storage, self.store, identity, self.publisher.changed, self._log
         )
         self.changes = MembershipChange(self.replica)
-        self._peers = PeerService(self.replica, self.changes.join)
+        peers = PeerService(self.replica, self.changes.join)
+        self._port = ReplicaPort(peers, self._hello, self._serve, SILENT_SECONDS)
         self._exchange = Exchange(runtime, self.membership, self._others, self._hello)
         self.editor = Editor(runtime, self.store, self.replica)
         self._in_touch_at = runtime.monotonic()
@@ -107,7 +108,7 @@
         """Come back to the last state, then open the ports and find the group."""
         settings = self.settings
         self.replica.open()
-        self._listener = self.runtime.listen(parse_address(settings.listen), self._accept)
+        self._listener = self.runtime.listen(parse_address(settings.listen), self._port.accept)
         api = OperatorApi(self, settings.operators)
         self.http = HttpServer(self.runtime, parse_address(settings.http), api.application)
         joining = Joining(self.replica, settings.replicas, settings.founder, settings.voter)
@@ -124,21 +125,6 @@
 
     # Connections.
 
-    def _accept(self, connection: Any, _address: Address) -> None:
-        """Serve a connection by what its first record says."""
-        records = RecordConnection(connection, SILENT_SECONDS)
-        try:
-            _, first = records.receive()
-            if isinstance(first, ReplicaHello):
-                self._peers.serve(records, first)
-                return
-            if not isinstance(first, Hello):
-                raise MalformedRecordError(f"{type(first).__name__} as the first record")
-            records.welcome(first, self._hello())
-            self._serve(records)
-        except (ConnectionLostError, MalformedRecordError):
-            records.close()
-
     def _serve(self, records: RecordConnection) -> None:
         _, message = records.receive()
         match message:
--- a/src/cranklane/ledger/process.py
+++ b/src/cranklane/ledger/process.py
@@ -3,23 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
 from cranklane.common.logs import logger
-from cranklane.errors import ConnectionLostError, MalformedRecordError
 from cranklane.ledger.service import LedgerService
 from cranklane.ledger.store import LedgerStore
 from cranklane.node.configuration import NodeConfiguration
 from cranklane.node.members import MemberState
 from cranklane.node.subscription import Subscription
 from cranklane.policy.names import SYSTEM_TENANT
-from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Hello, ReplicaHello, Subscribe
+from cranklane.records.messages import Hello, Subscribe
 from cranklane.replication.joining import Joining
 from cranklane.replication.membership_change import MembershipChange
 from cranklane.replication.peer_service import PeerService
+from cranklane.replication.port import ReplicaPort
 from cranklane.replication.replica import Replica, ReplicaIdentity
-from cranklane.runtime.interface import Address, Runtime, parse_address
+from cranklane.runtime.interface import Runtime, parse_address
 from cranklane.settings import (
     ADDRESS,
     ADDRESSES,
@@ -73,14 +71,15 @@
             self._log,
         )
         changes = MembershipChange(self.replica)
-        self._peers = PeerService(self.replica, changes.join)
         self.service = LedgerService(runtime, self.replica)
+        peers = PeerService(self.replica, changes.join)
+        self._port = ReplicaPort(peers, self._hello, self.service.serve, SILENT_SECONDS)
 
     def start(self) -> None:
         """Come back to the last state, open the port, find the group and control."""
         settings = self.settings
         self.replica.open()
-        self._listener = self.runtime.listen(parse_address(settings.listen), self._accept)
+        self._listener = self.runtime.listen(parse_address(settings.listen), self._port.accept)
         joining = Joining(self.replica, settings.replicas, settings.founder, settings.voter)
         self.runtime.spawn(joining.run)
         self._subscription = self._new_subscription()
@@ -117,17 +116,5 @@
             self._log,
         )
 
-    def _accept(self, connection: Any, _address: Address) -> None:
-        records = RecordConnection(connection, SILENT_SECONDS)
-        try:
-            _, first = records.receive()
-            if isinstance(first, ReplicaHello):
-                self._peers.serve(records, first)
-                return
-            if not isinstance(first, Hello):
-                raise MalformedRecordError(f"{type(first).__name__} as the first record")
-            hello = Hello(incarnation=self.incarnation, node=self.settings.name)
-            records.welcome(first, hello)
-            self.service.serve(records)
-        except (ConnectionLostError, MalformedRecordError):
-            records.close()
+    def _hello(self) -> Hello:
+        return Hello(incarnation=self.incarnation, node=self.settings.name)
--- a/src/cranklane/node/callers.py
+++ b/src/cranklane/node/callers.py
@@ -19,9 +19,10 @@
 from cranklane.common.http_server import CONNECTION_KEY
 from cranklane.errors import AnswerCutError
 from cranklane.node.allowance import Allowance
+from cranklane.node.answer import Answer, Request, refused
 from cranklane.node.configuration import CLIENTS, NodeConfiguration, Route
 from cranklane.node.context import CallContext, ContextTable
-from cranklane.node.outbound import Answer, Outbound, Request, refused
+from cranklane.node.outbound import Outbound
 from cranklane.outcome import Outcome, Reason, status_of
 from cranklane.runtime.interface import Runtime
 
--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable, Sequence
-from struct import Struct
 from typing import Any
 
 import gevent
 
+from cranklane.common.sealed import seal, unseal
 from cranklane.errors import ConnectionLostError, MalformedRecordError
 from cranklane.node.configuration import NodeConfiguration
 from cranklane.node.members import MemberState
@@ -39,7 +38,6 @@
 MAX_BACKOFF_SECONDS = 3.0
 
 _FILE = "configuration"
-_CHECKSUM = Struct("!I")
 
 
 class ConfigurationFile:
@@ -52,10 +50,8 @@
     def load(self) -> ConfigDelta | None:
         """Return what was adopted last, or None when there is nothing usable."""
         data = self._storage.read(_FILE)
-        if data is None or len(data) < _CHECKSUM.size:
-            return None
-        payload = data[_CHECKSUM.size :]
-        if _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+        payload = unseal(data) if data is not None else None
+        if payload is None:
             return None
         delta = ConfigDelta.unpack(payload)
         self._rows = {row.key: row for row in delta.rows}
@@ -71,8 +67,7 @@
             else:
                 self._rows.pop(row.key, None)
         whole = ConfigDelta(version=delta.version, whole=True, rows=list(self._rows.values()))
-        payload = whole.pack()
-        self._storage.replace(_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+        self._storage.replace(_FILE, seal(whole.pack()))
 
 
 class Subscription:
--- a/src/cranklane/replication/log.py
+++ b/src/cranklane/replication/log.py
@@ -16,6 +16,7 @@
 
 from gevent.lock import Semaphore
 
+from cranklane.common.sealed import seal, unseal
 from cranklane.errors import DamagedLogError, MalformedRecordError
 from cranklane.records.messages import LogEntry, LogSnapshot
 from cranklane.runtime.interface import Storage
@@ -25,7 +26,6 @@
 
 _MAGIC = b"CLE1"
 _FRAME = Struct("!4sIIQ")
-_CHECKSUM = Struct("!I")
 
 
 def _frame(entry: LogEntry, synced: int) -> bytes:
@@ -107,8 +107,8 @@
         data = self._storage.read(SNAPSHOT_FILE)
         if data is None:
             return
-        payload = data[_CHECKSUM.size :]
-        if len(data) < _CHECKSUM.size or _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+        payload = unseal(data)
+        if payload is None:
             raise DamagedLogError(
                 "the snapshot is damaged; restore this replica with an empty data folder so "
                 "that it rejoins as a new one, or from a back-up when it is the only one"
@@ -187,10 +187,10 @@
         kept = self.between(snapshot.index + 1, self.last_index)
         if snapshot.index > self.last_index or self.term_at(snapshot.index) != snapshot.term:
             kept = []
-        payload = snapshot.pack()
-        self._storage.replace(SNAPSHOT_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+        sealed = seal(snapshot.pack())
+        self._storage.replace(SNAPSHOT_FILE, sealed)
         self.snapshot = snapshot
-        self.snapshot_size = len(payload) + _CHECKSUM.size
+        self.snapshot_size = len(sealed)
         self._entries = kept
         data = b"".join(_frame(entry, 0) for entry in kept)
         self._storage.replace(LOG_FILE, data)
--- a/src/cranklane/replication/vote_file.py
+++ b/src/cranklane/replication/vote_file.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import zlib
 from random import Random
-from struct import Struct
 
+from cranklane.common.sealed import seal, unseal
 from cranklane.errors import DamagedLogError
 from cranklane.records.messages import VoteState
 from cranklane.runtime.interface import Storage
 
 VOTE_FILE = "vote"
-_CHECKSUM = Struct("!I")
 _IDENTITY_BITS = 63
 
 
@@ -40,8 +38,8 @@
                 )
             self._write(VoteState(identity=random.getrandbits(_IDENTITY_BITS) | 1))
             return
-        payload = data[_CHECKSUM.size :]
-        if len(data) < _CHECKSUM.size or _CHECKSUM.unpack_from(data)[0] != zlib.crc32(payload):
+        payload = unseal(data)
+        if payload is None:
             raise DamagedLogError(
                 "the vote file is damaged; empty the data folder so that this replica "
                 "rejoins as a new one"
@@ -53,6 +51,5 @@
         self._write(VoteState(term, self.state.identity, voted_for))
 
     def _write(self, state: VoteState) -> None:
-        payload = state.pack()
-        self._storage.replace(VOTE_FILE, _CHECKSUM.pack(zlib.crc32(payload)) + payload)
+        self._storage.replace(VOTE_FILE, seal(state.pack()))
         self.state = state
--- a/src/cranklane_lab/standins/operator.py
+++ b/src/cranklane_lab/standins/operator.py
@@ -42,14 +42,17 @@
 class SimulatedOperator:
     """One operator; asks one control process after the other until one leads."""
 
-    def __init__(self, runtime: Runtime, controls: list[Address]) -> None:
+    def __init__(
+        self, runtime: Runtime, controls: list[Address], token: str = OPERATOR_TOKEN
+    ) -> None:
         self._runtime = runtime
         self._controls = controls
+        self._token = token
 
     def ask(self, control: Address, method: str, path: str, media: Any = None) -> OperatorAnswer:
         """Ask one control process once."""
         headers = [
-            ("Authorization", f"Bearer {OPERATOR_TOKEN}"),
+            ("Authorization", f"Bearer {self._token}"),
             ("Content-Type", "application/json"),
         ]
         body = json.dumps(media).encode() if media is not None else b""
--- /dev/null
+++ b/tests/test_operator_api.py
@@ -0,0 +1,199 @@
+"""The operators' interface: scopes, conflicts, resends, bad input, back-ups."""
+
+from __future__ import annotations
+
+import hashlib
+
+import gevent
+import pytest
+
+from cranklane.control import backup
+from cranklane.control.process import ControlProcess, ControlSettings
+from cranklane.errors import DamagedLogError
+from cranklane_lab.simulation.world import simulate
+from cranklane_lab.standins.operator import SimulatedOperator
+
+TOKENS = {"all": "*", "a-desk": "a", "b-desk": "b"}
+TEXT = "tenant a {\n  share 7\n}"
+
+
+def delay(_source, _target):
+    return 0.001
+
+
+class Control:
+    """One control process and operators of several scopes."""
+
+    def __init__(self, world):
+        self.world = world
+        self.machine = world.process("control", "z")
+        self.process = self.start(self.machine, "control")
+
+    def start(self, machine, data):
+        operators = [
+            f"{name}:{scope}:{hashlib.sha256(name.encode()).hexdigest()}"
+            for name, scope in TOKENS.items()
+        ]
+        settings = ControlSettings(
+            name="control",
+            zone="z",
+            listen=f"{machine.host}:7000",
+            http=f"{machine.host}:80",
+            data=data,
+            operators=operators,
+            founder=True,
+        )
+        process = ControlProcess(machine, settings)
+        self.world.start(machine, process.start)
+        gevent.sleep(1.0)
+        return process
+
+    def operator(self, token, machine=None):
+        runtime = self.world.process(f"operator-{self.world.events}-{token}", "z")
+        return SimulatedOperator(runtime, [((machine or self.machine).host, 80)], token)
+
+    def ask(self, token, method, path, media=None):
+        return self.operator(token).call(method, path, media, seconds=3)
+
+
+def play(script):
+    return simulate(1, delay, lambda world: script(Control(world)))
+
+
+def test_a_tenants_operator_sees_and_touches_its_own_only():
+    def script(control):
+        assert control.operator("all").edit("a", TEXT, 0, "r1").accepted
+        assert control.operator("b-desk").edit("b", "tenant b {\n}", 0, "r1").accepted
+        listed = control.ask("a-desk", "GET", "/v1/documents").media["documents"]
+        assert [item["name"] for item in listed] == ["a"]
+        statuses = [
+            control.ask("b-desk", "GET", "/v1/documents/a").status,
+            control.ask("b-desk", "GET", "/v1/documents/none").status,
+            control.ask("b-desk", "GET", "/v1/documents/a/history").status,
+            control.operator("b-desk").edit("a", "tenant a {\n}", 1, "r2").status,
+            control.ask("b-desk", "GET", "/v1/replicas").status,
+            control.ask("b-desk", "GET", "/v1/snapshot").status,
+            control.ask("b-desk", "DELETE", "/v1/replicas/control").status,
+            control.ask("nobody", "GET", "/v1/documents").status,
+        ]
+        # Another tenant's document looks like one that is not there.
+        assert statuses == [404, 404, 404, 404, 403, 403, 403, 401]
+        return control.process.store.document("a").text
+
+    assert play(script) == TEXT
+
+
+def test_a_conflict_shows_the_text_that_is_there_and_a_resend_its_first_answer():
+    def script(control):
+        operator = control.operator("a-desk")
+        first = operator.edit("a", TEXT, 0, "r1")
+        conflict = operator.edit("a", "tenant a {\n  share 8\n}", 0, "r2")
+        second = operator.edit("a", "tenant a {\n  share 9\n}", 1, "r3")
+        again = operator.edit("a", TEXT, 0, "r1")
+        return (
+            first.media["version"],
+            conflict.status,
+            conflict.media["text"],
+            second.media["version"],
+            (again.status, again.media["version"], again.media["repeated"]),
+        )
+
+    assert play(script) == (1, 409, TEXT, 2, (200, 1, True))
+
+
+def test_a_resend_is_answered_after_a_restart_and_a_snapshot():
+    def script(control):
+        operator = control.operator("a-desk")
+        operator.edit("a", TEXT, 0, "r1")
+        with control.process.replica.changing:
+            control.process.replica.compact()
+        control.machine.kill(power_lost=True)
+        machine = control.world.process("control", "z", control.machine.host)
+        process = control.start(machine, "control")
+        again = operator.edit("a", TEXT, 0, "r1")
+        return again.media["repeated"], process.replica.log.snapshot.index > 0
+
+    assert play(script) == (True, True)
+
+
+@pytest.mark.parametrize(
+    ("media", "expected"),
+    [
+        (None, "expected an object"),
+        ({"text": 3, "base": 0, "request": "r"}, "text: found 3"),
+        ({"text": "", "base": "0", "request": "r"}, "base: found '0'"),
+        ({"text": "", "base": 0}, "request: found None"),
+        ({"text": "", "base": 0, "request": ""}, "request: is empty"),
+        ({"text": "x" * 1_100_000, "base": 0, "request": "r"}, "longer than"),
+    ],
+)
+def test_bad_input_is_refused_with_what_was_expected(media, expected):
+    def script(control):
+        answer = control.ask("a-desk", "PUT", "/v1/documents/a", media or [])
+        return answer.status, expected in answer.media["description"]
+
+    assert play(script) == (400, True)
+
+
+def test_a_wrong_text_names_line_and_column_and_changes_nothing():
+    def script(control):
+        answer = control.operator("a-desk").edit("a", "tenant a {\n  slots\n}", 0, "r1")
+        return answer.status, answer.media["problems"][0], control.process.store.revision
+
+    status, problem, revision = play(script)
+    assert (status, revision) == (422, 0)
+    assert problem.startswith("line 2, column 3")
+
+
+def test_a_document_longer_than_a_length_of_two_bytes_is_kept_whole():
+    text = TEXT + "\n" + "# comment\n" * 10_000
+
+    def script(control):
+        assert control.operator("a-desk").edit("a", text, 0, "r1").accepted
+        return control.ask("a-desk", "GET", "/v1/documents/a").media["text"]
+
+    assert play(script) == text
+
+
+def test_wait_names_the_nodes_that_are_behind():
+    def script(control):
+        answer = control.ask("all", "GET", "/v1/wait?version=9&seconds=0.2")
+        return answer.media
+
+    assert play(script) == {"version": 9, "in_force": True, "behind": []}
+
+
+def test_a_backup_founds_a_new_group_that_goes_on_from_it():
+    def script(control):
+        control.operator("a-desk").edit("a", TEXT, 0, "r1")
+        data = backup.take(control.process.replica)
+        control.operator("a-desk").edit("a", "tenant a {\n}", 1, "r2")
+
+        machine = control.world.process("other", "z")
+        restored = backup.restore(machine.storage("restored"), data)
+        found = backup.inspect_folder(machine.storage("restored"))
+        process = control.start(machine, "restored")
+        answer = control.operator("a-desk", machine).edit("a", "tenant a {\n}", 1, "r3")
+        return (
+            restored.members,
+            found.documents,
+            process.replica.is_leader,
+            answer.accepted,
+            process.store.document("a").version,
+        )
+
+    assert play(script) == ([], [("a", 1)], True, True, 2)
+
+
+def test_a_damaged_backup_and_a_folder_in_use_are_refused():
+    def script(control):
+        data = bytearray(backup.take(control.process.replica))
+        storage = control.machine.storage("control")
+        with pytest.raises(FileExistsError):
+            backup.restore(storage, bytes(data))
+        data[len(data) // 2] ^= 1
+        with pytest.raises(DamagedLogError):
+            backup.restore(control.machine.storage("empty"), bytes(data))
+        return control.machine.storage("empty").names()
+
+    assert play(script) == []
