--- a/src/cranklane_lab/bench/run.py
+++ b/src/cranklane_lab/bench/run.py
@@ -7,10 +7,11 @@
 import multiprocessing
 import os
 from collections import Counter
-from dataclasses import asdict, replace
+from dataclasses import asdict, dataclass, replace
 from typing import Any
 
 import gevent
+from gevent import Greenlet
 
 from cranklane.node.configuration import NodeConfiguration
 from cranklane.policy.compiler import compile_policy
@@ -28,7 +29,7 @@
 )
 from cranklane_lab.bench.scenarios import BENCH_SCENARIOS, NORMAL_PART, BenchScenario
 from cranklane_lab.bench.variants import VARIANTS, Variant
-from cranklane_lab.deployments import DEPLOYMENTS, Deployment, RequestKind
+from cranklane_lab.deployments import CLIENT_ZONE, DEPLOYMENTS, Deployment, RequestKind
 from cranklane_lab.scenarios.base import Run, without
 from cranklane_lab.simulate import quiet
 from cranklane_lab.simulation.fleet import SimulatedFleet
@@ -48,6 +49,16 @@
 OTHER_TENANT = "other"
 
 
+@dataclass
+class _Times:
+    """When the parts of a run began and ended, in virtual seconds."""
+
+    start: float
+    disturbed: float = 0.0
+    ended: float = 0.0
+    last: float = 0.0
+
+
 class BenchRun:
     """One variant in one scenario."""
 
@@ -71,54 +82,58 @@
 
     def _measure(self, run: Run) -> Measurement:
         now = run.world.loop.now
-        scenario = self._scenario
-        own = run.fleet.client()
-        other = Client(
-            run.world.process("other-client", "clients"),
-            run.fleet.edge_address,
-            self._deployment.name,
-            f"{OTHER_TENANT}-demo",
-        )
-        rate = NORMAL_PART * capacity(self._deployment, SLOW_FACTOR)
         total = WARM_UP_SECONDS + BEFORE_SECONDS + DISTURBED_SECONDS + AFTER_SECONDS
-        start = now()
-        load = [gevent.spawn(self._load, run, own, self._deployment.name, rate, total)]
+        rate = NORMAL_PART * capacity(self._deployment, SLOW_FACTOR)
+        client = run.fleet.client()
+        times = _Times(start=now())
+        load = [gevent.spawn(self._load, run, client, self._deployment.name, rate, total)]
         gevent.sleep(WARM_UP_SECONDS + BEFORE_SECONDS)
-        disturbed = now()
-        extra = rate * (scenario.surge - 1)
-        if extra > 0:
-            client, tenant = own, self._deployment.name
-            if scenario.surging_tenant:
-                client, tenant = other, OTHER_TENANT
-            surge = (run, client, tenant, extra, DISTURBED_SECONDS)
-            load.append(gevent.spawn(self._load, *surge))
-        if scenario.disturb is not None:
-            gevent.spawn(scenario.disturb, run, DISTURBED_SECONDS, SLOW_FACTOR)
+        times.disturbed = now()
+        load += self._surge(run, client, rate)
+        if self._scenario.disturb is not None:
+            gevent.spawn(self._scenario.disturb, run, DISTURBED_SECONDS, SLOW_FACTOR)
         gevent.sleep(DISTURBED_SECONDS)
-        ended = now()
+        times.ended = now()
         gevent.joinall(load)
-        last = start + total
+        times.last = times.start + total
+        return self._result(run, times)
+
+    def _surge(self, run: Run, client: Client, rate: float) -> list[Greenlet]:
+        """Start what is wanted beyond the normal rate, by the tenant that surges."""
+        extra = rate * (self._scenario.surge - 1)
+        if extra <= 0:
+            return []
+        tenant = self._deployment.name
+        if self._scenario.surging_tenant:
+            tenant = OTHER_TENANT
+            process = run.world.process("other-client", CLIENT_ZONE)
+            address = run.fleet.edge_address
+            client = Client(process, address, self._deployment.name, f"{OTHER_TENANT}-demo")
+        return [gevent.spawn(self._load, run, client, tenant, extra, DISTURBED_SECONDS)]
+
+    def _result(self, run: Run, times: _Times) -> Measurement:
+        recorder, wanted = run.recorder, self._wanted
         refused = Counter(
             f"{sent.told.outcome}: {sent.told.reason}"
-            for sent in run.recorder.sent
+            for sent in recorder.sent
             if not sent.told.good
         )
-        times = [
+        before = [
             sent.told.seconds * 1000
-            for sent in run.recorder.sent
-            if sent.told.good and sent.at < disturbed
+            for sent in recorder.sent
+            if sent.told.good and sent.at < times.disturbed
         ]
         return Measurement(
             variant=self._variant.name,
-            before=phase_of(self._wanted, start + WARM_UP_SECONDS, disturbed),
-            during=phase_of(self._wanted, disturbed, ended),
-            after=phase_of(self._wanted, ended, last),
-            recovery_seconds=recovery_of(self._wanted, ended, last),
-            wasted=wasted_part(run.recorder, self._wanted, _seconds_of(self._deployment)),
-            repeats_per_request=repeats(run.recorder, self._wanted),
+            before=phase_of(wanted, times.start + WARM_UP_SECONDS, times.disturbed),
+            during=phase_of(wanted, times.disturbed, times.ended),
+            after=phase_of(wanted, times.ended, times.last),
+            recovery_seconds=recovery_of(wanted, times.ended, times.last),
+            wasted=wasted_part(recorder, wanted, _seconds_of(self._deployment)),
+            repeats_per_request=repeats(recorder, wanted),
             refused=dict(sorted(refused.items())),
-            p50_ms=quantile(times, 0.5),
-            p99_ms=quantile(times, 0.99),
+            p50_ms=quantile(before, 0.5),
+            p99_ms=quantile(before, 0.99),
         )
 
     def _load(self, run: Run, client: Client, tenant: str, rate: float, seconds: float) -> None:
--- a/src/cranklane_lab/scenarios/base.py
+++ b/src/cranklane_lab/scenarios/base.py
@@ -117,7 +117,6 @@
     """
 
     name: str
-    purpose: str
     deployment: Deployment
     script: Script
     mechanisms: tuple[str, ...] = ()
@@ -125,6 +124,11 @@
     ledgers: int = 1
     allowance: int = 3
 
+    @property
+    def purpose(self) -> str:
+        """What happens in it, in a sentence."""
+        return (self.script.__doc__ or "").strip()
+
 
 @dataclass(frozen=True)
 class Result:
--- a/src/cranklane_lab/scenarios/library.py
+++ b/src/cranklane_lab/scenarios/library.py
@@ -233,7 +233,6 @@
 _SCENARIOS = (
     Scenario(
         "retry-bound",
-        _retry_bound.__doc__ or "",
         DEEP,
         _retry_bound,
         ledgers=0,
@@ -241,39 +240,34 @@
     ),
     Scenario(
         "criticality-order",
-        _criticality_order.__doc__ or "",
         SMALL,
         _criticality_order,
         mechanisms=("priority",),
     ),
     Scenario(
         "answer-integrity",
-        _answer_integrity.__doc__ or "",
         SMALL,
         _answer_integrity,
         mechanisms=("answer-end", "call-numbers"),
     ),
-    Scenario("not-run", _not_run.__doc__ or "", SMALL, _not_run, mechanisms=("unknown-memory",)),
+    Scenario("not-run", SMALL, _not_run, mechanisms=("unknown-memory",)),
     Scenario(
         "at-most-once",
-        _at_most_once.__doc__ or "",
         SMALL,
         _at_most_once,
         mechanisms=("ledger",),
         ledgers=3,
     ),
-    Scenario("leaving", _leaving.__doc__ or "", SMALL, _leaving, mechanisms=("drain",)),
+    Scenario("leaving", SMALL, _leaving, mechanisms=("drain",)),
     Scenario(
         "planned-stop",
-        _planned_stop.__doc__ or "",
         SMALL,
         _planned_stop,
         mechanisms=("planned-stop",),
     ),
-    Scenario("deep-slowdown", _deep_slowdown.__doc__ or "", SMALL, _deep_slowdown),
+    Scenario("deep-slowdown", SMALL, _deep_slowdown),
     Scenario(
         "config-monotonic",
-        config_monotonic.__doc__ or "",
         TINY,
         config_monotonic,
         mechanisms=("version-order",),
@@ -282,7 +276,6 @@
     ),
     Scenario(
         "control-cut",
-        control_cut.__doc__ or "",
         TINY,
         control_cut,
         mechanisms=("leader-lease", "send-away"),
@@ -291,7 +284,6 @@
     ),
     Scenario(
         "operator-race",
-        operator_race.__doc__ or "",
         TINY,
         operator_race,
         mechanisms=("request-memory",),
@@ -300,7 +292,6 @@
     ),
     Scenario(
         "second-loss",
-        second_loss.__doc__ or "",
         TINY,
         second_loss,
         mechanisms=("replica-identity",),
@@ -309,14 +300,13 @@
     ),
     Scenario(
         "restart-after-changes",
-        restart_after_changes.__doc__ or "",
         TINY,
         restart_after_changes,
         mechanisms=("log-sync",),
         controls=3,
         ledgers=0,
     ),
-    Scenario("all-at-once", _all_at_once.__doc__ or "", SMALL, _all_at_once, controls=3, ledgers=3),
+    Scenario("all-at-once", SMALL, _all_at_once, controls=3, ledgers=3),
 )
 
 SCENARIOS = {scenario.name: scenario for scenario in _SCENARIOS}
