Review: a relay notices a cut, a removed leader stops, a restored group reaches nodes

A leader's own word is now kept apart from the timer. - A leader that was removed from its group led on. - A leader could stand for election again and leave its own term. - A node ahead of a restored back-up kept rows of the lost history, because only rows changed since its version were sent. Restored groups go on a million revisions higher, and all below that get everything. - The end of a once-call that the ledger had already was sent again for 10 s; now only an entry that is to be freed is asked for again. A planned stop waits for ends that are not stored.

Ruled out: the scenarios could not see these: their replicas all vote, none is removed, none restored.

--- a/src/cranklane/control/backup.py
+++ b/src/cranklane/control/backup.py
@@ -13,6 +13,9 @@
 from cranklane.replication.vote_file import VOTE_FILE, VoteFile
 from cranklane.runtime.interface import Storage
 
+REVISIONS_SKIPPED = 1_000_000
+"""More edits than can have been accepted after a back-up: two years at 1,300 a day."""
+
 
 @dataclass(frozen=True)
 class Inspection:
@@ -109,7 +112,9 @@
     """Put a back-up into an empty data folder.
 
     The folder becomes a new replica that belongs to no group. Started as the
-    founder, it founds one with the back-up's state.
+    founder, it founds one with the back-up's state. Its revisions go on far above
+    those that nodes may have from edits after the back-up, so that each node takes
+    the whole state in place of its own.
 
     :raises DamagedLogError: when the back-up is damaged.
     :raises FileExistsError: when the folder is not empty.
@@ -118,6 +123,10 @@
     if storage.names():
         raise FileExistsError("the data folder is not empty")
     snapshot.members = []
+    state = StoreState.unpack(snapshot.state)
+    state.revision += REVISIONS_SKIPPED
+    state.whole_below = state.revision
+    snapshot.state = state.pack()
     VoteFile(storage).open(Random(), has_log=False)
     storage.replace(SNAPSHOT_FILE, seal(snapshot.pack()))
     return snapshot
--- a/src/cranklane/control/exchange.py
+++ b/src/cranklane/control/exchange.py
@@ -43,7 +43,6 @@
         self._others = others
         self._hello = hello
         self._told: dict[str, Event] = {}
-        self.bytes_sent = 0
 
     def changed(self) -> None:
         """Take that members or versions have changed."""
@@ -80,9 +79,7 @@
             while self._is_there(address):
                 news.clear()
                 report, position = self._membership.report_since(position)
-                before = records.bytes_sent
                 records.send(report)
-                self.bytes_sent += records.bytes_sent - before
                 news.wait(REPORT_SECONDS)
                 gevent.sleep(MERGE_SECONDS)
         finally:
--- a/src/cranklane/control/publisher.py
+++ b/src/cranklane/control/publisher.py
@@ -82,8 +82,6 @@
         self._membership = membership
         self._changed = Event()
         self.subscribers: dict[str, Subscriber] = {}
-        self.bytes_sent = 0
-        self.records_sent = 0
         runtime.spawn(self._wake_subscribers)
 
     def changed(self) -> None:
@@ -110,8 +108,6 @@
             pass
         finally:
             records.close()
-            self.bytes_sent += records.bytes_sent
-            self.records_sent += records.records_sent
             self._leave(subscriber)
 
     def send_away(self, before: float, last_resort_before: float) -> int:
--- a/src/cranklane/control/store.py
+++ b/src/cranklane/control/store.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self._whole_below = 0
         self._documents: dict[str, Document] = {}
         # In the order of their revisions, so that a delta reads only what changed.
         self._rows: OrderedDict[str, ConfigRow] = OrderedDict()
@@ -168,7 +169,7 @@
 
     def delta(self, base: int) -> ConfigDelta:
         """Return what a subscriber at ``base`` needs to be current."""
-        if base == 0 or base > self.revision:
+        if base == 0 or base < self._whole_below or base > self.revision:
             rows = [row for row in self._rows.values() if row.value]
             return ConfigDelta(0, self.revision, True, rows)
         return ConfigDelta(base, self.revision, False, self.rows_since(base))
@@ -177,6 +178,7 @@
         """Return the whole state for a snapshot."""
         return StoreState(
             revision=self.revision,
+            whole_below=self._whole_below,
             documents=self.documents(),
             rows=list(self._rows.values()),
             history=self._history,
@@ -187,6 +189,7 @@
         """Replace the state by a snapshot's."""
         state = StoreState.unpack(data) if data else StoreState()
         self.revision = state.revision
+        self._whole_below = state.whole_below
         self._documents = {document.name: document for document in state.documents}
         self._rows = OrderedDict((row.key, row) for row in state.rows)
         self._history = list(state.history)
--- a/src/cranklane/ledger/service.py
+++ b/src/cranklane/ledger/service.py
@@ -45,19 +45,13 @@
 
 
 class LedgerService:
-    """The requests of one ledger process.
-
-    :ivar batches: batches committed.
-    :ivar requests: requests in them.
-    """
+    """The requests of one ledger process."""
 
     def __init__(self, runtime: Runtime, replica: Replica) -> None:
         self._runtime = runtime
         self._replica = replica
         self._pending: list[_Pending] = []
         self._waiting = Event()
-        self.batches = 0
-        self.requests = 0
         for _ in range(COMMITTERS):
             runtime.spawn(self._commit_batches)
 
@@ -114,8 +108,6 @@
                 item.answer(self._unavailable(not_run))
             return
         answers: BatchAnswer = proposed.ok_value
-        self.batches += 1
-        self.requests += len(taken)
         for item, grant in zip(begins, answers.grants, strict=True):
             item.answer(grant)
         for item, done in zip(finishes, answers.done, strict=True):
--- a/src/cranklane/node/fair_queue.py
+++ b/src/cranklane/node/fair_queue.py
@@ -123,10 +123,6 @@
         """Return the tenants with waiting calls."""
         return list(self._tenants)
 
-    def expired(self, now: float) -> list[Waiting]:
-        """Return the calls whose deadline has passed."""
-        return [call for call in self if call.deadline <= now]
-
     def __iter__(self) -> Iterator[Waiting]:
         for queue in list(self._tenants.values()):
             for calls in queue.levels.values():
--- a/src/cranklane/node/ledger_client.py
+++ b/src/cranklane/node/ledger_client.py
@@ -105,10 +105,10 @@
             return Ok(reply)
         return Err(LedgerFailure(not_run))
 
-    def finish(self, group: str, request: LedgerFinish, seconds: float) -> bool:
-        """Store how a once-call ended; return whether it is stored."""
+    def finish(self, group: str, request: LedgerFinish, seconds: float) -> LedgerDone | None:
+        """Store how a once-call ended; return the ledger's word, or None without one."""
         reply, _ = self._ask_group(group, request, seconds)
-        return isinstance(reply, LedgerDone) and reply.stored
+        return reply if isinstance(reply, LedgerDone) else None
 
     def _ask_group(
         self, group: str, request: Message, seconds: float
--- a/src/cranklane/node/once.py
+++ b/src/cranklane/node/once.py
@@ -88,10 +88,14 @@
 
 
 class OnceCalls:
-    """The once-calls of one node."""
+    """The once-calls of one node.
+
+    :ivar storing: ends that the ledger has not taken yet.
+    """
 
     def __init__(self, runtime: Runtime, client: LedgerClient) -> None:
         self.runtime = runtime
+        self.storing = 0
         self._client = client
 
     def begin(
@@ -137,10 +141,17 @@
     def store(self, group: str, request: LedgerFinish) -> None:
         """Store an end, trying for a while."""
         until = self.runtime.monotonic() + FINISH_SECONDS
-        while self.runtime.monotonic() < until:
-            if self._client.finish(group, request, BEGIN_SECONDS):
-                return
-            gevent.sleep(FINISH_PAUSE_SECONDS)
+        self.storing += 1
+        try:
+            while self.runtime.monotonic() < until:
+                done = self._client.finish(group, request, BEGIN_SECONDS)
+                # An entry that is to be freed may be created later than this: the
+                # request for it may still be on its way.
+                if done is not None and (done.stored or request.outcome != Outcome.NOT_RUN):
+                    return
+                gevent.sleep(FINISH_PAUSE_SECONDS)
+        finally:
+            self.storing -= 1
 
 
 def request_digest(message: CallOpen) -> bytes:
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -95,6 +95,8 @@
             self.metrics,
             self._ejected,
         )
+        ledger = LedgerClient(runtime, self.members, self._hello)
+        self.once = OnceCalls(runtime, ledger)
         self.inbound: Inbound | None = None
         self._stopping = False
 
@@ -152,7 +154,7 @@
             self.admission,
             WorkerClient(self._runtime, parse_address(settings.worker)),
             self.contexts,
-            OnceCalls(self._runtime, LedgerClient(self._runtime, self.members, self._hello)),
+            self.once,
             self.metrics,
             self._hello,
             self._newer_version_seen,
@@ -269,7 +271,7 @@
 
     def _in_flight(self) -> int:
         inbound = self.inbound.calls if self.inbound is not None else 0
-        return inbound + self.callers.calls
+        return inbound + self.callers.calls + self.once.storing
 
     def _wait_until_idle(self) -> bool:
         until = self._runtime.monotonic() + self._settings.stop_seconds
--- a/src/cranklane/records/connection.py
+++ b/src/cranklane/records/connection.py
@@ -46,7 +46,6 @@
         self._sending = False
         self.bytes_sent = 0
         self.bytes_received = 0
-        self.records_sent = 0
         connection.settimeout(silent_after)
 
     def send(self, message: Message, call: int = CONNECTION_CALL) -> None:
@@ -65,7 +64,6 @@
         if self.closed:
             raise ConnectionLostError("connection is closed")
         self._outgoing.append(encode_frame(call, message))
-        self.records_sent += 1
 
     def flush(self) -> None:
         """Write what is queued, unless another task is writing it already.
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -1916,12 +1916,13 @@
 
 @dataclass(slots=True)
 class StoreState:
-    """The whole state of the configuration store."""
+    """The whole state of the configuration store. Subscribers below ``whole_below`` need everything: what they have may come from a history that a back-up has replaced."""
 
     KIND: ClassVar[int] = 64
-    LAYOUT: ClassVar[Struct] = Struct("!QIIII")
+    LAYOUT: ClassVar[Struct] = Struct("!QQIIII")
 
     revision: int = 0
+    whole_below: int = 0
     documents: list[Document] = field(default_factory=list)
     rows: list[ConfigRow] = field(default_factory=list)
     history: list[HistoryEntry] = field(default_factory=list)
@@ -1933,7 +1934,7 @@
         history = pack_records(self.history)
         requests = pack_records(self.requests)
         try:
-            head = self.LAYOUT.pack(self.revision, len(documents), len(rows), len(history), len(requests))
+            head = self.LAYOUT.pack(self.revision, self.whole_below, len(documents), len(rows), len(history), len(requests))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, documents, rows, history, requests))
@@ -1941,7 +1942,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> StoreState:
         try:
-            revision, documents_size, rows_size, history_size, requests_size, = cls.LAYOUT.unpack_from(payload)
+            revision, whole_below, documents_size, rows_size, history_size, requests_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + documents_size
             documents = unpack_records(Document.unpack, payload[start:end])
@@ -1959,7 +1960,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"StoreState of {len(payload)} bytes, not {start}")
-        return cls(revision, documents, rows, history, requests)
+        return cls(revision, whole_below, documents, rows, history, requests)
 
 
 MESSAGES: dict[int, type] = {
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -284,8 +284,9 @@
     Record(
         64,
         "StoreState",
-        "The whole state of the configuration store.",
-        "revision:u64 documents:[Document] rows:[ConfigRow] history:[HistoryEntry] "
+        "The whole state of the configuration store. Subscribers below ``whole_below`` need "
+        "everything: what they have may come from a history that a back-up has replaced.",
+        "revision:u64 whole_below:u64 documents:[Document] rows:[ConfigRow] history:[HistoryEntry] "
         "requests:[RequestAnswer]",
     ),
 )
--- a/src/cranklane/replication/election.py
+++ b/src/cranklane/replication/election.py
@@ -23,14 +23,26 @@
         self._replica = replica
         self._heard_at = 0.0
         self._patience = 0.0
+        self._leader_heard_at: float | None = None
+
+    def leader_heard(self) -> None:
+        """Take a leader's own word."""
+        self._leader_heard_at = self._replica.runtime.monotonic()
+        self.heard()
+
+    def leader_heard_lately(self) -> bool:
+        """Return whether a leader spoke within the shortest election time."""
+        heard_at = self._leader_heard_at
+        now = self._replica.runtime.monotonic()
+        return heard_at is not None and now - heard_at < ELECTION_SECONDS
 
     def heard(self) -> None:
-        """Take that a leader is there, or that a vote was given."""
+        """Start the election timer anew: a leader spoke, or a vote was given or asked for."""
         self._heard_at = self._replica.runtime.monotonic()
         self._patience = ELECTION_SECONDS * (1 + self._replica.runtime.random.random())
 
     def heard_lately(self) -> bool:
-        """Return whether a leader was heard within the shortest election time."""
+        """Return whether the timer was started within the shortest election time."""
         age = self._replica.runtime.monotonic() - self._heard_at
         return age < ELECTION_SECONDS
 
@@ -53,7 +65,7 @@
         if replica.is_leader or not self._won(replica.vote_request(trial=True)):
             return
         request = replica.stand()
-        if self._won(request):
+        if request is not None and self._won(request):
             replica.lead(request.term)
 
     def _won(self, request: VoteRequest) -> bool:
--- a/src/cranklane/replication/log.py
+++ b/src/cranklane/replication/log.py
@@ -65,7 +65,6 @@
         self._synced = 0
         self.snapshot_size = 0
         self._syncing = Semaphore()
-        self.syncs = 0
         self.snapshot = LogSnapshot()
 
     def open(self) -> int:
@@ -171,7 +170,6 @@
         with self._syncing:
             size, index = self._size, self.last_index
             self._storage.sync(LOG_FILE)
-            self.syncs += 1
             self._synced = max(self._synced, size)
             return index
 
--- a/src/cranklane/replication/membership_change.py
+++ b/src/cranklane/replication/membership_change.py
@@ -82,7 +82,11 @@
         rest = [item for item in replica.members.current if item.identity != member.identity]
         if member.voter and not self._would_have_quorum(rest):
             return Err(ChangeFailure.QUORUM_AT_RISK)
-        return self._state(rest)
+        removed = self._state(rest)
+        if isinstance(removed, Ok) and member.identity == replica.identity:
+            with replica.changing:
+                replica.step_down()
+        return removed
 
     def promote(self, name: str, wanted: bool) -> Result[None, ChangeFailure]:
         """State whether a learner is to vote once it has caught up."""
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -141,7 +141,7 @@
     @property
     def in_touch(self) -> bool:
         """Whether it leads for certain, or has heard its leader lately."""
-        return self.may_read or (not self.is_leader and self.election.heard_lately())
+        return self.may_read or (not self.is_leader and self.election.leader_heard_lately())
 
     @property
     def is_member(self) -> bool:
@@ -326,7 +326,7 @@
         if self.leader != leader:
             self.leader = leader
             self.event_log.info("following", group=self.own.group, term=term)
-        self.election.heard()
+        self.election.leader_heard()
 
     def step_down(self) -> None:
         """Lead no more; proposals under way end as unknown."""
@@ -346,9 +346,14 @@
         with self.changing:
             self.take_term(term)
 
-    def stand(self) -> VoteRequest:
-        """Begin a new term as its candidate; return what to ask the others."""
+    def stand(self) -> VoteRequest | None:
+        """Begin a new term as its candidate; return what to ask the others.
+
+        Does nothing when it leads by now: its term must stay that of its leadership.
+        """
         with self.changing:
+            if self.leadership is not None:
+                return None
             self.votes.save(self.term + 1, self.identity)
             self.leader = 0
             return self.vote_request(trial=False)
--- a/src/cranklane_lab/scale/ledger.py
+++ b/src/cranklane_lab/scale/ledger.py
@@ -108,7 +108,8 @@
         finish = LedgerFinish(
             request.attempt, Outcome.ANSWERED, 200, "pair", "pair.callee", request.key, [], _ANSWER
         )
-        if not self._client.finish("main", finish, _ASK_SECONDS):
+        done = self._client.finish("main", finish, _ASK_SECONDS)
+        if done is None or not done.stored:
             raise RuntimeError("an end was not stored")
 
     def measure(self, concurrency: int) -> LedgerStep:
--- a/src/cranklane_lab/simulation/fleet.py
+++ b/src/cranklane_lab/simulation/fleet.py
@@ -105,8 +105,8 @@
                 return control
         return None
 
-    def start_control(self, number: int, host: str) -> None:
-        """Start a control process on a machine."""
+    def start_control(self, number: int, host: str, voter: bool = True) -> None:
+        """Start a control process on a machine; one that does not vote is a relay."""
         world = self.world
         name = f"control-{number}"
         zones = self.deployment.zones
@@ -121,6 +121,7 @@
             operators=[f"lab:*:{digest}"],
             replicas=self._control_texts(),
             founder=number == 0,
+            voter=voter,
         )
         control = ControlProcess(process, settings)
         world.start(process, control.start)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -12,7 +12,13 @@
 )
 from cranklane.node import once
 from cranklane.outcome import Outcome
-from cranklane.records.messages import LedgerBatch, LedgerBegin, LedgerEntry, LedgerFinish
+from cranklane.records.messages import (
+    LedgerBatch,
+    LedgerBegin,
+    LedgerDone,
+    LedgerEntry,
+    LedgerFinish,
+)
 from cranklane_lab.scenarios.base import Run
 from cranklane_lab.scenarios.library import SMALL
 from cranklane_lab.simulation.fleet import SimulatedFleet
@@ -116,6 +122,44 @@
     assert decision(again, 50.0, begin(99, key="k7")) == UNKNOWN
 
 
+class ScriptedClient:
+    """Answers the ends of once-calls one after the other."""
+
+    def __init__(self, *words):
+        self.words = list(words)
+
+    def finish(self, _group, _request, _seconds):
+        return self.words.pop(0)
+
+
+def ends_left(outcome, *words):
+    """Return the words left once an end was stored, and the ends still counted."""
+
+    def scenario(world):
+        client = ScriptedClient(*words)
+        calls = once.OnceCalls(world.process("node", "z"), client)
+        task = gevent.spawn(calls.store, "main", finish(1, outcome))
+        gevent.sleep(0)
+        while_storing = calls.storing
+        task.join()
+        return len(client.words), while_storing, calls.storing
+
+    return simulate(1, SMALL.between_zones, scenario)
+
+
+def test_an_end_that_the_ledger_has_already_is_sent_once():
+    assert ends_left(Outcome.ANSWERED, LedgerDone(False), LedgerDone(True)) == (1, 0, 0)
+
+
+def test_an_end_without_an_answer_is_sent_again_and_counts_as_in_flight():
+    assert ends_left(Outcome.ANSWERED, None, LedgerDone(True), None) == (1, 1, 0)
+
+
+def test_an_entry_to_be_freed_is_asked_for_until_it_was_there():
+    words = (LedgerDone(False), None, LedgerDone(True), None)
+    assert ends_left(Outcome.NOT_RUN, *words) == (1, 1, 0)
+
+
 # On the virtual clock.
 
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -217,3 +217,42 @@
         return answer.accepted, behind
 
     assert simulate(1, deployment.between_zones, scenario) == (True, [])
+
+
+def test_a_learner_that_is_cut_off_notices_and_sends_its_nodes_away():
+    """Found by review: its election timer restarted and looked like a leader's word."""
+
+    def script(run):
+        fleet = run.fleet
+        host = run.world.new_host()
+        fleet.control_addresses.append((host, 7000))
+        fleet.start_control(3, host, voter=False)
+        gevent.sleep(5.0)
+        learner = fleet.controls[3]
+        before = learner.in_touch, learner.replica.is_member
+        cut_from_others(run, 3)
+        gevent.sleep(STALE_SECONDS + 2.0)
+        return before, learner.in_touch
+
+    assert play(script) == ((True, True), False)
+
+
+def test_a_leader_that_is_removed_leads_no_more():
+    def script(run):
+        leader = leader_number(run)
+        removed = run.fleet.controls[leader].changes.remove(f"control-{leader}")
+        gevent.sleep(5.0)
+        new = leader_number(run)
+        edit(run, 1, 1)
+        return removed, replica(run, leader).is_leader, new != leader
+
+    assert play(script) == (Ok(None), False, True)
+
+
+def test_a_leader_does_not_stand_again():
+    def script(run):
+        leader = replica(run, leader_number(run))
+        term = leader.term
+        return leader.stand(), leader.term - term
+
+    assert play(script) == (None, 0)
