--- a/src/cranklane/control/editor.py
+++ b/src/cranklane/control/editor.py
@@ -7,6 +7,7 @@
 from gevent.lock import Semaphore
 from result import Err, Ok, Result
 
+from cranklane.control.compilation import DocumentCompiler
 from cranklane.control.replica import Replica
 from cranklane.control.store import ConfigurationStore, EditAnswer, EditResult
 from cranklane.records.messages import EditCommand
@@ -52,6 +53,7 @@
         self._runtime = runtime
         self._store = store
         self._replica = replica
+        self._compiler = DocumentCompiler(store)
         self._editing = Semaphore()
 
     def submit(self, edit: Edit) -> Result[EditAnswer, EditProblem]:
@@ -61,7 +63,7 @@
                 known = self._store.answered(edit.operator, edit.request)
                 if known is not None:
                     return Ok(known)
-                compiled = self._store.compile(edit.document, edit.text)
+                compiled = self._compiler.compile(edit.document, edit.text)
                 if isinstance(compiled, Err):
                     return Err(EditProblem(_INVALID, compiled.err_value.problems))
                 answer = self._replica.propose(self._command(edit, compiled.ok_value))
--- a/src/cranklane/control/store.py
+++ b/src/cranklane/control/store.py
@@ -10,12 +10,6 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from result import Err, Ok, Result
-
-from cranklane.errors import PolicyError
-from cranklane.policy.compiler import compile_policy
-from cranklane.policy.model import Policy, states_anything
-from cranklane.policy.syntax import parse
 from cranklane.records.messages import (
     ConfigDelta,
     ConfigRow,
@@ -91,18 +85,11 @@
             return None
         return EditAnswer(EditResult(known.result), known.version, repeated=True)
 
-    def compile(self, name: str, text: str) -> Result[list[ConfigRow], PolicyError]:
-        """Return the rows that a new text of a document changes.
+    def changed_rows(self, compiled: dict[str, bytes]) -> list[ConfigRow]:
+        """Return the rows in which a whole compiled policy differs from this state.
 
-        Nothing of the store changes. A row without a value is a deletion.
+        A row without a value is a deletion.
         """
-        texts = {document.name: document.text for document in self._documents.values()}
-        texts[name] = text
-        try:
-            _check_document(name, text)
-            compiled = compile_policy(_merge(texts))
-        except PolicyError as error:
-            return Err(error)
         changed = [
             ConfigRow(key=key, value=value)
             for key, value in compiled.items()
@@ -113,7 +100,7 @@
             for key, row in self._rows.items()
             if row.value and key not in compiled
         ]
-        return Ok(changed + gone)
+        return changed + gone
 
     def apply(self, command: EditCommand) -> EditAnswer:
         """Apply a committed edit and return its answer."""
@@ -199,22 +186,3 @@
         self._requests = OrderedDict(
             ((answer.operator, answer.request), answer) for answer in state.requests
         )
-
-
-def _check_document(name: str, text: str) -> None:
-    policy = parse(text)
-    names = [tenant.name for tenant in policy.tenants]
-    if name == ROOT:
-        if names:
-            raise PolicyError(["the root document holds no tenants; each has a document"])
-        return
-    if names not in ([name], []) or states_anything(policy):
-        raise PolicyError([f"document {name} holds the tenant {name} and nothing else"])
-
-
-def _merge(texts: dict[str, str]) -> Policy:
-    merged = parse(texts.get(ROOT, ""))
-    for name in sorted(texts):
-        if name != ROOT:
-            merged.tenants += parse(texts[name]).tenants
-    return merged
--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -104,8 +104,20 @@
         self._records: RecordConnection | None = None
         self._stopped = False
         self.connected = False
-        self.bytes_received = 0
-        self.bytes_sent = 0
+        self._earlier_received = 0
+        self._earlier_sent = 0
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes that came from control since the start."""
+        records = self._records
+        return self._earlier_received + (records.bytes_received if records else 0)
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to control since the start."""
+        records = self._records
+        return self._earlier_sent + (records.bytes_sent if records else 0)
 
     def load(self) -> None:
         """Put the configuration adopted before the last stop in force."""
@@ -198,8 +210,9 @@
 
     def _lost(self, records: RecordConnection, error: Exception) -> None:
         records.close()
-        self.bytes_received += records.bytes_received
-        self.bytes_sent += records.bytes_sent
+        self._earlier_received += records.bytes_received
+        self._earlier_sent += records.bytes_sent
+        self._records = None
         if self.connected:
             self.connected = False
             self._log.warning("control_lost", error=str(error))
--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -52,6 +52,31 @@
     raise typer.Exit(report(run_seeds(scenario, chosen, tuple(without), jobs), json))
 
 
+@application.command()
+def latency(
+    calls: Annotated[int, typer.Option(min=100, help="pairs of calls")] = 4000,
+    json: Annotated[bool, typer.Option("--json", help="print results as JSON")] = False,
+) -> None:
+    """Measure the time and processor time that two nodes add to a call."""
+    from cranklane_lab.latency import run_latency
+
+    raise typer.Exit(run_latency(calls, json))
+
+
+@application.command()
+def scale(
+    steps: Annotated[str, typer.Option(help="numbers of hollow nodes")] = "50,200,800,2400",
+    json: Annotated[bool, typer.Option("--json", help="print results as JSON")] = False,
+) -> None:
+    """Measure what control and nodes cost as the fleet grows."""
+    from cranklane_lab.scale.run import run_scale
+
+    numbers = steps.split(",")
+    if not all(number.isdigit() and int(number) for number in numbers):
+        raise typer.BadParameter(f"--steps {steps!r}: expected numbers like 50,200")
+    raise typer.Exit(run_scale(sorted(int(number) for number in numbers), json))
+
+
 def main() -> None:
     """Run the command line."""
     application()
--- a/src/cranklane_lab/deployments.py
+++ b/src/cranklane_lab/deployments.py
@@ -210,3 +210,54 @@
         requests=(RequestKind("walk", "GET", "s0", "/step0/{n}", 1),),
         policy_text="\n".join([*lines, "}"]),
     )
+
+
+def _pair() -> Deployment:
+    """Return two services of which one calls the other; the work takes no time."""
+    name = "pair"
+    token = hashlib.sha256(f"{name}-demo".encode()).hexdigest()
+    policy = f"""tenant {name} {{
+  token sha256:{token}
+  retries 3
+  repeat repeatable
+  deadline 5s
+  service caller {{
+    slots 64
+    calls {name}.callee
+    callers {name}.edge
+    route call GET /call/* {{}}
+  }}
+  service callee {{
+    slots 64
+    callers {name}.edge, {name}.caller
+    route work GET /work/* {{}}
+  }}
+}}
+"""
+    return Deployment(
+        name=name,
+        zones=("zone-a",),
+        zone_delay=0.0005,
+        client_delay=0.003,
+        services=(
+            ServicePlan("caller", 1, 64, {"call": Work(0.0, 100, (("callee", "/work/1"),))}),
+            ServicePlan("callee", 1, 64, {"work": Work(0.0, 100)}),
+        ),
+        requests=(RequestKind("call", "GET", "caller", "/call/{n}", 1),),
+        policy_text=policy,
+    )
+
+
+PAIR = _pair()
+"""The smallest deployment, for measurements."""
+
+DESIGN_ZONES = tuple(f"r{1 + zone % 4}-z{1 + zone // 4}" for zone in range(11))
+"""The zones of the size to design for: 11 in 4 regions."""
+
+
+def find_deployment(name: str) -> Deployment:
+    """Return a deployment by its name.
+
+    :raises KeyError: when there is none.
+    """
+    return {**DEPLOYMENTS, PAIR.name: PAIR}[name]
--- a/src/cranklane_lab/fleet/site.py
+++ b/src/cranklane_lab/fleet/site.py
@@ -67,15 +67,24 @@
             process.process.wait()
 
 
-def _loopback() -> Address:
+def loopback() -> Address:
+    """Return a free loopback address."""
     return LOOPBACK, free_port()
 
 
 def start_control(
-    deployment: Deployment, folder: Path, name: str
+    deployment: Deployment,
+    folder: Path,
+    name: str,
+    http: Address | None = None,
+    listen: Address | None = None,
 ) -> tuple[FleetProcess, Address, Address]:
-    """Start a control process; return it with its operators' and nodes' addresses."""
-    http, listen = _loopback(), _loopback()
+    """Start a control process; return it with its operators' and nodes' addresses.
+
+    :param http: the operators' address of a process that this one replaces.
+    :param listen: its nodes' address.
+    """
+    http, listen = http or loopback(), listen or loopback()
     digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
     arguments = ["control", "--name", name, "--zone", deployment.zones[0]]
     arguments += ["--listen", format_address(listen), "--http", format_address(http)]
@@ -98,7 +107,7 @@
 ) -> WorkerPair:
     """Start a worker and its node."""
     name = f"{deployment.name}-{service}-{number}"
-    worker_address, node_http, admin = _loopback(), _loopback(), _loopback()
+    worker_address, node_http, admin = loopback(), loopback(), loopback()
     worker = start(
         f"{name}-worker",
         "cranklane_lab.standins.worker_main",
@@ -125,7 +134,7 @@
     control, control_http, control_listen = start_control(
         deployment, folder, f"{deployment.name}-control"
     )
-    edge_http = _loopback()
+    edge_http = loopback()
     edge = start_edge(deployment, folder, control_listen, edge_http, f"{deployment.name}-edge")
     site = Site(deployment, folder, control, control_http, control_listen, edge, edge_http)
     for plan in deployment.services:
--- a/src/cranklane_lab/standins/worker_main.py
+++ b/src/cranklane_lab/standins/worker_main.py
@@ -11,14 +11,14 @@
 
 from cranklane.runtime.interface import parse_address
 from cranklane.runtime.real import RealRuntime
-from cranklane_lab.deployments import DEPLOYMENTS
+from cranklane_lab.deployments import find_deployment
 from cranklane_lab.standins.worker import Worker
 
 
 def main(arguments: list[str]) -> None:
     """Serve until the process is ended."""
     deployment, service, name, address, node = arguments
-    plan = DEPLOYMENTS[deployment].service(service)
+    plan = find_deployment(deployment).service(service)
     worker = Worker(
         RealRuntime(), name, deployment, plan, parse_address(address), parse_address(node)
     )
