--- a/Makefile
+++ b/Makefile
@@ -18,14 +18,14 @@
 	$(BIN)/python -m pytest -n auto
 
 check: $(VENV)/installed
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests platform
+	$(BIN)/ruff check src tests platform
 	$(BIN)/mypy
 	$(BIN)/python -m cranklane.records.generate --check
 
 format: $(VENV)/installed
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests platform
+	$(BIN)/ruff check --fix src tests platform
 
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -1,17 +1,19 @@
-"""Runs a node, an edge, a control or a ledger process until it is told to stop."""
+"""Runs one of the daemons until it is told to stop."""
 
 from __future__ import annotations
 
 import argparse
+import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import fields
 from typing import Any, Protocol
 
 import gevent
 from gevent.event import Event
 
-from cranklane.common.logs import configure_logs
+from cranklane.common.logs import configure_logs, logger
 from cranklane.errors import DamagedLogError, InvariantError, SettingsError
 from cranklane.runtime.real import RealRuntime
 from cranklane.settings import load
@@ -22,6 +24,9 @@
 EXIT_DAMAGED = 3
 """Exit status for a data folder that cannot be trusted."""
 
+SETTINGS_LOOK_SECONDS = 1.0
+"""Seconds between looks at whether the settings file has changed."""
+
 
 class Process(Protocol):
     """What every daemon can do."""
@@ -38,6 +43,14 @@
         from cranklane.control.process import ControlProcess, ControlSettings
 
         return ControlProcess, ControlSettings
+    if command == "controller":
+        from cranklane.control.controller import Controller, ControllerSettings
+
+        return Controller, ControllerSettings
+    if command == "sidecar":
+        from cranklane.sidecar.process import Sidecar, SidecarSettings
+
+        return Sidecar, SidecarSettings
     if command == "ledger":
         from cranklane.ledger.process import LedgerProcess, LedgerSettings
 
@@ -55,8 +68,11 @@
     return vars(parser.parse_args(arguments))
 
 
-def run(command: str, arguments: list[str]) -> int:
-    """Run a daemon; return its exit status."""
+def run(command: str, arguments: list[str], **parts: Any) -> int:
+    """Run a daemon; return its exit status.
+
+    :param parts: further arguments of the daemon's class.
+    """
     process_kind, settings_kind = _kinds(command)
     flags = _parse(command, settings_kind, arguments)
     path = flags.pop("settings")
@@ -69,7 +85,8 @@
     # An error of this kind in any task ends the process, not only the task.
     hub = gevent.get_hub()
     hub.SYSTEM_ERROR = (*hub.SYSTEM_ERROR, InvariantError)
-    process: Process = process_kind(RealRuntime(), settings)
+    process: Process = process_kind(RealRuntime(), settings, **parts)
+    told = _stop_signal()
     try:
         process.start()
     except DamagedLogError as error:
@@ -78,12 +95,48 @@
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    _wait_for_signal()
+    reload = getattr(process, "reload", None)
+    if path and reload is not None:
+        _watch_settings(path, lambda: load(settings_kind, path, flags), reload)
+    told.wait()
     return 0 if process.stop() else 1
 
 
-def _wait_for_signal() -> None:
+def _stop_signal() -> Event:
     told = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, told.set)
-    told.wait()
+    return told
+
+
+def _watch_settings(path: str, read: Callable[[], Any], reload: Callable[[Any], None]) -> None:
+    """Reload settings on SIGHUP, and when the file is seen to have changed."""
+    hung_up = Event()
+    gevent.signal_handler(signal.SIGHUP, hung_up.set)
+    log = logger(process="settings")
+
+    def watch() -> None:
+        seen = _stamp(path)
+        while True:
+            signalled = hung_up.wait(SETTINGS_LOOK_SECONDS)
+            hung_up.clear()
+            stamp = _stamp(path)
+            if not signalled and stamp == seen:
+                continue
+            seen = stamp
+            try:
+                reload(read())
+                log.info("settings_reloaded", path=path, signal=bool(signalled))
+            except SettingsError as error:
+                # The settings in force stay.
+                log.error("settings_refused", path=path, problems=error.problems)
+
+    gevent.spawn(watch)
+
+
+def _stamp(path: str) -> tuple[int, int, int]:
+    try:
+        status = os.stat(path)
+    except OSError:
+        return (0, 0, 0)
+    return status.st_mtime_ns, status.st_size, status.st_ino
--- a/src/cranklane/cli/entry.py
+++ b/src/cranklane/cli/entry.py
@@ -19,7 +19,7 @@
     (True, False)
     """
     command = arguments[0] if arguments else ""
-    if command in ("node", "edge", "ledger"):
+    if command in ("node", "edge", "ledger", "sidecar", "controller"):
         return True
     return command == "control" and len(arguments) > 1 and arguments[1].startswith("--")
 
--- a/src/cranklane/common/logs.py
+++ b/src/cranklane/common/logs.py
@@ -10,7 +10,7 @@
 
 
 def configure_logs() -> None:
-    """Write JSON lines to standard error."""
+    """Write JSON lines to standard output."""
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -18,7 +18,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
     )
 
 
--- a/src/cranklane/control/membership.py
+++ b/src/cranklane/control/membership.py
@@ -88,7 +88,9 @@
         member = Member(
             incarnation=identity.incarnation,
             sequence=sequence,
-            state=MemberState.LIVE,
+            state=identity.state,
+            slots=identity.slots,
+            instance=identity.instance,
             node=identity.node,
             tenant=identity.tenant,
             service=identity.service,
@@ -106,8 +108,18 @@
         if known.member.incarnation != heartbeat.incarnation:
             return
         known.heard_at = self._clock()
-        if known.member.state != heartbeat.state:
-            self._set_state(known, MemberState(heartbeat.state))
+        member = known.member
+        told = (heartbeat.state, heartbeat.slots, heartbeat.instance)
+        if (member.state, member.slots, member.instance) != told:
+            changed = replace(
+                member,
+                sequence=member.sequence + 1,
+                state=heartbeat.state,
+                slots=heartbeat.slots,
+                instance=heartbeat.instance,
+                service=heartbeat.service or member.service,
+            )
+            self._put(changed, known.owner)
 
     # Other control processes.
 
--- a/src/cranklane/control/publisher.py
+++ b/src/cranklane/control/publisher.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -18,6 +19,7 @@
 from cranklane.records.messages import (
     ConfigDelta,
     ConfigRow,
+    ControlReplicas,
     Heartbeat,
     Member,
     MemberDelta,
@@ -60,6 +62,7 @@
         self.sent_version = identity.version
         self.sent_services: frozenset[str] | None = frozenset()
         self.sent_members = 0
+        self.sent_replicas: list[str] = []
         self.news = Event()
         self.since = 0.0
 
@@ -73,10 +76,21 @@
 class Publisher:
     """Serves subscribers of one control process.
 
+    :param replicas: returns where nodes may subscribe; None tells them nothing.
+    :param ping_seconds: between pings to a subscriber that there is no news for.
     :ivar subscribers: by the node's name.
     """
 
-    def __init__(self, runtime: Runtime, source: RowSource, membership: Membership) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        source: RowSource,
+        membership: Membership,
+        replicas: Callable[[], list[str]] | None = None,
+        ping_seconds: float = PING_SECONDS,
+    ) -> None:
+        self._replicas = replicas
+        self._ping_seconds = ping_seconds
         self._runtime = runtime
         self._source = source
         self._membership = membership
@@ -151,14 +165,23 @@
         try:
             while not records.closed:
                 subscriber.news.clear()
-                sent = self._send_configuration(subscriber)
+                sent = self._send_replicas(subscriber)
+                sent |= self._send_configuration(subscriber)
                 sent |= self._send_members(subscriber)
                 if not sent:
                     records.send(Ping(subscriber.sent_version))
-                subscriber.news.wait(PING_SECONDS)
+                subscriber.news.wait(self._ping_seconds)
         except ConnectionLostError:
             pass
 
+    def _send_replicas(self, subscriber: Subscriber) -> bool:
+        addresses = self._replicas() if self._replicas is not None else []
+        if addresses == subscriber.sent_replicas:
+            return False
+        subscriber.sent_replicas = addresses
+        subscriber.records.send(ControlReplicas(addresses))
+        return True
+
     def _send_configuration(self, subscriber: Subscriber) -> bool:
         delta = self._source.delta(subscriber.sent_version)
         if delta.version <= subscriber.sent_version:
--- /dev/null
+++ b/src/cranklane/control/route_api.py
@@ -0,0 +1,110 @@
+"""The operators' HTTP interface for route tables."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import falcon
+from result import Ok
+
+from cranklane.control.route_editor import RefusalKind, RouteEditor, TableRefusal
+from cranklane.control.route_store import RouteTableStore
+from cranklane.replication.replica import Replica
+
+ROUTE_TABLE_PATH = "/v1/route-table"
+MAX_DOCUMENT_BYTES = 12 * 1024 * 1024
+
+_STATUS = {
+    RefusalKind.INVALID: falcon.HTTP_400,
+    RefusalKind.CONFLICT: falcon.HTTP_412,
+    RefusalKind.NOT_LEADING: falcon.HTTP_503,
+    RefusalKind.UNCERTAIN: falcon.HTTP_503,
+}
+
+
+class RouteApi:
+    """The WSGI application.
+
+    :param metrics_path: where the counters are served; empty: nowhere.
+    :param metrics: returns them in the Prometheus text format.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        store: RouteTableStore,
+        editor: RouteEditor,
+        log: Any,
+        metrics: Callable[[], bytes],
+    ) -> None:
+        self._replica = replica
+        self._store = store
+        self._editor = editor
+        self._log = log
+        self._metrics = metrics
+        self.application = falcon.App()
+        self.application.req_options.auto_parse_form_urlencoded = False
+        self.application.add_route(ROUTE_TABLE_PATH, self)
+        self.application.add_route("/v1/group", self, suffix="group")
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the document in force, only while this process leads for certain."""
+        if not self._replica.may_read:
+            self._send_elsewhere(request, response)
+            return
+        document, version = self._store.document, self._store.version
+        if not self._replica.may_read:
+            response.status = falcon.HTTP_503
+            return
+        if version == 0:
+            response.status = falcon.HTTP_404
+            return
+        response.content_type = falcon.MEDIA_JSON
+        response.data = document
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Replace the whole route table."""
+        if not self._replica.may_read:
+            self._send_elsewhere(request, response)
+            return
+        data = request.bounded_stream.read(MAX_DOCUMENT_BYTES + 1)
+        if len(data) > MAX_DOCUMENT_BYTES:
+            response.status = falcon.HTTP_413
+            return
+        result = self._editor.replace(data)
+        if isinstance(result, Ok):
+            self._log.info("route_table_taken", version=result.ok_value)
+            response.media = {"version": result.ok_value}
+            return
+        refusal: TableRefusal = result.err_value
+        self._log.info(
+            "route_table_refused", reason=refusal.kind.name.lower(), problems=refusal.problems[:3]
+        )
+        if refusal.kind is RefusalKind.NOT_LEADING:
+            self._send_elsewhere(request, response)
+            return
+        response.status = _STATUS[refusal.kind]
+        response.media = {"problems": refusal.problems}
+
+    def on_get_group(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Return the group's replicas as this process knows them."""
+        replica = self._replica
+        response.media = {
+            "term": replica.term,
+            "leads": replica.may_read,
+            "version": self._store.version,
+            "replicas": [
+                {"name": item.name, "voter": item.voter, "leader": item.identity == replica.leader}
+                for item in replica.members.current
+            ],
+        }
+
+    def _send_elsewhere(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer that the leader is to be asked, or that none is known."""
+        leader = self._replica.leader_member()
+        if leader is None or leader.identity == self._replica.identity:
+            response.status = falcon.HTTP_503
+            return
+        response.status = falcon.HTTP_307
+        response.set_header("Location", f"http://{leader.http}{request.path}")
--- /dev/null
+++ b/src/cranklane/control/route_store.py
@@ -0,0 +1,99 @@
+"""The route table in force, and which tables were ever taken.
+
+The store changes only by applying committed commands in order, so that every
+replica comes to the same state.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from cranklane.records.messages import (
+    ConfigDelta,
+    ConfigRow,
+    RouteTableCommand,
+    RouteTableState,
+    TakenTable,
+)
+
+ROUTE_TABLE_ROW = "routes"
+"""Key of the row in which nodes get the whole document."""
+
+
+class TableResult(IntEnum):
+    """What became of a command."""
+
+    TAKEN = 0
+    """In force, or taken before: an equal request gets this answer for good."""
+    CONFLICT = 1
+    """Another version than the one it builds on is in force."""
+    NOT_NEWER = 2
+    """Its version is not above the one in force."""
+
+
+class RouteTableStore:
+    """State of the route table at one replica.
+
+    :ivar revision: how many tables were taken.
+    :ivar version: the operator's version in force, 0 for none.
+    :ivar document: its bytes as the operator sent them.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.version = 0
+        self.document = b""
+        self._taken: dict[bytes, int] = {}
+
+    def was_taken(self, digest: bytes) -> bool:
+        """Return whether a table with this digest was ever taken."""
+        return digest in self._taken
+
+    def judge(self, command: RouteTableCommand) -> TableResult:
+        """Return what a command would come to now."""
+        if self.was_taken(command.digest):
+            return TableResult.TAKEN
+        if command.base != self.version:
+            return TableResult.CONFLICT
+        if command.version <= self.version:
+            return TableResult.NOT_NEWER
+        return TableResult.TAKEN
+
+    def apply(self, data: bytes) -> TableResult:
+        """Apply a committed RouteTableCommand and return its answer."""
+        command = RouteTableCommand.unpack(data)
+        result = self.judge(command)
+        if result is TableResult.TAKEN and not self.was_taken(command.digest):
+            self.revision += 1
+            self.version = command.version
+            self.document = command.document
+            self._taken[command.digest] = command.version
+        return result
+
+    # For subscribers.
+
+    def delta(self, base: int) -> ConfigDelta:
+        """Return what a subscriber at ``base`` needs to be current."""
+        if base >= self.revision:
+            return ConfigDelta(base, self.revision, False, [])
+        row = ConfigRow(self.revision, ROUTE_TABLE_ROW, self.document)
+        return ConfigDelta(0, self.revision, True, [row])
+
+    def value(self, key: str) -> bytes:
+        """Return a row's value, empty when there is none."""
+        return self.document if key == ROUTE_TABLE_ROW else b""
+
+    # Snapshots.
+
+    def pack(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        taken = [TakenTable(version, digest) for digest, version in self._taken.items()]
+        return RouteTableState(self.revision, self.version, self.document, taken).pack()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot's."""
+        state = RouteTableState.unpack(data) if data else RouteTableState()
+        self.revision = state.revision
+        self.version = state.version
+        self.document = state.document
+        self._taken = {item.digest: item.version for item in state.taken}
--- a/src/cranklane/ledger/process.py
+++ b/src/cranklane/ledger/process.py
@@ -11,7 +11,7 @@
 from cranklane.node.members import MemberState
 from cranklane.node.subscription import Subscription
 from cranklane.policy.names import SYSTEM_TENANT
-from cranklane.records.messages import Hello, Subscribe
+from cranklane.records.messages import Heartbeat, Hello, Subscribe
 from cranklane.replication.joining import Joining
 from cranklane.replication.membership_change import MembershipChange
 from cranklane.replication.peer_service import PeerService
@@ -112,7 +112,7 @@
             self.runtime.storage(f"{settings.data}/{_SUBSCRIPTION_FOLDER}"),
             lambda _delta: None,
             lambda: None,
-            lambda: MemberState.LIVE,
+            lambda: Heartbeat(state=MemberState.LIVE),
             self._log,
         )
 
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -24,7 +24,7 @@
 from cranklane.node.peers import PeerPool
 from cranklane.node.subscription import Subscription
 from cranklane.node.worker import WorkerClient
-from cranklane.records.messages import Hello, MemberDelta, Subscribe
+from cranklane.records.messages import Heartbeat, Hello, MemberDelta, Subscribe
 from cranklane.runtime.interface import Runtime, format_address, parse_address
 from cranklane.settings import (
     ADDRESS,
@@ -183,7 +183,7 @@
             self._runtime.storage(settings.data),
             self._members_changed,
             self._configuration_changed,
-            self.state,
+            lambda: Heartbeat(state=self.state()),
             self._log,
         )
 
--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -3,25 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 import gevent
 
 from cranklane.common.sealed import seal, unseal
 from cranklane.errors import ConnectionLostError, MalformedRecordError
-from cranklane.node.configuration import NodeConfiguration
-from cranklane.node.members import MemberState
 from cranklane.records.connection import RecordConnection
 from cranklane.records.messages import (
     ConfigDelta,
     ConfigRow,
+    ControlReplicas,
     Heartbeat,
     Hello,
     MemberDelta,
     Ping,
     Subscribe,
 )
-from cranklane.runtime.interface import Address, Runtime, Storage
+from cranklane.runtime.interface import Address, Runtime, Storage, parse_address
 
 HEARTBEAT_SECONDS = 2.0
 """Seconds between heartbeats to control."""
@@ -70,11 +70,36 @@
         self._storage.replace(_FILE, seal(whole.pack()))
 
 
+class AdoptedConfiguration(Protocol):
+    """What a subscription brings up to date."""
+
+    version: int
+
+    def adopt(self, delta: ConfigDelta) -> bool:
+        """Apply a delta; return False when it does not follow what is in force."""
+
+
+@dataclass(frozen=True)
+class FollowTiming:
+    """Times of a subscription, in seconds.
+
+    :ivar heartbeat: between heartbeats to control.
+    :ivar silent: without a byte from control after which another one is tried.
+    """
+
+    heartbeat: float = HEARTBEAT_SECONDS
+    silent: float = CONTROL_SILENT_SECONDS
+    max_backoff: float = MAX_BACKOFF_SECONDS
+
+
 class Subscription:
     """Keeps one connection to one of several control processes.
 
+    :param controls: addresses to start from; control may name others later.
     :param identity: who this node is; versions are filled in here.
-    :param state: returns the node's own state for its heartbeats.
+    :param storage: keeps what was adopted over a restart; None keeps nothing.
+    :param heartbeat: returns the node's own state for its heartbeats; who it is
+        and the version in force are filled in here.
     :param on_change: called after a change of configuration is in force.
     :ivar connected: whether a control process answers now.
     """
@@ -84,21 +109,24 @@
         runtime: Runtime,
         controls: Sequence[Address],
         identity: Subscribe,
-        configuration: NodeConfiguration,
-        storage: Storage,
+        configuration: AdoptedConfiguration,
+        storage: Storage | None,
         on_members: Callable[[MemberDelta], None],
         on_change: Callable[[], None],
-        state: Callable[[], MemberState],
+        heartbeat: Callable[[], Heartbeat],
         log: Any,
+        timing: FollowTiming | None = None,
     ) -> None:
         self._runtime = runtime
         self._controls = list(controls)
         self._identity = identity
         self._configuration = configuration
-        self._file = ConfigurationFile(storage)
+        self._file = ConfigurationFile(storage) if storage is not None else None
+        self._named: list[Address] = []
+        self._timing = timing or FollowTiming()
         self._on_members = on_members
         self._on_change = on_change
-        self._state = state
+        self._own_state = heartbeat
         self._log = log
         self._records: RecordConnection | None = None
         self._stopped = False
@@ -121,28 +149,39 @@
 
     def load(self) -> None:
         """Put the configuration adopted before the last stop in force."""
-        saved = self._file.load()
+        saved = self._file.load() if self._file is not None else None
         if saved is not None and self._configuration.adopt(saved):
             self._on_change()
 
     def follow(self) -> None:
         """Follow control until told to stop."""
-        self._runtime.random.shuffle(self._controls)
         backoff = MIN_BACKOFF_SECONDS
         while not self._stopped:
             self._identity.last_resort = False
-            for address in self._controls:
+            for address in self._candidates():
                 if not self._stopped and self._follow_one(address):
                     backoff = MIN_BACKOFF_SECONDS
             if backoff > MIN_BACKOFF_SECONDS:
                 # None of them is in touch with its group: better one that knows
                 # the members around it than none.
                 self._identity.last_resort = True
-                for address in self._controls:
+                for address in self._candidates():
                     if not self._stopped and self._follow_one(address):
                         break
             gevent.sleep(backoff * (0.5 + self._runtime.random.random()))
-            backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
+            backoff = min(self._timing.max_backoff, backoff * 2)
+
+    def _candidates(self) -> list[Address]:
+        """Return the control processes to try: those named last, then the first ones."""
+        named = list(self._named)
+        first = [address for address in self._controls if address not in named]
+        self._runtime.random.shuffle(named)
+        self._runtime.random.shuffle(first)
+        return named + first
+
+    def start_from(self, controls: Sequence[Address]) -> None:
+        """Replace the addresses to start from, as when the settings have changed."""
+        self._controls = list(controls)
 
     def _follow_one(self, address: Address) -> bool:
         """Follow one control process until it is lost; return whether it served."""
@@ -150,11 +189,16 @@
             connection = self._runtime.connect(address, CONNECT_SECONDS)
         except OSError:
             return False
-        records = RecordConnection(connection, CONTROL_SILENT_SECONDS)
+        records = RecordConnection(connection, self._timing.silent)
         try:
             records.greet(Hello(incarnation=self._identity.incarnation, node=self._identity.node))
             self._identity.version = self._configuration.version
             self._identity.session += 1
+            own = self._own_state()
+            self._identity.state = own.state
+            self._identity.slots = own.slots
+            self._identity.instance = own.instance
+            self._identity.service = own.service or self._identity.service
             records.send(self._identity)
             self._records = records
             self._runtime.spawn(self._send_heartbeats, records)
@@ -173,6 +217,8 @@
                 self._adopt(records, message)
             case MemberDelta():
                 self._on_members(message)
+            case ControlReplicas():
+                self._named = [parse_address(text) for text in message.addresses]
             case Ping():
                 pass
             case _:
@@ -184,16 +230,18 @@
             return
         if not delta.whole and delta.base != self._configuration.version:
             raise MalformedRecordError("a configuration change is missing in between")
-        self._file.save(delta)
+        if self._file is not None:
+            self._file.save(delta)
         self._configuration.adopt(delta)
         self._newer_since = None
         self._on_change()
         records.send(self._heartbeat())
 
     def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(
-            self._identity.incarnation, self._configuration.version, int(self._state())
-        )
+        heartbeat = self._own_state()
+        heartbeat.incarnation = self._identity.incarnation
+        heartbeat.version = self._configuration.version
+        return heartbeat
 
     def _send_heartbeats(self, records: RecordConnection) -> None:
         while not records.closed:
@@ -201,7 +249,7 @@
                 records.send(self._heartbeat())
             except ConnectionLostError:
                 return
-            gevent.sleep(HEARTBEAT_SECONDS)
+            gevent.sleep(self._timing.heartbeat)
             self._leave_when_behind(records)
 
     def newer_seen(self) -> None:
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -436,7 +436,7 @@
     """A node asks a control process for configuration and members: those of its own service and of those it calls, or everything. ``session`` counts its connections; ``last_resort`` takes a control process that has lost touch with the others too."""
 
     KIND: ClassVar[int] = 20
-    LAYOUT: ClassVar[Struct] = Struct("!QQI??HHHHH")
+    LAYOUT: ClassVar[Struct] = Struct("!QQI??IBHHHHHH")
 
     incarnation: int = 0
     version: int = 0
@@ -448,6 +448,9 @@
     service: str = ""
     zone: str = ""
     address: str = ""
+    instance: str = ""
+    slots: int = 0
+    state: int = 0
 
     def pack(self) -> bytes:
         node = self.node.encode()
@@ -455,16 +458,17 @@
         service = self.service.encode()
         zone = self.zone.encode()
         address = self.address.encode()
+        instance = self.instance.encode()
         try:
-            head = self.LAYOUT.pack(self.incarnation, self.version, self.session, self.everything, self.last_resort, len(node), len(tenant), len(service), len(zone), len(address))
+            head = self.LAYOUT.pack(self.incarnation, self.version, self.session, self.everything, self.last_resort, self.slots, self.state, len(node), len(tenant), len(service), len(zone), len(address), len(instance))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, node, tenant, service, zone, address))
+        return b''.join((head, node, tenant, service, zone, address, instance))
 
     @classmethod
     def unpack(cls, payload: bytes) -> Subscribe:
         try:
-            incarnation, version, session, everything, last_resort, node_size, tenant_size, service_size, zone_size, address_size, = cls.LAYOUT.unpack_from(payload)
+            incarnation, version, session, everything, last_resort, slots, state, node_size, tenant_size, service_size, zone_size, address_size, instance_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + node_size
             node = payload[start:end].decode()
@@ -481,11 +485,14 @@
             end = start + address_size
             address = payload[start:end].decode()
             start = end
+            end = start + instance_size
+            instance = payload[start:end].decode()
+            start = end
         except (StructError, UnicodeDecodeError) as error:
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"Subscribe of {len(payload)} bytes, not {start}")
-        return cls(incarnation, version, session, everything, last_resort, node, tenant, service, zone, address)
+        return cls(incarnation, version, session, everything, last_resort, node, tenant, service, zone, address, instance, slots, state)
 
 
 @dataclass(slots=True)
@@ -563,19 +570,21 @@
 
 @dataclass(slots=True)
 class Member:
-    """One node of a service. ``sequence`` orders the states of one incarnation."""
+    """One node of a service. ``sequence`` orders the states of one incarnation; ``instance`` is the start of the worker beside it and ``slots`` how many calls that runs at once, where the worker has told them."""
 
     KIND: ClassVar[int] = 23
-    LAYOUT: ClassVar[Struct] = Struct("!QIBHHHHH")
+    LAYOUT: ClassVar[Struct] = Struct("!QIBIHHHHHH")
 
     incarnation: int = 0
     sequence: int = 0
     state: int = 0
+    slots: int = 0
     node: str = ""
     tenant: str = ""
     service: str = ""
     zone: str = ""
     address: str = ""
+    instance: str = ""
 
     def pack(self) -> bytes:
         node = self.node.encode()
@@ -583,16 +592,17 @@
         service = self.service.encode()
         zone = self.zone.encode()
         address = self.address.encode()
+        instance = self.instance.encode()
         try:
-            head = self.LAYOUT.pack(self.incarnation, self.sequence, self.state, len(node), len(tenant), len(service), len(zone), len(address))
+            head = self.LAYOUT.pack(self.incarnation, self.sequence, self.state, self.slots, len(node), len(tenant), len(service), len(zone), len(address), len(instance))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, node, tenant, service, zone, address))
+        return b''.join((head, node, tenant, service, zone, address, instance))
 
     @classmethod
     def unpack(cls, payload: bytes) -> Member:
         try:
-            incarnation, sequence, state, node_size, tenant_size, service_size, zone_size, address_size, = cls.LAYOUT.unpack_from(payload)
+            incarnation, sequence, state, slots, node_size, tenant_size, service_size, zone_size, address_size, instance_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + node_size
             node = payload[start:end].decode()
@@ -609,11 +619,14 @@
             end = start + address_size
             address = payload[start:end].decode()
             start = end
+            end = start + instance_size
+            instance = payload[start:end].decode()
+            start = end
         except (StructError, UnicodeDecodeError) as error:
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"Member of {len(payload)} bytes, not {start}")
-        return cls(incarnation, sequence, state, node, tenant, service, zone, address)
+        return cls(incarnation, sequence, state, slots, node, tenant, service, zone, address, instance)
 
 
 @dataclass(slots=True)
@@ -651,32 +664,75 @@
 
 @dataclass(slots=True)
 class Heartbeat:
-    """Renews a node's lease and reports the version in force there."""
+    """Renews a node's lease and reports the version in force there and its worker."""
 
     KIND: ClassVar[int] = 25
-    LAYOUT: ClassVar[Struct] = Struct("!QQB")
+    LAYOUT: ClassVar[Struct] = Struct("!QQBIHH")
 
     incarnation: int = 0
     version: int = 0
     state: int = 0
+    slots: int = 0
+    service: str = ""
+    instance: str = ""
 
     def pack(self) -> bytes:
+        service = self.service.encode()
+        instance = self.instance.encode()
         try:
-            head = self.LAYOUT.pack(self.incarnation, self.version, self.state)
+            head = self.LAYOUT.pack(self.incarnation, self.version, self.state, self.slots, len(service), len(instance))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return head
+        return b''.join((head, service, instance))
 
     @classmethod
     def unpack(cls, payload: bytes) -> Heartbeat:
         try:
-            incarnation, version, state, = cls.LAYOUT.unpack_from(payload)
+            incarnation, version, state, slots, service_size, instance_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + instance_size
+            instance = payload[start:end].decode()
+            start = end
         except (StructError, UnicodeDecodeError) as error:
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"Heartbeat of {len(payload)} bytes, not {start}")
-        return cls(incarnation, version, state)
+        return cls(incarnation, version, state, slots, service, instance)
+
+
+@dataclass(slots=True)
+class ControlReplicas:
+    """Addresses at which nodes may subscribe to control, as its group states them now."""
+
+    KIND: ClassVar[int] = 26
+    LAYOUT: ClassVar[Struct] = Struct("!I")
+
+    addresses: list[str] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        addresses = pack_strings(self.addresses)
+        try:
+            head = self.LAYOUT.pack(len(addresses))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, addresses))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ControlReplicas:
+        try:
+            addresses_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + addresses_size
+            addresses = unpack_strings(payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ControlReplicas of {len(payload)} bytes, not {start}")
+        return cls(addresses)
 
 
 @dataclass(slots=True)
@@ -1963,6 +2019,309 @@
         return cls(revision, whole_below, documents, rows, history, requests)
 
 
+@dataclass(slots=True)
+class RouteTableCommand:
+    """A checked whole route table that an operator puts in force. ``version`` is the operator's, ``base`` the one it replaces, ``digest`` tells equal requests."""
+
+    KIND: ClassVar[int] = 65
+    LAYOUT: ClassVar[Struct] = Struct("!QQII")
+
+    version: int = 0
+    base: int = 0
+    digest: bytes = b""
+    document: bytes = b""
+
+    def pack(self) -> bytes:
+        digest = self.digest
+        document = self.document
+        try:
+            head = self.LAYOUT.pack(self.version, self.base, len(digest), len(document))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, digest, document))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> RouteTableCommand:
+        try:
+            version, base, digest_size, document_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + digest_size
+            digest = payload[start:end]
+            start = end
+            end = start + document_size
+            document = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"RouteTableCommand of {len(payload)} bytes, not {start}")
+        return cls(version, base, digest, document)
+
+
+@dataclass(slots=True)
+class TakenTable:
+    """The digest of a route table that was taken."""
+
+    KIND: ClassVar[int] = 66
+    LAYOUT: ClassVar[Struct] = Struct("!QI")
+
+    version: int = 0
+    digest: bytes = b""
+
+    def pack(self) -> bytes:
+        digest = self.digest
+        try:
+            head = self.LAYOUT.pack(self.version, len(digest))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, digest))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> TakenTable:
+        try:
+            version, digest_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + digest_size
+            digest = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"TakenTable of {len(payload)} bytes, not {start}")
+        return cls(version, digest)
+
+
+@dataclass(slots=True)
+class RouteTableState:
+    """The whole state of a route table store."""
+
+    KIND: ClassVar[int] = 67
+    LAYOUT: ClassVar[Struct] = Struct("!QQII")
+
+    revision: int = 0
+    version: int = 0
+    document: bytes = b""
+    taken: list[TakenTable] = field(default_factory=list)
+
+    def pack(self) -> bytes:
+        document = self.document
+        taken = pack_records(self.taken)
+        try:
+            head = self.LAYOUT.pack(self.revision, self.version, len(document), len(taken))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, document, taken))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> RouteTableState:
+        try:
+            revision, version, document_size, taken_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + document_size
+            document = payload[start:end]
+            start = end
+            end = start + taken_size
+            taken = unpack_records(TakenTable.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"RouteTableState of {len(payload)} bytes, not {start}")
+        return cls(revision, version, document, taken)
+
+
+@dataclass(slots=True)
+class ForwardRequest:
+    """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all."""
+
+    KIND: ClassVar[int] = 80
+    LAYOUT: ClassVar[Struct] = Struct("!IIB??B?QHHII")
+
+    deadline_ms: int = 0
+    start_ms: int = 0
+    priority: int = 0
+    repeatable: bool = False
+    bodiless: bool = False
+    framing: int = 0
+    whole: bool = False
+    length: int = 0
+    service: str = ""
+    request: str = ""
+    lines: bytes = b""
+    body: bytes = b""
+
+    def pack(self) -> bytes:
+        service = self.service.encode()
+        request = self.request.encode()
+        lines = self.lines
+        body = self.body
+        try:
+            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.priority, self.repeatable, self.bodiless, self.framing, self.whole, self.length, len(service), len(request), len(lines), len(body))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, service, request, lines, body))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ForwardRequest:
+        try:
+            deadline_ms, start_ms, priority, repeatable, bodiless, framing, whole, length, service_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + request_size
+            request = payload[start:end].decode()
+            start = end
+            end = start + lines_size
+            lines = payload[start:end]
+            start = end
+            end = start + body_size
+            body = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ForwardRequest of {len(payload)} bytes, not {start}")
+        return cls(deadline_ms, start_ms, priority, repeatable, bodiless, framing, whole, length, service, request, lines, body)
+
+
+@dataclass(slots=True)
+class ForwardBody:
+    """The next piece of a body; none after the last."""
+
+    KIND: ClassVar[int] = 81
+    LAYOUT: ClassVar[Struct] = Struct("!?I")
+
+    last: bool = False
+    data: bytes = b""
+
+    def pack(self) -> bytes:
+        data = self.data
+        try:
+            head = self.LAYOUT.pack(self.last, len(data))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, data))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ForwardBody:
+        try:
+            last, data_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + data_size
+            data = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ForwardBody of {len(payload)} bytes, not {start}")
+        return cls(last, data)
+
+
+@dataclass(slots=True)
+class ForwardContinue:
+    """The request is admitted: send the rest of its body."""
+
+    KIND: ClassVar[int] = 82
+    LAYOUT: ClassVar[Struct] = Struct("!B")
+
+    unused: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.unused)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ForwardContinue:
+        try:
+            unused, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ForwardContinue of {len(payload)} bytes, not {start}")
+        return cls(unused)
+
+
+@dataclass(slots=True)
+class ForwardAnswer:
+    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count. ``body`` is the first piece, and all of it if ``whole``."""
+
+    KIND: ClassVar[int] = 83
+    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIQII")
+
+    outcome: int = 0
+    reason: int = 0
+    arrived: bool = False
+    whole: bool = False
+    framing: int = 0
+    status: int = 0
+    retry_after_ms: int = 0
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+    length: int = 0
+    lines: bytes = b""
+    body: bytes = b""
+
+    def pack(self) -> bytes:
+        lines = self.lines
+        body = self.body
+        try:
+            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.length, len(lines), len(body))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, lines, body))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ForwardAnswer:
+        try:
+            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, length, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + lines_size
+            lines = payload[start:end]
+            start = end
+            end = start + body_size
+            body = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ForwardAnswer of {len(payload)} bytes, not {start}")
+        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, length, lines, body)
+
+
+@dataclass(slots=True)
+class ForwardCut:
+    """The answer ends here, before its last byte."""
+
+    KIND: ClassVar[int] = 84
+    LAYOUT: ClassVar[Struct] = Struct("!B")
+
+    reason: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.reason)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ForwardCut:
+        try:
+            reason, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ForwardCut of {len(payload)} bytes, not {start}")
+        return cls(reason)
+
+
 MESSAGES: dict[int, type] = {
     1: Hello,
     2: Ping,
@@ -1981,6 +2340,7 @@
     23: Member,
     24: MemberDelta,
     25: Heartbeat,
+    26: ControlReplicas,
     30: LedgerBegin,
     31: LedgerGrant,
     32: LedgerFinish,
@@ -2013,4 +2373,12 @@
     62: HistoryEntry,
     63: RequestAnswer,
     64: StoreState,
+    65: RouteTableCommand,
+    66: TakenTable,
+    67: RouteTableState,
+    80: ForwardRequest,
+    81: ForwardBody,
+    82: ForwardContinue,
+    83: ForwardAnswer,
+    84: ForwardCut,
 }
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -78,7 +78,7 @@
         "service and of those it calls, or everything. ``session`` counts its connections; "
         "``last_resort`` takes a control process that has lost touch with the others too.",
         "incarnation:u64 version:u64 session:u32 everything:bool last_resort:bool node:str "
-        "tenant:str service:str zone:str address:str",
+        "tenant:str service:str zone:str address:str instance:str slots:u32 state:u8",
     ),
     Record(
         21,
@@ -95,9 +95,11 @@
     Record(
         23,
         "Member",
-        "One node of a service. ``sequence`` orders the states of one incarnation.",
-        "incarnation:u64 sequence:u32 state:u8 node:str tenant:str service:str zone:str "
-        "address:str",
+        "One node of a service. ``sequence`` orders the states of one incarnation; "
+        "``instance`` is the start of the worker beside it and ``slots`` how many calls that "
+        "runs at once, where the worker has told them.",
+        "incarnation:u64 sequence:u32 state:u8 slots:u32 node:str tenant:str service:str "
+        "zone:str address:str instance:str",
     ),
     Record(
         24,
@@ -108,8 +110,14 @@
     Record(
         25,
         "Heartbeat",
-        "Renews a node's lease and reports the version in force there.",
-        "incarnation:u64 version:u64 state:u8",
+        "Renews a node's lease and reports the version in force there and its worker.",
+        "incarnation:u64 version:u64 state:u8 slots:u32 service:str instance:str",
+    ),
+    Record(
+        26,
+        "ControlReplicas",
+        "Addresses at which nodes may subscribe to control, as its group states them now.",
+        "addresses:strings",
     ),
     Record(
         30,
@@ -289,4 +297,49 @@
         "revision:u64 whole_below:u64 documents:[Document] rows:[ConfigRow] history:[HistoryEntry] "
         "requests:[RequestAnswer]",
     ),
+    Record(
+        65,
+        "RouteTableCommand",
+        "A checked whole route table that an operator puts in force. ``version`` is the "
+        "operator's, ``base`` the one it replaces, ``digest`` tells equal requests.",
+        "version:u64 base:u64 digest:bytes document:bytes",
+    ),
+    Record(
+        66,
+        "TakenTable",
+        "The digest of a route table that was taken.",
+        "version:u64 digest:bytes",
+    ),
+    Record(
+        67,
+        "RouteTableState",
+        "The whole state of a route table store.",
+        "revision:u64 version:u64 document:bytes taken:[TakenTable]",
+    ),
+    Record(
+        80,
+        "ForwardRequest",
+        "One sidecar asks another to have its worker run a request. Times are what is left, "
+        "in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the "
+        "request is no longer worth starting. ``lines`` holds the request line and the "
+        "headers, ``body`` what of the body has been read; ``whole`` tells that this is all.",
+        "deadline_ms:u32 start_ms:u32 priority:u8 repeatable:bool bodiless:bool framing:u8 "
+        "whole:bool length:u64 service:str request:str lines:bytes body:bytes",
+    ),
+    Record(
+        81, "ForwardBody", "The next piece of a body; none after the last.", "last:bool data:bytes"
+    ),
+    Record(
+        82, "ForwardContinue", "The request is admitted: send the rest of its body.", "unused:u8"
+    ),
+    Record(
+        83,
+        "ForwardAnswer",
+        "First record of the answer. ``outcome`` and ``reason`` are those of a call; "
+        "``arrived`` tells whether the request reached the worker. The load is the sidecar's "
+        "own count. ``body`` is the first piece, and all of it if ``whole``.",
+        "outcome:u8 reason:u8 arrived:bool whole:bool framing:u8 status:u16 retry_after_ms:u32 "
+        "running:u32 queued:u32 slots:u32 length:u64 lines:bytes body:bytes",
+    ),
+    Record(84, "ForwardCut", "The answer ends here, before its last byte.", "reason:u8"),
 )
--- a/src/cranklane/replication/election.py
+++ b/src/cranklane/replication/election.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from cranklane.replication.replica import Replica
 
+PAUSE_SECONDS = 4.0
+"""Seconds that a replica whose disk failed leaves elections to the others."""
+
 VOTE_SECONDS = 0.5
 """Seconds a vote is waited for."""
 
@@ -57,7 +60,17 @@
             self.heard()
             if not replica.is_leader and replica.members.is_voter(replica.identity):
                 self._heard_at -= ELECTION_SECONDS
-                self.campaign()
+                try:
+                    self.campaign()
+                except OSError as error:
+                    # The vote could not be written: others are to stand.
+                    replica.event_log.error("disk_failed", error=str(error))
+                    self.pause()
+
+    def pause(self) -> None:
+        """Leave it to others to stand, for longer than an election takes."""
+        self.heard()
+        self._patience += PAUSE_SECONDS
 
     def campaign(self) -> None:
         """Ask for a trial vote first, so that a replica cut off disturbs nobody."""
--- a/src/cranklane/replication/leadership.py
+++ b/src/cranklane/replication/leadership.py
@@ -44,6 +44,7 @@
     def __init__(self, replica: Replica, term: int) -> None:
         self._replica = replica
         self.term = term
+        self._began_at = replica.runtime.monotonic()
         self.matched: dict[int, int] = {}
         self._answered_at: dict[int, float] = {}
         self._followed: set[int] = set()
@@ -51,6 +52,10 @@
         self._first_index = replica.log.last_index + 1
         self._ended = False
 
+    def age(self) -> float:
+        """Return the seconds since it began."""
+        return self._replica.runtime.monotonic() - self._began_at
+
     def start(self) -> None:
         """Start the tasks."""
         self._follow_members()
--- a/src/cranklane/replication/log.py
+++ b/src/cranklane/replication/log.py
@@ -160,7 +160,12 @@
     def append(self, entries: list[LogEntry]) -> None:
         """Write entries at the end; durable only after :meth:`sync`."""
         frames = b"".join(_frame(entry, self._synced) for entry in entries)
-        self._storage.append(LOG_FILE, frames)
+        try:
+            self._storage.append(LOG_FILE, frames)
+        except OSError:
+            # What was written of them must not stand before later frames.
+            self._storage.truncate(LOG_FILE, self._size)
+            raise
         self._size += len(frames)
         for entry in entries:
             self._keep(entry)
--- a/src/cranklane/replication/membership_change.py
+++ b/src/cranklane/replication/membership_change.py
@@ -12,6 +12,7 @@
 from cranklane.replication.replica import EntryKind
 
 if TYPE_CHECKING:
+    from cranklane.replication.leadership import Leadership
     from cranklane.replication.replica import Replica
 
 PROMOTION_SECONDS = 0.3
@@ -21,6 +22,10 @@
 """A replica that answered the leader within this time counts as there."""
 
 
+SILENT_VOTER_SECONDS = 1.5
+"""A voter that has answered nothing for this long may lose its place to a learner."""
+
+
 class JoinStatus(IntEnum):
     """Answer to a replica that asks to join."""
 
@@ -46,10 +51,16 @@
 
 
 class MembershipChange:
-    """Adds, promotes and removes replicas while this replica leads."""
+    """Adds, promotes and removes replicas while this replica leads.
+
+    :param voters: how many voters the group is to have; with them a learner that
+        has caught up takes the place of a voter that is silent. 0: operators
+        alone remove replicas.
+    """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: Replica, voters: int = 0) -> None:
         self._replica = replica
+        self._voters = voters
         replica.runtime.spawn(self._promote)
 
     def join(self, request: JoinRequest) -> JoinReply:
@@ -63,8 +74,10 @@
         if replica.members.find(request.identity) is not None:
             return JoinReply(JoinStatus.ACCEPTED)
         former = replica.members.named(request.name)
-        if former is not None and self._is_there(former):
+        same_address = former is not None and former.address == request.address
+        if former is not None and not same_address and self._is_there(former):
             return JoinReply(JoinStatus.NAME_IN_USE)
+        # Whoever had this very address before has lost its disk: one process has it.
         if former is not None and isinstance(self.remove(former.name), Err):
             return JoinReply(JoinStatus.BUSY)
         learner = ReplicaMember(
@@ -106,14 +119,39 @@
             replica = self._replica
             if not replica.may_read or replica.leadership is None:
                 continue
-            for member in replica.members.current:
-                ready = member.promote and replica.leadership.caught_up(member.identity)
-                if ready and not member.voter:
-                    voter = ReplicaMember(
-                        member.identity, True, False, member.name, member.address, member.http
-                    )
-                    self._state(self._with(voter))
-                    break
+            learner = self._ready_learner(replica.leadership)
+            if learner is not None and not self._remove_silent():
+                voter = ReplicaMember(
+                    learner.identity, True, False, learner.name, learner.address, learner.http
+                )
+                self._state(self._with(voter))
+
+    def _ready_learner(self, leadership: Leadership) -> ReplicaMember | None:
+        """Return a learner that is to vote and has caught up, or None."""
+        for member in self._replica.members.current:
+            if member.promote and not member.voter and leadership.caught_up(member.identity):
+                return member
+        return None
+
+    def _remove_silent(self) -> bool:
+        """Remove a silent voter whose place a learner can take; return whether one was.
+
+        A group never shrinks only because somebody is away: without a learner
+        the voter stays, and if it comes back it joins again.
+        """
+        voters = self._replica.members.voters()
+        leadership = self._replica.leadership
+        if not self._voters or len(voters) < self._voters or leadership is None:
+            return False
+        if leadership.age() < SILENT_VOTER_SECONDS:
+            # Too new to tell who is silent.
+            return False
+        for member in voters:
+            own = member.identity == self._replica.identity
+            if not own and not leadership.answered_within(member.identity, SILENT_VOTER_SECONDS):
+                self._replica.event_log.warning("silent_voter_removed", replica=member.name)
+                return isinstance(self.remove(member.name), Ok)
+        return False
 
     def _with(self, changed: ReplicaMember) -> list[ReplicaMember]:
         return [
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -148,6 +148,11 @@
         """Whether it belongs to a group."""
         return self.members.find(self.identity) is not None
 
+    def members_suffice(self, voters: int) -> bool:
+        """Return whether the group has at least so many voters, by its committed word."""
+        settled = self.members.index <= self.commit_index
+        return settled and len(self.members.voters()) >= voters
+
     def leader_member(self) -> ReplicaMember | None:
         """Return the leader, or None when it is not known."""
         return self.members.find(self.leader) if self.leader else None
@@ -231,7 +236,14 @@
         with self.changing:
             if self.leadership is not leadership:
                 return Err(ProposalFailure.NOT_LEADER)
-            index = self._append_own(leadership, kind, command)
+            try:
+                index = self._append_own(leadership, kind, command)
+            except OSError as error:
+                # Nothing was written: somebody whose disk takes writes must lead.
+                self.event_log.error("disk_failed", error=str(error))
+                self.election.pause()
+                self.step_down()
+                return Err(ProposalFailure.NOT_LEADER)
             waiting = self._waiting[index] = (leadership.term, applied)
         self._unsynced.set()
         leadership.wake()
--- /dev/null
+++ b/src/cranklane/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Route tables: whole versioned configurations that route by host and path."""
--- /dev/null
+++ b/src/cranklane/routes/document.py
@@ -0,0 +1,193 @@
+"""Reads a route table from its document and states every problem in it.
+
+A document is JSON. Field names are the product's own; times are milliseconds::
+
+    {"version": 7, "base": 5,
+     "routes": {"pay": {"host": "shop.example", "prefix": "/pay/",
+                        "repeat": "unsafe", "timeout_ms": 800, "objective_ms": 500,
+                        "priority": 0, "service": "orders", "max_attempts": 2}},
+     "services": {"orders": {"health_path": "/healthz", "max_connections": 652}},
+     "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
+                "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+
+A route goes to one ``service`` or is divided by ``split``, a list of
+``{"service": ..., "weight": ...}``. ``repeat`` is ``safe``, ``unsafe`` or
+``download``; requests of ``safe`` and ``download`` routes may run again.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranklane.routes.table import Limits, Route, RouteTable, ServiceEntry, Share
+
+MAX_TIMEOUT_MS = 600_000
+"""Longest time limit of a route."""
+
+MAX_OBJECTIVE_OVER_TIMEOUT_MS = 60_000
+"""An objective must be less than this much above its route's time limit."""
+
+MAX_NUMBER = 2**63 - 1
+UNREPEATABLE = "unsafe"
+REPEATABLE = ("safe", "download")
+
+
+class _ProblemError(Exception):
+    """Problems found while reading; carries their texts."""
+
+
+class _Fields:
+    """The fields of one object of the document, with checks."""
+
+    def __init__(self, where: str, value: Any) -> None:
+        if not isinstance(value, dict):
+            raise _ProblemError(f"{where}: expected an object")
+        self._where = where
+        self._value = value
+
+    def number(self, name: str, least: int, most: int, default: int | None = None) -> int:
+        value = self._value.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+            raise _ProblemError(
+                f"{self._where}.{name}: found {value!r}; expected a number of {least} to {most}"
+            )
+        return value
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self._value.get(name, default)
+        if not isinstance(value, str) or not value:
+            raise _ProblemError(f"{self._where}.{name}: found {value!r}; expected a text")
+        return value
+
+    def value(self, name: str) -> Any:
+        return self._value.get(name)
+
+
+def read_json(data: bytes) -> Result[dict[str, Any], list[str]]:
+    """Return the object that a document's bytes hold, or the problem."""
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return Err([f"the document cannot be read: {error}"])
+    if not isinstance(value, dict):
+        return Err(["the document is not an object"])
+    return Ok(value)
+
+
+def read_table(document: dict[str, Any]) -> Result[RouteTable, list[str]]:
+    """Return the table of a document, or every problem found in it."""
+    problems: list[str] = []
+    services = _read_each(document, "services", _service, problems)
+    routes = _read_each(document, "routes", _route, problems)
+    limits = Limits()
+    version = 0
+    try:
+        version = _Fields("document", document).number("version", 1, MAX_NUMBER)
+        limits = _limits(document)
+    except _ProblemError as problem:
+        problems.append(str(problem))
+    by_name = {service.name: service for service in services}
+    problems += _check_destinations(routes, by_name)
+    problems += _check_places(routes)
+    if problems:
+        return Err(problems)
+    return Ok(RouteTable(version, tuple(routes), by_name, limits))
+
+
+def _read_each(document: dict[str, Any], kind: str, read: Any, problems: list[str]) -> list[Any]:
+    entries = document.get(kind)
+    if not isinstance(entries, dict):
+        problems.append(f"{kind}: expected a table by name")
+        return []
+    found = []
+    for name, value in entries.items():
+        try:
+            found.append(read(name, value))
+        except _ProblemError as problem:
+            problems.append(str(problem))
+    return found
+
+
+def _service(name: str, value: Any) -> ServiceEntry:
+    fields = _Fields(f"services.{name}", value)
+    return ServiceEntry(
+        name,
+        fields.text("health_path", "/"),
+        fields.number("max_connections", 0, MAX_NUMBER, 0),
+    )
+
+
+def _route(name: str, value: Any) -> Route:
+    where = f"routes.{name}"
+    fields = _Fields(where, value)
+    repeat = fields.text("repeat")
+    if repeat != UNREPEATABLE and repeat not in REPEATABLE:
+        raise _ProblemError(f"{where}.repeat: found {repeat!r}; expected safe, unsafe or download")
+    prefix = fields.text("prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise _ProblemError(f"{where}.prefix: found {prefix!r}; must begin and end with a slash")
+    timeout = fields.number("timeout_ms", 1, MAX_TIMEOUT_MS)
+    most = timeout + MAX_OBJECTIVE_OVER_TIMEOUT_MS - 1
+    return Route(
+        name=name,
+        host=fields.text("host").lower(),
+        prefix=prefix,
+        repeatable=repeat in REPEATABLE,
+        timeout_ms=timeout,
+        objective_ms=fields.number("objective_ms", 1, most, timeout),
+        priority=fields.number("priority", 0, 255, 0),
+        max_attempts=fields.number("max_attempts", 1, 1000),
+        shares=_shares(where, fields),
+    )
+
+
+def _shares(where: str, fields: _Fields) -> tuple[Share, ...]:
+    split = fields.value("split")
+    if split is None:
+        return (Share(fields.text("service"), 1),)
+    if not isinstance(split, list) or not split:
+        raise _ProblemError(f"{where}.split: expected a list of service and weight")
+    shares = []
+    for entry in split:
+        part = _Fields(f"{where}.split", entry)
+        shares.append(Share(part.text("service"), part.number("weight", 0, MAX_NUMBER)))
+    if not any(share.weight for share in shares):
+        raise _ProblemError(f"{where}.split: no part has a weight")
+    return tuple(shares)
+
+
+def _limits(document: dict[str, Any]) -> Limits:
+    fields = _Fields("limits", document.get("limits", {}))
+    default = Limits()
+    return Limits(
+        fields.number("max_header_bytes", 1, MAX_NUMBER, default.max_header_bytes),
+        fields.number("max_body_bytes", 0, MAX_NUMBER, default.max_body_bytes),
+        fields.number("header_timeout_ms", 1, MAX_NUMBER, default.header_timeout_ms),
+        fields.number("idle_timeout_ms", 1, MAX_NUMBER, default.idle_timeout_ms),
+    )
+
+
+def _check_destinations(routes: list[Route], services: dict[str, ServiceEntry]) -> list[str]:
+    return [
+        f"routes.{route.name}: unknown service {share.service!r}"
+        for route in routes
+        for share in route.shares
+        if share.service not in services
+    ]
+
+
+def _check_places(routes: list[Route]) -> list[str]:
+    taken: dict[tuple[str, str], str] = {}
+    problems = []
+    for route in routes:
+        place = (route.host, route.prefix)
+        if place in taken:
+            problems.append(
+                f"routes.{route.name}: same host and prefix as {taken[place]}: "
+                f"{route.host}{route.prefix}"
+            )
+        taken[place] = route.name
+    return problems
--- /dev/null
+++ b/src/cranklane/routes/table.py
@@ -0,0 +1,99 @@
+"""A route table ready for look-ups: routes by host and longest path prefix."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """One destination of a route and its part of the route's requests."""
+
+    service: str
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route.
+
+    :ivar prefix: path prefix; begins and ends with a slash.
+    :ivar repeatable: whether a request may run more than once.
+    :ivar timeout_ms: the longest a request is held.
+    :ivar objective_ms: an answer within this time is worth most.
+    :ivar priority: 0 is the most important.
+    :ivar max_attempts: most workers that one request may reach.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeatable: bool
+    timeout_ms: int
+    objective_ms: int
+    priority: int
+    max_attempts: int
+    shares: tuple[Share, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceEntry:
+    """What a table says of a service.
+
+    :ivar max_connections: connections one of its workers accepts from all callers.
+    """
+
+    name: str
+    health_path: str = "/"
+    max_connections: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what a caller may send, and on how long it may take or rest."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 60_000
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """One whole configuration.
+
+    :ivar version: the operator's number; 0 for none.
+    """
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: dict[str, ServiceEntry] = field(default_factory=dict)
+    limits: Limits = field(default_factory=Limits)
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        object.__setattr__(self, "_by_host", by_host)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None.
+
+        :param host: the Host header; a port is ignored.
+        :param path: as sent, without its query.
+
+        >>> route = Route("r", "a.example", "/x/", True, 1000, 100, 0, 1, (Share("s", 1),))
+        >>> table = RouteTable(1, (route,))
+        >>> table.find("A.example:80", "/x/y").name, table.find("a.example", "/y")
+        ('r', None)
+        """
+        name = host.lower()
+        routes = self._by_host.get(name)  # type: ignore[attr-defined]
+        if routes is None:
+            routes = self._by_host.get(name.partition(":")[0], ())  # type: ignore[attr-defined]
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
--- a/src/cranklane/runtime/interface.py
+++ b/src/cranklane/runtime/interface.py
@@ -115,6 +115,18 @@
     def hung_up(self, connections: Iterable[Any]) -> list[Any]:
         """Return those connections whose far end has closed or broken."""
 
+    @abstractmethod
+    def has_input(self, connection: Any) -> bool:
+        """Return whether a connection has bytes to read, has ended or is broken."""
+
+    @abstractmethod
+    def end_when_unheard(self, connection: Any) -> None:
+        """Break a connection whose far end confirms nothing that was sent for a while.
+
+        Without it, a connection to a machine that has lost power, or is cut off,
+        would seem to work until the kernel gives up after many minutes.
+        """
+
     @abstractmethod
     def storage(self, folder: str) -> Storage:
         """Return the files of a data folder, creating it."""
--- a/src/cranklane/runtime/real.py
+++ b/src/cranklane/runtime/real.py
@@ -23,6 +23,7 @@
 )
 
 _LISTEN_BACKLOG = 1024
+_UNHEARD_MS = 1500
 _HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -172,6 +173,16 @@
                 poll.register(descriptor, _HANG_UP)
         return [by_descriptor[ready] for ready, _ in poll.poll(0)]
 
+    def has_input(self, connection: Any) -> bool:
+        """Return whether a connection has bytes to read, has ended or is broken."""
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN | _HANG_UP)
+        return bool(poll.poll(0))
+
+    def end_when_unheard(self, connection: Any) -> None:
+        """Break a connection whose far end confirms nothing that was sent for a while."""
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNHEARD_MS)
+
     def storage(self, folder: str) -> Storage:
         """Return the files of a data folder, creating it."""
         return FileStorage(Path(folder))
--- /dev/null
+++ b/src/cranklane/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: takes its machine's requests and runs those for its own worker."""
--- /dev/null
+++ b/src/cranklane/sidecar/attempt.py
@@ -0,0 +1,91 @@
+"""One try to have a worker run a request, and what became of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from cranklane.common.http1 import Framing
+from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import ForwardRequest
+
+BodyReader = Callable[[], bytes]
+"""Returns the next piece of a request's body, nothing at its end."""
+
+SMALL_BODY_BYTES = 64 * 1024
+"""A body up to this size is held whole, so that it can be sent again."""
+
+
+class Attempt:
+    """A request on its way to one worker.
+
+    :ivar request: what is asked.
+    :ivar rest: reads what of the body has not been read yet; None when it is whole.
+    :ivar cancelled: whether nobody waits for the answer any more.
+    """
+
+    __slots__ = ("request", "rest", "cancelled", "_on_cancel")
+
+    def __init__(self, request: ForwardRequest, rest: BodyReader | None = None) -> None:
+        self.request = request
+        self.rest = rest
+        self.cancelled = False
+        self._on_cancel: Callable[[], None] | None = None
+
+    def when_cancelled(self, action: Callable[[], None] | None) -> None:
+        """State what ends the present step; None when it has ended.
+
+        The action is taken at once when the attempt is cancelled already.
+        """
+        self._on_cancel = action
+        if self.cancelled and action is not None:
+            action()
+
+    def cancel(self) -> None:
+        """End the attempt: its caller has left."""
+        self.cancelled = True
+        if self._on_cancel is not None:
+            self._on_cancel()
+
+
+@dataclass(slots=True)
+class Load:
+    """Load of a worker by its own sidecar's count."""
+
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+
+
+@dataclass(slots=True)
+class Reply:
+    """What became of an attempt.
+
+    :ivar arrived: whether the request reached a worker.
+    :ivar retry_after_ms: when a refused request may come again.
+    :ivar lines: the answer's headers as they go to the caller, without framing.
+    :ivar body: the body, or its first piece when ``rest`` is there.
+    :ivar rest: the further pieces; raises AnswerCutError when they end too early.
+    """
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    arrived: bool = False
+    status: int = 0
+    retry_after_ms: int = 0
+    framing: Framing = Framing.LENGTH
+    length: int = 0
+    lines: bytes = b""
+    body: bytes = b""
+    rest: Iterator[bytes] | None = None
+    load: Load = field(default_factory=Load)
+
+
+def refusal(reason: Reason, arrived: bool = False, retry_after_ms: int = 0) -> Reply:
+    """Return the reply that tells that the request has not run here."""
+    return Reply(Outcome.NOT_RUN, reason, arrived, retry_after_ms=retry_after_ms)
+
+
+def unknown(reason: Reason) -> Reply:
+    """Return the reply that tells that the request may have run."""
+    return Reply(Outcome.UNKNOWN, reason, arrived=True)
--- /dev/null
+++ b/src/cranklane/sidecar/destinations.py
@@ -0,0 +1,187 @@
+"""The workers of every service, each behind its own sidecar, and their load."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from cranklane.node.members import MemberState
+from cranklane.outcome import Reason
+from cranklane.records.messages import Member, MemberDelta
+from cranklane.runtime.interface import Address, parse_address
+from cranklane.sidecar.attempt import Load
+
+EJECT_SECONDS = 1.0
+"""A destination that could not be reached gets nothing for this long at first."""
+
+MAX_EJECT_SECONDS = 4.0
+FAILURES_BEFORE_EJECTION = 3
+LATENCY_WEIGHT = 0.1
+OTHER_ZONE_COST = 1.15
+"""A destination in another zone counts as this much slower."""
+
+FULL_LOAD = 0.85
+"""Part of its slots from which a worker counts as slower."""
+
+FULL_COST = 4.0
+
+_UNREACHABLE = (Reason.PEER_UNREACHABLE, Reason.WORKER_UNREACHABLE, Reason.PEER_LOST)
+
+
+@dataclass(slots=True, eq=False)
+class Destination:
+    """One worker and what this process knows of its load.
+
+    :ivar reported: requests running or waiting there, by its newest answer.
+    :ivar opened_since: requests sent there from here since that answer.
+    :ivar in_flight: requests sent there from here without an answer yet.
+    :ivar latency: smoothed seconds until an answer; 0 when none was seen.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    service: str
+    zone: str
+    address: Address
+    instance: str
+    state: MemberState
+    slots: int
+    reported: int = 0
+    opened_since: int = 0
+    in_flight: int = 0
+    latency: float = 0.0
+    failures: int = 0
+    ejected_until: float = 0.0
+
+    def load(self) -> float:
+        """Return the estimated requests there for each of its slots."""
+        return max(self.in_flight, self.reported + self.opened_since) / max(1, self.slots)
+
+    def opened(self) -> None:
+        """Count a request sent there."""
+        self.in_flight += 1
+        self.opened_since += 1
+
+    def closed(self) -> None:
+        """Count a request that has ended."""
+        self.in_flight -= 1
+
+    def answered(self, seconds: float, load: Load) -> None:
+        """Take an answer."""
+        self.failures = 0
+        self.take_load(load)
+        weight = LATENCY_WEIGHT if self.latency else 1.0
+        self.latency += weight * (seconds - self.latency)
+
+    def take_load(self, load: Load) -> None:
+        """Take the load that its sidecar has told."""
+        if load.slots:
+            self.slots = load.slots
+            self.reported = load.running + load.queued
+            self.opened_since = 0
+
+    def failed(self, now: float, reason: Reason) -> None:
+        """Count a failure; unreachable destinations get nothing for a while."""
+        self.failures += 1
+        if reason in _UNREACHABLE or self.failures >= FAILURES_BEFORE_EJECTION:
+            pause = min(MAX_EJECT_SECONDS, EJECT_SECONDS * self.failures)
+            self.ejected_until = now + pause
+
+
+class Destinations:
+    """Members of every service, kept current from control.
+
+    :param own: name of this machine's node; its own worker is stated by
+        :meth:`state_own`, not by control.
+    """
+
+    def __init__(self, clock: Callable[[], float], random: Random, own: str, zone: str) -> None:
+        self._clock = clock
+        self._random = random
+        self._own = own
+        self._zone = zone
+        self._by_node: dict[str, Destination] = {}
+        self._by_service: dict[str, list[Destination]] = {}
+
+    def apply(self, delta: MemberDelta) -> None:
+        """Take what control says of members."""
+        if delta.whole:
+            named = {member.node for member in delta.members}
+            for node in [n for n in self._by_node if n not in named and n != self._own]:
+                self._remove(node)
+        for member in delta.members:
+            if member.node != self._own:
+                self._apply(member)
+
+    def state_own(self, member: Member) -> None:
+        """State the worker beside this process."""
+        self._apply(member)
+
+    def _apply(self, member: Member) -> None:
+        known = self._by_node.get(member.node)
+        if known is not None:
+            order = (known.incarnation, known.sequence)
+            if (member.incarnation, member.sequence) < order:
+                return
+        if member.state == MemberState.GONE or not member.service:
+            self._remove(member.node)
+            return
+        same = known is not None and (known.service, known.address, known.instance) == (
+            member.service,
+            parse_address(member.address),
+            member.instance,
+        )
+        if known is None or not same:
+            self._remove(member.node)
+            self._add(member)
+            return
+        known.incarnation = member.incarnation
+        known.sequence = member.sequence
+        known.state = MemberState(member.state)
+        known.slots = member.slots
+
+    def _add(self, member: Member) -> None:
+        added = Destination(
+            node=member.node,
+            incarnation=member.incarnation,
+            sequence=member.sequence,
+            service=member.service,
+            zone=member.zone,
+            address=parse_address(member.address),
+            instance=member.instance,
+            state=MemberState(member.state),
+            slots=member.slots,
+        )
+        self._by_node[member.node] = added
+        self._by_service.setdefault(member.service, []).append(added)
+
+    def _remove(self, node: str) -> None:
+        known = self._by_node.pop(node, None)
+        if known is not None:
+            self._by_service[known.service].remove(known)
+
+    def count(self, service: str) -> int:
+        """Return how many live workers a service has."""
+        return sum(item.state is MemberState.LIVE for item in self._by_service.get(service, ()))
+
+    def choose(self, service: str, tried: set[str]) -> Destination | None:
+        """Return the destination for the next attempt, or None when there is none."""
+        now = self._clock()
+        live = [
+            item
+            for item in self._by_service.get(service, ())
+            if item.state is MemberState.LIVE and item.node not in tried
+        ]
+        if not live:
+            return None
+        healthy = [item for item in live if item.ejected_until <= now]
+        return min(healthy or live, key=self._score)
+
+    def _score(self, item: Destination) -> tuple[float, float]:
+        load = item.load()
+        cost = (load + 0.02) * (1.0 if item.zone == self._zone else OTHER_ZONE_COST)
+        if load > FULL_LOAD:
+            cost += FULL_COST * (load - FULL_LOAD)
+        return cost, self._random.random()
--- /dev/null
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -0,0 +1,184 @@
+"""Has a request run: chooses workers one after the other until one has answered.
+
+A refusal by a worker's own sidecar reached no worker, so trying another costs
+nothing. A second arrival at a worker is paid from the retry budget.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cranklane.common.http1 import Framing
+from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import ForwardRequest
+from cranklane.routes.table import Route
+from cranklane.runtime.interface import Runtime
+from cranklane.sidecar.attempt import Attempt, BodyReader, Reply, refusal
+from cranklane.sidecar.destinations import Destination, Destinations
+from cranklane.sidecar.gate import Gate
+from cranklane.sidecar.peers import PeerClient
+from cranklane.sidecar.retry_budget import RetryBudget
+
+MAX_REFUSALS = 3
+"""Sidecars asked in turn before a request counts as refused."""
+
+START_PART = 0.5
+"""A request may wait for its start this part of its objective, and no longer."""
+
+DEFAULT_RETRY_AFTER_MS = 200
+
+_EJECTING = (Reason.PEER_UNREACHABLE, Reason.PEER_LOST, Reason.WORKER_UNREACHABLE)
+
+
+@dataclass(slots=True)
+class Call:
+    """One request of a caller, ready to be sent.
+
+    :ivar started_at: monotonic second at which its first byte was read.
+    :ivar deadline: monotonic second at which nobody waits any more, by the
+        caller's own word or by the route.
+    :ivar lines: request line and headers, without framing and what a gate sets.
+    :ivar rest: reads the part of the body that is not in ``body``; such a
+        request is sent once only.
+    :ivar attempts: workers reached so far.
+    """
+
+    request: str
+    route: Route
+    service: str
+    started_at: float
+    deadline: float
+    bodiless: bool
+    framing: Framing
+    length: int
+    lines: bytes
+    body: bytes
+    rest: BodyReader | None = None
+    attempts: int = 0
+    refusals: int = 0
+    cancelled: bool = False
+    current: Attempt | None = None
+    tried: set[str] = field(default_factory=set)
+
+    def cancel(self) -> None:
+        """End it: its caller has left."""
+        self.cancelled = True
+        if self.current is not None:
+            self.current.cancel()
+
+
+class Dispatcher:
+    """Chooses destinations for requests.
+
+    :param own: name of this machine's node.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        destinations: Destinations,
+        gate: Gate,
+        peers: PeerClient,
+        budget: RetryBudget,
+        own: str,
+        on_attempt: Callable[[Call, Destination, Reply], None],
+    ) -> None:
+        self._runtime = runtime
+        self._destinations = destinations
+        self._gate = gate
+        self._peers = peers
+        self._budget = budget
+        self._own = own
+        self._on_attempt = on_attempt
+
+    def run(self, call: Call) -> Reply:
+        """Return the answer of a worker, or why there is none."""
+        self._budget.earned(call.service)
+        result = refusal(Reason.NO_MEMBERS, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+        may_have_run = False
+        while True:
+            destination = self._destinations.choose(call.service, call.tried)
+            if destination is None:
+                break
+            reply = self._attempt(call, destination)
+            may_have_run |= reply.outcome is Outcome.UNKNOWN
+            if not self._replaces(result, reply):
+                break
+            result = reply
+            if reply.outcome is Outcome.ANSWERED or not self._goes_on(call, reply):
+                break
+        if may_have_run and result.outcome is Outcome.NOT_RUN:
+            result = Reply(Outcome.UNKNOWN, result.reason, arrived=True)
+        return result
+
+    @staticmethod
+    def _replaces(former: Reply, reply: Reply) -> bool:
+        return former.outcome is not Outcome.ANSWERED
+
+    def _attempt(self, call: Call, destination: Destination) -> Reply:
+        call.tried.add(destination.node)
+        now = self._runtime.monotonic()
+        attempt = Attempt(self._request(call, now), call.rest)
+        call.current = attempt
+        if call.cancelled:
+            return refusal(Reason.CANCELLED)
+        destination.opened()
+        try:
+            if destination.node == self._own:
+                reply = self._gate.run(attempt)
+            else:
+                reply = self._peers.run(destination.address, attempt)
+        finally:
+            destination.closed()
+        call.attempts += reply.arrived
+        self._learn(destination, reply, self._runtime.monotonic() - now)
+        self._on_attempt(call, destination, reply)
+        return reply
+
+    def _request(self, call: Call, now: float) -> ForwardRequest:
+        left = max(0.0, call.deadline - now)
+        spent = now - call.started_at
+        start = min(left, call.route.objective_ms / 1000 * START_PART - spent)
+        return ForwardRequest(
+            deadline_ms=int(left * 1000),
+            start_ms=max(0, int(start * 1000)),
+            priority=call.route.priority,
+            repeatable=call.route.repeatable,
+            bodiless=call.bodiless,
+            framing=call.framing,
+            whole=call.rest is None,
+            length=call.length,
+            service=call.service,
+            request=call.request,
+            lines=call.lines,
+            body=call.body,
+        )
+
+    def _learn(self, destination: Destination, reply: Reply, seconds: float) -> None:
+        if reply.outcome is Outcome.ANSWERED:
+            destination.answered(seconds, reply.load)
+            return
+        destination.take_load(reply.load)
+        if reply.reason in _EJECTING or (
+            reply.outcome is Outcome.UNKNOWN and reply.reason is not Reason.CANCELLED
+        ):
+            destination.failed(self._runtime.monotonic(), reply.reason)
+
+    def _goes_on(self, call: Call, reply: Reply) -> bool:
+        """Return whether another worker may be tried after this reply."""
+        if call.cancelled or self._runtime.monotonic() >= call.deadline:
+            return False
+        if reply.outcome is Outcome.UNKNOWN and not call.route.repeatable:
+            return False
+        if call.rest is not None and reply.outcome is Outcome.UNKNOWN:
+            # Pieces of its body are gone.
+            return False
+        if not reply.arrived:
+            call.refusals += 1
+            if call.refusals >= MAX_REFUSALS:
+                return False
+            return call.attempts == 0 or call.attempts < call.route.max_attempts
+        if call.attempts >= call.route.max_attempts:
+            return False
+        return self._budget.take(call.service)
--- /dev/null
+++ b/src/cranklane/sidecar/gate.py
@@ -0,0 +1,113 @@
+"""Decides which requests the worker beside this sidecar runs, and when.
+
+Every request for the worker comes through here, so what runs there is counted
+exactly, and a refusal costs the worker nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from cranklane.common.request_names import HeaderNames
+from cranklane.outcome import Reason
+from cranklane.runtime.interface import Runtime
+from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal
+from cranklane.sidecar.slots import Slots, Waiter
+from cranklane.sidecar.worker_exchange import WorkerExchange
+from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
+
+MIN_RETRY_AFTER_MS = 50
+
+
+class Gate:
+    """Admits requests to the worker."""
+
+    def __init__(
+        self, runtime: Runtime, worker: WorkerRegistry, slots: Slots, names: HeaderNames
+    ) -> None:
+        self._runtime = runtime
+        self._worker = worker
+        self._slots = slots
+        self._exchange = (
+            WorkerExchange(runtime, worker.pool, names, worker.other_instance)
+            if worker.pool is not None
+            else None
+        )
+
+    @property
+    def load(self) -> Load:
+        """The worker's load now."""
+        return Load(self._slots.running, self._slots.queued, self._slots.limit)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request runs or waits."""
+        return self._slots.running > 0 or self._slots.queued > 0
+
+    def run(self, attempt: Attempt, on_admitted: Any = None) -> Reply:
+        """Run a request at the worker, or say at once that it is not run.
+
+        :param on_admitted: called once a slot is taken, before anything is sent.
+        """
+        reply = self._run(attempt, on_admitted)
+        reply.load = self.load
+        return reply
+
+    def _run(self, attempt: Attempt, on_admitted: Any) -> Reply:
+        request = attempt.request
+        arrived_at = self._runtime.monotonic()
+        reason = self._closed_to(request.service)
+        if reason is Reason.NONE:
+            reason = self._slots.acquire(
+                request.priority, request.start_ms / 1000, self._ends_wait(attempt)
+            )
+        if reason is not Reason.NONE:
+            return refusal(reason, retry_after_ms=self._retry_after_ms())
+        started_at = self._runtime.monotonic()
+        reply: Reply | None = None
+        try:
+            if on_admitted is not None:
+                on_admitted()
+            deadline = arrived_at + request.deadline_ms / 1000
+            assert self._exchange is not None
+            reply = self._exchange.run(attempt, self._worker.instance, deadline)
+        finally:
+            if reply is None or reply.rest is None:
+                self._release(started_at)
+        if reply.reason is Reason.WORKER_UNREACHABLE:
+            self._worker.unreachable()
+        if reply.rest is not None:
+            reply.rest = self._until_end(reply.rest, started_at)
+        return reply
+
+    def _closed_to(self, service: str) -> Reason:
+        """Return why no request for a service is taken now."""
+        worker = self._worker
+        if self._exchange is None or worker.service != service:
+            return Reason.NO_MEMBERS
+        if worker.state is WorkerState.READY:
+            return Reason.NONE
+        if worker.state in (WorkerState.DRAINING, WorkerState.GONE):
+            return Reason.DRAINING
+        return Reason.WORKER_UNREACHABLE
+
+    @staticmethod
+    def _ends_wait(attempt: Attempt) -> Any:
+        def on_wait(waiter: Waiter) -> None:
+            attempt.when_cancelled(lambda: waiter.refuse(Reason.CANCELLED))
+
+        return on_wait
+
+    def _release(self, started_at: float) -> None:
+        self._slots.release(self._runtime.monotonic() - started_at)
+
+    def _until_end(self, rest: Iterator[bytes], started_at: float) -> Iterator[bytes]:
+        try:
+            yield from rest
+        finally:
+            self._release(started_at)
+
+    def _retry_after_ms(self) -> int:
+        wait = self._slots.expected_wait(self._slots.rank(0))
+        return max(MIN_RETRY_AFTER_MS, int(wait * 1000))
--- /dev/null
+++ b/src/cranklane/sidecar/process.py
@@ -0,0 +1,281 @@
+"""A sidecar: its parts put together, started and stopped."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import gevent
+
+from cranklane.common.logs import logger
+from cranklane.common.request_names import HeaderNames
+from cranklane.common.small_http import SmallHttp
+from cranklane.control.controller import peer_addresses
+from cranklane.node.members import MemberState
+from cranklane.node.subscription import FollowTiming, Subscription
+from cranklane.records.messages import Heartbeat, Hello, Member, MemberDelta, Subscribe
+from cranklane.runtime.interface import Address, Listener, Runtime, parse_address
+from cranklane.settings import (
+    ADDRESS,
+    ADDRESSES,
+    NAME,
+    OPTIONAL_ADDRESS,
+    TEXT,
+    seconds,
+    setting,
+    whole_number,
+)
+from cranklane.sidecar.adopted_table import AdoptedTable
+from cranklane.sidecar.attempt import Reply
+from cranklane.sidecar.destinations import Destination, Destinations
+from cranklane.sidecar.dispatcher import Call, Dispatcher
+from cranklane.sidecar.gate import Gate
+from cranklane.sidecar.hang_up import HangUpWatch
+from cranklane.sidecar.ingress import Decision, Ingress
+from cranklane.sidecar.peers import PeerClient, PeerServer
+from cranklane.sidecar.retry_budget import RetryBudget
+from cranklane.sidecar.slots import Slots
+from cranklane.sidecar.worker_api import ReadinessApi, WorkerApi
+from cranklane.sidecar.worker_registry import WorkerRegistry
+
+TIMING = FollowTiming(heartbeat=1.0, silent=1.6, max_backoff=0.8)
+"""Control pings each 0.5 s, so this much silence means that it is lost."""
+
+BUDGET_PART = 0.4
+"""Part of the retry ratio that is used: calls that a repeated run makes count too."""
+
+BUDGET_RESERVE = 2.0
+
+WITHDRAWAL_SECONDS = 2.2
+"""After a planned stop began, callers may need this long to notice it."""
+
+STOP_MARGIN_SECONDS = 0.5
+STOP_LOOK_SECONDS = 0.05
+
+
+@dataclass
+class SidecarSettings:
+    """Settings of a sidecar."""
+
+    name: str = setting(NAME, help="name of this process, unique in the fleet")
+    zone: str = setting(NAME, help="zone this machine stands in")
+    service: str = setting(TEXT, help="service of this machine, stated as the caller")
+    callers: str = setting(ADDRESS, help="address for the clients and the worker of this machine")
+    readiness: str = setting(ADDRESS, help="address at which readiness is asked")
+    registry: str = setting(ADDRESS, help="address for the worker's heartbeats")
+    listen: str = setting(ADDRESS, help="address for other sidecars")
+    seeds: list[str] = setting(ADDRESSES, help="operators' addresses of some controllers")
+    peer_port: int = setting(
+        whole_number(1, 65535), help="port at which controllers listen for nodes"
+    )
+    worker: str = setting(OPTIONAL_ADDRESS, "", help="the worker's HTTP address")
+    heartbeat_seconds: float = setting(
+        seconds(0.01, 3600), 1.5, help="seconds between a worker's heartbeats"
+    )
+    retry_ratio: float = setting(
+        seconds(0, 10), 0.2, help="requests sent again for each request, over the whole fleet"
+    )
+    stop_seconds: float = setting(seconds(0, 3600), 6.0, help="most seconds of a planned stop")
+
+
+class Sidecar:
+    """One sidecar.
+
+    :param names: headers between callers, sidecars and workers.
+    :ivar incarnation: distinguishes this process from earlier ones of its name.
+    """
+
+    def __init__(
+        self, runtime: Runtime, settings: SidecarSettings, names: HeaderNames | None = None
+    ) -> None:
+        names = names or HeaderNames()
+        self._runtime = runtime
+        self.settings = settings
+        self._log = logger(process="sidecar", node=settings.name)
+        self.incarnation = int(runtime.wall() * 1000)
+        self.adopted = AdoptedTable(self._log, lambda: None)
+        self.destinations = Destinations(
+            runtime.monotonic, runtime.random, settings.name, settings.zone
+        )
+        self.slots = Slots(runtime.monotonic)
+        self.worker = WorkerRegistry(
+            runtime,
+            settings.worker,
+            settings.service,
+            settings.heartbeat_seconds,
+            self.slots,
+            self._worker_changed,
+            self._log,
+        )
+        self.gate = Gate(runtime, self.worker, self.slots, names)
+        hang_ups = HangUpWatch(runtime)
+        self.peers = PeerClient(runtime, self._hello)
+        self.peer_server = PeerServer(runtime, self.gate, hang_ups)
+        self.dispatcher = Dispatcher(
+            runtime,
+            self.destinations,
+            self.gate,
+            self.peers,
+            RetryBudget(settings.retry_ratio * BUDGET_PART, BUDGET_RESERVE),
+            settings.name,
+            self._attempted,
+        )
+        self.ingress = Ingress(
+            runtime,
+            names,
+            settings.service,
+            lambda: self.adopted.table,
+            self.dispatcher,
+            hang_ups,
+            self._decided,
+        )
+        self._own_sequence = 0
+        self._stopping = False
+        self._listeners: list[Listener] = []
+        self.subscription = self._new_subscription()
+
+    def start(self) -> None:
+        """Open the ports and follow control."""
+        settings = self.settings
+        self._listen(settings.listen, self.peer_server.accept)
+        readiness = ReadinessApi(self.is_ready)
+        self._listen(settings.readiness, SmallHttp(self._runtime, readiness.handle).accept)
+        worker_api = WorkerApi(self.worker, self._log)
+        self._listen(settings.registry, SmallHttp(self._runtime, worker_api.handle).accept)
+        self._listen(settings.callers, self.ingress.accept)
+        self._runtime.spawn(self.subscription.follow)
+        self._runtime.spawn(self.worker.watch)
+        self._log.info("started", service=settings.service, seeds=settings.seeds)
+
+    def _listen(self, address: str, handler: object) -> None:
+        self._listeners.append(
+            self._runtime.listen(parse_address(address), handler)  # type: ignore[arg-type]
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether callers may send requests here."""
+        return self.adopted.version > 0 and not self._stopping
+
+    def reload(self, settings: SidecarSettings) -> None:
+        """Take settings that have changed: only the seeds can."""
+        if settings.seeds != self.settings.seeds:
+            self._log.info("seeds_changed", seeds=settings.seeds)
+        self.settings = settings
+        self.subscription.start_from(self._controls())
+
+    # Control.
+
+    def _controls(self) -> list[Address]:
+        settings = self.settings
+        return [parse_address(item) for item in peer_addresses(settings.seeds, settings.peer_port)]
+
+    def _new_subscription(self) -> Subscription:
+        settings = self.settings
+        identity = Subscribe(
+            incarnation=self.incarnation,
+            everything=True,
+            node=settings.name,
+            service=settings.service,
+            zone=settings.zone,
+            address=settings.listen,
+        )
+        return Subscription(
+            self._runtime,
+            self._controls(),
+            identity,
+            self.adopted,
+            None,
+            self._members_changed,
+            lambda: None,
+            self._heartbeat,
+            self._log,
+            TIMING,
+        )
+
+    def _heartbeat(self) -> Heartbeat:
+        worker = self.worker
+        return Heartbeat(
+            state=self._member_state(),
+            slots=worker.slots,
+            service=worker.service,
+            instance=worker.instance,
+        )
+
+    def _member_state(self) -> MemberState:
+        if self._stopping:
+            return MemberState.DRAINING
+        return self.worker.member_state
+
+    def _hello(self) -> Hello:
+        return Hello(
+            incarnation=self.incarnation, version=self.adopted.version, node=self.settings.name
+        )
+
+    def _members_changed(self, delta: MemberDelta) -> None:
+        self.destinations.apply(delta)
+        self._log.info(
+            "members",
+            whole=delta.whole,
+            changed=[f"{item.node}:{MemberState(item.state).name}" for item in delta.members[:20]],
+        )
+
+    def _worker_changed(self) -> None:
+        """Tell this process's own table, and control, what is known of the worker."""
+        settings = self.settings
+        self._own_sequence += 1
+        self.destinations.state_own(
+            Member(
+                incarnation=self.incarnation,
+                sequence=self._own_sequence,
+                state=self._member_state(),
+                slots=self.worker.slots,
+                node=settings.name,
+                service=self.worker.service,
+                zone=settings.zone,
+                address=settings.listen,
+                instance=self.worker.instance,
+            )
+        )
+        self.subscription.announce()
+
+    # What is told of requests.
+
+    def _attempted(self, call: Call, destination: Destination, reply: Reply) -> None:
+        pass
+
+    def _decided(self, decision: Decision) -> None:
+        pass
+
+    # Stop.
+
+    def stop(self) -> bool:
+        """Stop as planned: take what still comes, and finish what is under way.
+
+        :returns: whether everything was finished.
+        """
+        if self._stopping:
+            return True
+        began_at = self._runtime.monotonic()
+        ends_at = began_at + self.settings.stop_seconds - STOP_MARGIN_SECONDS
+        self._stopping = True
+        self.ingress.stopping = True
+        self._log.info("stopping", in_flight=self.ingress.in_flight, running=self.slots.running)
+        self._worker_changed()
+        gevent.sleep(min(WITHDRAWAL_SECONDS, self.settings.stop_seconds / 2))
+        self.ingress.close_idle()
+        while self._busy() and self._runtime.monotonic() < ends_at:
+            gevent.sleep(STOP_LOOK_SECONDS)
+        for listener in self._listeners:
+            listener.close()
+        finished = not self._busy()
+        self.ingress.close_idle()
+        self.peer_server.close_idle()
+        self.subscription.stop()
+        self._log.info(
+            "stopped",
+            cut=self.ingress.in_flight + self.slots.running,
+            seconds=round(self._runtime.monotonic() - began_at, 3),
+        )
+        return finished
+
+    def _busy(self) -> bool:
+        return self.ingress.in_flight > 0 or self.gate.busy
--- /dev/null
+++ b/src/cranklane/sidecar/slots.py
@@ -0,0 +1,137 @@
+"""The slots of one worker and the queue before them.
+
+The order is by arrival, each step of priority counting as a fixed head start, so
+that important requests go first and none waits for ever.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+
+from gevent.event import Event
+
+from cranklane.outcome import Reason
+
+PRIORITY_STEP_SECONDS = 0.25
+"""Head start of one step of priority over the next."""
+
+HOLD_WEIGHT = 0.05
+"""Weight of the newest request in the smoothed time that a slot is held."""
+
+FIRST_HOLD_SECONDS = 0.05
+
+
+class Waiter:
+    """A request that waits for a slot."""
+
+    __slots__ = ("granted", "refused", "event")
+
+    def __init__(self) -> None:
+        self.granted = False
+        self.refused = Reason.NONE
+        self.event = Event()
+
+    def refuse(self, reason: Reason) -> None:
+        """End the wait without a slot."""
+        if not self.granted and self.refused is Reason.NONE:
+            self.refused = reason
+            self.event.set()
+
+
+class Slots:
+    """Counts what runs at the worker and who waits.
+
+    :param clock: monotonic seconds.
+    :ivar limit: requests that run at once.
+    :ivar running: requests that run now.
+    :ivar hold: smoothed seconds that a request keeps its slot.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._waiting: list[tuple[float, int, Waiter]] = []
+        self._numbers = count()
+        self._abandoned = 0
+        self.limit = 0
+        self.running = 0
+        self.hold = FIRST_HOLD_SECONDS
+
+    @property
+    def queued(self) -> int:
+        """How many requests wait."""
+        return len(self._waiting) - self._abandoned
+
+    def expected_wait(self, rank: float) -> float:
+        """Return the seconds until a request of a rank would start."""
+        if self.running < self.limit:
+            return 0.0
+        ahead = sum(1 for entry in self._waiting if entry[0] <= rank)
+        return (ahead + 1) * self.hold / max(1, self.limit)
+
+    def rank(self, priority: int) -> float:
+        """Return the place in the order of a request that comes now."""
+        return self._clock() + priority * PRIORITY_STEP_SECONDS
+
+    def acquire(
+        self,
+        priority: int,
+        wait_seconds: float,
+        on_wait: Callable[[Waiter], None],
+    ) -> Reason:
+        """Take a slot, waiting up to ``wait_seconds``; NONE means it is taken.
+
+        :param on_wait: given the waiter before the wait, so that it can be ended.
+        """
+        if self.running < self.limit and self.queued == 0:
+            self.running += 1
+            return Reason.NONE
+        rank = self.rank(priority)
+        if self.expected_wait(rank) > wait_seconds:
+            return Reason.QUEUE_FULL
+        waiter = Waiter()
+        heapq.heappush(self._waiting, (rank, next(self._numbers), waiter))
+        on_wait(waiter)
+        self._grant()
+        waiter.event.wait(wait_seconds)
+        if waiter.granted:
+            return Reason.NONE
+        if waiter.refused is Reason.NONE:
+            waiter.refused = Reason.DEADLINE_TOO_NEAR
+        self._abandoned += 1
+        self._drop_abandoned()
+        return waiter.refused
+
+    def release(self, held_seconds: float) -> None:
+        """Give a slot back after a request that held it for so long."""
+        self.hold += HOLD_WEIGHT * (held_seconds - self.hold)
+        self.running -= 1
+        self._grant()
+
+    def resize(self, limit: int) -> None:
+        """Change how many may run at once."""
+        self.limit = limit
+        self._grant()
+
+    def refuse_waiting(self, reason: Reason) -> None:
+        """End every wait."""
+        for _, _, waiter in self._waiting:
+            waiter.refuse(reason)
+
+    def _grant(self) -> None:
+        while self.running < self.limit and self._waiting:
+            waiter = heapq.heappop(self._waiting)[2]
+            if waiter.refused is not Reason.NONE:
+                self._abandoned = max(0, self._abandoned - 1)
+                continue
+            waiter.granted = True
+            self.running += 1
+            waiter.event.set()
+
+    def _drop_abandoned(self) -> None:
+        """Forget those who wait no more once they are many."""
+        if self._abandoned * 2 > len(self._waiting) and len(self._waiting) > 8:
+            self._waiting = [entry for entry in self._waiting if not entry[2].refused]
+            heapq.heapify(self._waiting)
+            self._abandoned = 0
--- /dev/null
+++ b/src/cranklane/sidecar/worker_exchange.py
@@ -0,0 +1,258 @@
+"""Sends one request to the worker and reads its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from cranklane.common.http1 import (
+    LAST_CHUNK,
+    AnswerHead,
+    Framing,
+    MalformedMessageError,
+    MessageCutError,
+    chunk,
+    end_to_end,
+    header_lines,
+)
+from cranklane.common.request_names import HeaderNames
+from cranklane.errors import AnswerCutError, ConnectionLostError, MalformedRecordError
+from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import ForwardRequest
+from cranklane.runtime.interface import Runtime
+from cranklane.sidecar.attempt import (
+    SMALL_BODY_BYTES,
+    Attempt,
+    Reply,
+    refusal,
+    unknown,
+)
+from cranklane.sidecar.worker_pool import WorkerConnection, WorkerPool
+
+INLINE_SEND_BYTES = 16 * 1024
+"""A request up to this size is written before its answer is read."""
+
+SURPLUS_ANSWERS = 4
+"""Answers to other requests that are thrown away before the right one."""
+
+_MISDIRECTED = 421
+_BODY_ERRORS = (
+    OSError,
+    MessageCutError,
+    MalformedMessageError,
+    ConnectionLostError,
+    MalformedRecordError,
+)
+
+
+class _Sender:
+    """Writes a large body while the answer is read."""
+
+    def __init__(self, connection: WorkerConnection, attempt: Attempt) -> None:
+        self._connection = connection
+        self._attempt = attempt
+        self.done = False
+
+    def run(self) -> None:
+        attempt = self._attempt
+        framing = Framing(attempt.request.framing)
+        try:
+            self._write(framing, attempt.request.body)
+            while attempt.rest is not None:
+                piece = attempt.rest()
+                if not piece:
+                    break
+                self._write(framing, piece)
+            if framing is Framing.CHUNKED:
+                self._connection.stream.sendall(LAST_CHUNK)
+            self.done = True
+        except _BODY_ERRORS:
+            # A body that ends too early must not look whole to the worker.
+            self._connection.close()
+
+    def _write(self, framing: Framing, data: bytes) -> None:
+        if data:
+            self._connection.stream.sendall(chunk(data) if framing is Framing.CHUNKED else data)
+
+
+class WorkerExchange:
+    """Runs requests at one worker.
+
+    :param on_other_instance: told the worker's id when another than expected answers.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        pool: WorkerPool,
+        names: HeaderNames,
+        on_other_instance: Callable[[str], None],
+    ) -> None:
+        self._runtime = runtime
+        self._pool = pool
+        self._names = names
+        self._on_other_instance = on_other_instance
+        self._request_name = names.request.lower()
+        self._not_run_name = names.not_run.lower()
+        self._integrity_name = names.integrity.lower()
+
+    def run(self, attempt: Attempt, instance: str, deadline: float) -> Reply:
+        """Send a request and return its answer; small ones whole.
+
+        :param deadline: monotonic second at which nobody waits any more.
+        """
+        try:
+            connection = self._pool.take()
+        except OSError:
+            return refusal(Reason.WORKER_UNREACHABLE)
+        attempt.when_cancelled(connection.close)
+        try:
+            return self._run(attempt, connection, instance, deadline)
+        except TimeoutError:
+            connection.close()
+            return unknown(Reason.DEADLINE_PASSED)
+        except (OSError, MessageCutError):
+            connection.close()
+            return unknown(Reason.CANCELLED if attempt.cancelled else Reason.WORKER_FAILED)
+        except (MalformedMessageError, ValueError):
+            connection.close()
+            return unknown(Reason.ANSWER_CUT)
+
+    def _run(
+        self, attempt: Attempt, connection: WorkerConnection, instance: str, deadline: float
+    ) -> Reply:
+        remaining = deadline - self._runtime.monotonic()
+        if remaining <= 0 or attempt.cancelled:
+            connection.close()
+            return refusal(Reason.CANCELLED if attempt.cancelled else Reason.DEADLINE_PASSED)
+        connection.stream.settimeout(remaining)
+        sender = self._send(attempt, connection, instance, remaining)
+        head = self._own_answer(attempt.request, connection)
+        if head is None:
+            connection.close()
+            return unknown(Reason.ANSWER_CUT)
+        connection.take_keep_alive(head)
+        if head.status == _MISDIRECTED or head.value(self._not_run_name) is not None:
+            return self._refused(head, connection)
+        if 200 <= head.status < 300 and head.value(self._integrity_name) is None:
+            connection.close()
+            return unknown(Reason.ANSWER_CUT)
+        return self._answered(head, connection, sender)
+
+    def _send(
+        self, attempt: Attempt, connection: WorkerConnection, instance: str, remaining: float
+    ) -> _Sender | None:
+        request = attempt.request
+        names = self._names
+        head = b"%s%s: %d\r\n%s: %s\r\n\r\n" % (
+            request.lines,
+            names.deadline,
+            max(1, int(remaining * 1000)),
+            names.instance,
+            instance.encode(),
+        )
+        if attempt.rest is None and len(request.body) <= INLINE_SEND_BYTES:
+            body = request.body
+            if request.framing == Framing.CHUNKED:
+                body = (chunk(body) if body else b"") + LAST_CHUNK
+            connection.stream.sendall(head + body)
+            return None
+        connection.stream.sendall(head)
+        sender = _Sender(connection, attempt)
+        self._runtime.spawn(sender.run)
+        return sender
+
+    def _own_answer(
+        self, request: ForwardRequest, connection: WorkerConnection
+    ) -> AnswerHead | None:
+        """Return the head of this request's answer; those of others are thrown away."""
+        expected = request.request.encode()
+        reader = connection.reader
+        for _ in range(SURPLUS_ANSWERS):
+            head = reader.next_head(request.bodiless)
+            answered = head.value(self._request_name)
+            if answered == expected:
+                return head
+            if answered is None:
+                return None
+            while reader.next_piece():
+                pass
+            reader.finish()
+        return None
+
+    def _refused(self, head: AnswerHead, connection: WorkerConnection) -> Reply:
+        other = head.value(self._names.instance_answer.lower())
+        try:
+            while connection.reader.next_piece():
+                pass
+            connection.reader.finish()
+            self._keep(head, connection)
+        except (OSError, MessageCutError, MalformedMessageError):
+            connection.close()
+        if head.status == _MISDIRECTED and other is not None:
+            self._on_other_instance(other.decode("latin-1"))
+        return refusal(Reason.WORKER_SHED, arrived=head.status != _MISDIRECTED)
+
+    def _answered(
+        self, head: AnswerHead, connection: WorkerConnection, sender: _Sender | None
+    ) -> Reply:
+        reader = connection.reader
+        pieces: list[bytes] = []
+        size = 0
+        whole = False
+        while size < SMALL_BODY_BYTES:
+            piece = reader.next_piece()
+            if not piece:
+                whole = True
+                break
+            pieces.append(piece)
+            size += len(piece)
+        reply = Reply(
+            Outcome.ANSWERED,
+            arrived=True,
+            status=head.status,
+            framing=head.framing,
+            length=head.length,
+            lines=header_lines(end_to_end(head.headers)),
+            body=b"".join(pieces),
+        )
+        if whole:
+            self._end(head, connection, sender)
+            if head.framing in (Framing.CHUNKED, Framing.UNTIL_CLOSE):
+                reply.framing, reply.length = Framing.LENGTH, size
+        else:
+            reply.rest = self._rest(head, connection, sender)
+        return reply
+
+    def _rest(
+        self, head: AnswerHead, connection: WorkerConnection, sender: _Sender | None
+    ) -> Iterator[bytes]:
+        whole = False
+        try:
+            while True:
+                piece = connection.reader.next_piece()
+                if not piece:
+                    whole = True
+                    return
+                yield piece
+        except (OSError, MessageCutError, MalformedMessageError) as error:
+            raise AnswerCutError(str(error)) from error
+        finally:
+            if whole:
+                self._end(head, connection, sender)
+            else:
+                connection.close()
+
+    def _end(self, head: AnswerHead, connection: WorkerConnection, sender: _Sender | None) -> None:
+        """Keep the connection when both messages have ended on it."""
+        surplus = connection.reader.surplus
+        connection.reader.finish()
+        if surplus or (sender is not None and not sender.done):
+            connection.close()
+            return
+        self._keep(head, connection)
+
+    def _keep(self, head: AnswerHead, connection: WorkerConnection) -> None:
+        if head.keep_alive:
+            self._pool.give_back(connection)
+        else:
+            connection.close()
--- a/src/cranklane_lab/scale/hollow.py
+++ b/src/cranklane_lab/scale/hollow.py
@@ -21,7 +21,7 @@
 from cranklane.node.configuration import NodeConfiguration
 from cranklane.node.members import MemberState, MemberTable
 from cranklane.node.subscription import Subscription
-from cranklane.records.messages import MemberDelta, Subscribe
+from cranklane.records.messages import Heartbeat, MemberDelta, Subscribe
 from cranklane.runtime.interface import Address, Runtime, parse_address
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.scale.policy import SERVICES_PER_TENANT, service_name, tenant_name
@@ -91,7 +91,7 @@
             runtime.storage(str(Path(plan.folder) / identity.node)),
             self._members_changed,
             self._configuration_changed,
-            lambda: MemberState.LIVE,
+            lambda: Heartbeat(state=MemberState.LIVE),
             logger(node=identity.node),
         )
 
--- a/src/cranklane_lab/scenarios/mechanisms.py
+++ b/src/cranklane_lab/scenarios/mechanisms.py
@@ -173,6 +173,7 @@
         return original(self, delta)
 
     def take(self: Subscription, records: Any, delta: Any) -> None:
+        assert self._file is not None
         self._file.save(delta)
         self._configuration.adopt(delta)
         self._on_change()
--- a/src/cranklane_lab/simulation/process.py
+++ b/src/cranklane_lab/simulation/process.py
@@ -92,6 +92,13 @@
         """Return those connections whose far end has closed or broken."""
         return [connection for connection in connections if connection.hung_up]
 
+    def end_when_unheard(self, connection: Any) -> None:
+        """Break a connection whose far end confirms nothing that was sent for a while."""
+
+    def has_input(self, connection: Any) -> bool:
+        """Return whether a connection has bytes to read, has ended or is broken."""
+        return bool(connection.received) or connection.hung_up
+
     def storage(self, folder: str) -> Storage:
         """Return the files of a folder on the machine's disk."""
         return SimulatedStorage(self.disk, folder)
