--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -578,12 +578,12 @@
     incarnation: int = 0
     sequence: int = 0
     state: int = 0
-    slots: int = 0
     node: str = ""
     tenant: str = ""
     service: str = ""
     zone: str = ""
     address: str = ""
+    slots: int = 0
     instance: str = ""
 
     def pack(self) -> bytes:
@@ -626,7 +626,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"Member of {len(payload)} bytes, not {start}")
-        return cls(incarnation, sequence, state, slots, node, tenant, service, zone, address, instance)
+        return cls(incarnation, sequence, state, node, tenant, service, zone, address, slots, instance)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -98,8 +98,8 @@
         "One node of a service. ``sequence`` orders the states of one incarnation; "
         "``instance`` is the start of the worker beside it and ``slots`` how many calls that "
         "runs at once, where the worker has told them.",
-        "incarnation:u64 sequence:u32 state:u8 slots:u32 node:str tenant:str service:str "
-        "zone:str address:str instance:str",
+        "incarnation:u64 sequence:u32 state:u8 node:str tenant:str service:str zone:str "
+        "address:str slots:u32 instance:str",
     ),
     Record(
         24,
--- a/src/cranklane_lab/scale/ledger.py
+++ b/src/cranklane_lab/scale/ledger.py
@@ -81,15 +81,7 @@
     @staticmethod
     def _member(address: Address) -> Member:
         text = format_address(address)
-        return Member(
-            incarnation=1,
-            sequence=1,
-            node=f"replica-{address[1]}",
-            tenant=SYSTEM_TENANT,
-            service="main",
-            zone=PAIR.zones[0],
-            address=text,
-        )
+        return Member(1, 1, 0, f"replica-{address[1]}", SYSTEM_TENANT, "main", PAIR.zones[0], text)
 
     def wait(self) -> bool:
         """Wait until the group answers; return False when it takes too long."""
