Stand-ins for a mesh on the virtual clock; logs that never block; counters; silent voters lose their place

Cause: a replacement that joined within 1.5 s of its predecessor's silence was promoted beside it, so the dead voter stayed (found by the new test of machines gone for good: 6 voters, one dead, for ever). A surplus silent voter now goes after 3 s. Ruled out: removing on silence alone, which would shrink a group whose member is only away (test: nobody is removed only because it is away).

--- a/src/cranklane/control/controller.py
+++ b/src/cranklane/control/controller.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from cranklane.common.addresses import peer_addresses
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
 from cranklane.control.exchange import Exchange
@@ -21,7 +22,7 @@
 from cranklane.replication.port import ReplicaPort
 from cranklane.replication.replica import Replica, ReplicaIdentity
 from cranklane.replication.self_assembly import SelfAssembly
-from cranklane.runtime.interface import Runtime, format_address, parse_address
+from cranklane.runtime.interface import Runtime, parse_address
 from cranklane.settings import ADDRESS, ADDRESSES, NAME, TEXT, YES_OR_NO, setting, whole_number
 
 GROUP = "routes"
@@ -58,15 +59,6 @@
     )
 
 
-def peer_addresses(seeds: list[str], port: int) -> list[str]:
-    """Return where the controllers of some operators' addresses listen for each other.
-
-    >>> peer_addresses(["10.0.0.1:80"], 7000)
-    ['10.0.0.1:7000']
-    """
-    return [format_address((parse_address(seed)[0], port)) for seed in seeds]
-
-
 class Controller:
     """One replica of the route table that serves sidecars and operators."""
 
--- a/src/cranklane/control/route_store.py
+++ b/src/cranklane/control/route_store.py
@@ -15,9 +15,7 @@
     RouteTableState,
     TakenTable,
 )
-
-ROUTE_TABLE_ROW = "routes"
-"""Key of the row in which nodes get the whole document."""
+from cranklane.routes.document import ROUTE_TABLE_ROW
 
 
 class TableResult(IntEnum):
--- a/src/cranklane/replication/membership_change.py
+++ b/src/cranklane/replication/membership_change.py
@@ -26,6 +26,10 @@
 """A voter that has answered nothing for this long may lose its place to a learner."""
 
 
+SURPLUS_SILENT_SECONDS = 3.0
+"""A voter beyond those the group is to have is removed after this long a silence."""
+
+
 class JoinStatus(IntEnum):
     """Answer to a replica that asks to join."""
 
@@ -120,7 +124,9 @@
             if not replica.may_read or replica.leadership is None:
                 continue
             learner = self._ready_learner(replica.leadership)
-            if learner is not None and not self._remove_silent():
+            if learner is None:
+                self._remove_silent(self._voters + 1, SURPLUS_SILENT_SECONDS)
+            elif not self._remove_silent(self._voters, SILENT_VOTER_SECONDS):
                 voter = ReplicaMember(
                     learner.identity, True, False, learner.name, learner.address, learner.http
                 )
@@ -133,22 +139,25 @@
                 return member
         return None
 
-    def _remove_silent(self) -> bool:
-        """Remove a silent voter whose place a learner can take; return whether one was.
+    def _remove_silent(self, least: int, seconds: float) -> bool:
+        """Remove a voter that is silent for so long; return whether one was.
+
+        A group never shrinks below the voters it is to have only because somebody
+        is away: without a learner to take its place the voter stays, and one
+        that was removed and comes back joins again.
 
-        A group never shrinks only because somebody is away: without a learner
-        the voter stays, and if it comes back it joins again.
+        :param least: voters there must be for one to be removed.
         """
         voters = self._replica.members.voters()
         leadership = self._replica.leadership
-        if not self._voters or len(voters) < self._voters or leadership is None:
+        if not self._voters or len(voters) < least or leadership is None:
             return False
-        if leadership.age() < SILENT_VOTER_SECONDS:
+        if leadership.age() < seconds:
             # Too new to tell who is silent.
             return False
         for member in voters:
             own = member.identity == self._replica.identity
-            if not own and not leadership.answered_within(member.identity, SILENT_VOTER_SECONDS):
+            if not own and not leadership.answered_within(member.identity, seconds):
                 self._replica.event_log.warning("silent_voter_removed", replica=member.name)
                 return isinstance(self.remove(member.name), Ok)
         return False
--- a/src/cranklane/routes/document.py
+++ b/src/cranklane/routes/document.py
@@ -24,6 +24,9 @@
 
 from cranklane.routes.table import Limits, Route, RouteTable, ServiceEntry, Share
 
+ROUTE_TABLE_ROW = "routes"
+"""Key of the row of configuration in which nodes get the whole document."""
+
 MAX_TIMEOUT_MS = 600_000
 """Longest time limit of a route."""
 
--- a/src/cranklane/sidecar/adopted_table.py
+++ b/src/cranklane/sidecar/adopted_table.py
@@ -7,9 +7,8 @@
 
 from result import Err
 
-from cranklane.control.route_store import ROUTE_TABLE_ROW
 from cranklane.records.messages import ConfigDelta
-from cranklane.routes.document import read_json, read_table
+from cranklane.routes.document import ROUTE_TABLE_ROW, read_json, read_table
 from cranklane.routes.table import RouteTable
 
 
--- /dev/null
+++ b/src/cranklane/sidecar/decision_log.py
@@ -0,0 +1,108 @@
+"""Logs and counts what a sidecar decides about requests.
+
+Each refused or failed request, and each attempt that did not end in an answer,
+has a line while the rate allows; of those that went well a sample has one. The
+lines of one request share its id at every sidecar that it passed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from cranklane.common.logs import RateLimit
+from cranklane.outcome import Outcome, Reason
+from cranklane.sidecar.attempt import Reply
+from cranklane.sidecar.destinations import Destination
+from cranklane.sidecar.dispatcher import Call
+from cranklane.sidecar.ingress import Decision
+from cranklane.sidecar.metrics import SidecarMetrics
+
+PROBLEM_LINES_PER_SECOND = 100.0
+SUCCESS_LINES_PER_SECOND = 10.0
+SUMMARY_SECONDS = 5.0
+
+_CLIENT_ERRORS = range(400, 500)
+
+
+class DecisionLog:
+    """Writes decision lines within their rates."""
+
+    def __init__(self, clock: Callable[[], float], metrics: SidecarMetrics, log: Any) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._problems = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
+        self._successes = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
+
+    def attempted(self, call: Call, destination: Destination, reply: Reply, seconds: float) -> None:
+        """Take the end of one attempt, with what made this destination the choice."""
+        self._metrics.attempt(call.service, reply.outcome, reply.reason)
+        if reply.outcome is Outcome.ANSWERED or not self._problems.allows():
+            return
+        self._log.info(
+            "attempt",
+            request=call.request,
+            service=call.service,
+            destination=destination.node,
+            instance=destination.instance,
+            outcome=reply.outcome.label,
+            reason=reply.reason.label,
+            arrived=reply.arrived,
+            seconds=round(seconds, 4),
+            running=reply.load.running,
+            queued=reply.load.queued,
+            slots=reply.load.slots,
+            destinations=len(call.tried),
+        )
+
+    def decided(self, decision: Decision) -> None:
+        """Take what became of a request."""
+        self._metrics.request(decision)
+        fine = decision.outcome is Outcome.ANSWERED and decision.status < 500
+        limit = self._successes if fine else self._problems
+        if not limit.allows():
+            return
+        self._log.info(
+            "request",
+            request=decision.request,
+            route=decision.route,
+            service=decision.service,
+            outcome=decision.outcome.label,
+            reason=decision.reason.label,
+            status=decision.status,
+            attempts=decision.attempts,
+            refusals=decision.refusals,
+            seconds=round(decision.seconds, 4),
+            deadline_seconds=round(decision.allowed_seconds, 3),
+            table=decision.version,
+        )
+
+    def admission(
+        self, request: str, reason: Reason, running: int, queued: int, slots: int, waited: float
+    ) -> None:
+        """Take what the gate beside the worker decided."""
+        self._metrics.admission(reason, waited)
+        if reason is Reason.NONE or not self._problems.allows():
+            return
+        self._log.info(
+            "admission",
+            request=request,
+            reason=reason.label,
+            running=running,
+            queued=queued,
+            slots=slots,
+            waited_seconds=round(waited, 4),
+        )
+
+    def summarise(self) -> None:
+        """State now and then how many lines were left out, for ever."""
+        while True:
+            gevent.sleep(SUMMARY_SECONDS)
+            problems = self._problems.take_left_out()
+            successes = self._successes.take_left_out()
+            self._metrics.lines_left_out(problems + successes)
+            if problems or successes:
+                self._log.info("lines_left_out", problems=problems, successes=successes)
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -72,6 +72,7 @@
     """Chooses destinations for requests.
 
     :param own: name of this machine's node.
+    :param on_attempt: told of each attempt that has ended, and its seconds.
     """
 
     def __init__(
@@ -82,7 +83,7 @@
         peers: PeerClient,
         budget: RetryBudget,
         own: str,
-        on_attempt: Callable[[Call, Destination, Reply], None],
+        on_attempt: Callable[[Call, Destination, Reply, float], None],
     ) -> None:
         self._runtime = runtime
         self._destinations = destinations
@@ -103,8 +104,6 @@
                 break
             reply = self._attempt(call, destination)
             may_have_run |= reply.outcome is Outcome.UNKNOWN
-            if not self._replaces(result, reply):
-                break
             result = reply
             if reply.outcome is Outcome.ANSWERED or not self._goes_on(call, reply):
                 break
@@ -112,10 +111,6 @@
             result = Reply(Outcome.UNKNOWN, result.reason, arrived=True)
         return result
 
-    @staticmethod
-    def _replaces(former: Reply, reply: Reply) -> bool:
-        return former.outcome is not Outcome.ANSWERED
-
     def _attempt(self, call: Call, destination: Destination) -> Reply:
         call.tried.add(destination.node)
         now = self._runtime.monotonic()
@@ -132,8 +127,9 @@
         finally:
             destination.closed()
         call.attempts += reply.arrived
-        self._learn(destination, reply, self._runtime.monotonic() - now)
-        self._on_attempt(call, destination, reply)
+        seconds = self._runtime.monotonic() - now
+        self._learn(destination, reply, seconds)
+        self._on_attempt(call, destination, reply, seconds)
         return reply
 
     def _request(self, call: Call, now: float) -> ForwardRequest:
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from cranklane.common.request_names import HeaderNames
@@ -20,12 +20,25 @@
 MIN_RETRY_AFTER_MS = 50
 
 
+AdmissionListener = Callable[[str, Reason, int, int, int, float], None]
+"""Told of a decision: request, reason, running, queued, slots, seconds waited."""
+
+
 class Gate:
-    """Admits requests to the worker."""
+    """Admits requests to the worker.
+
+    :param on_admission: told of each decision.
+    """
 
     def __init__(
-        self, runtime: Runtime, worker: WorkerRegistry, slots: Slots, names: HeaderNames
+        self,
+        runtime: Runtime,
+        worker: WorkerRegistry,
+        slots: Slots,
+        names: HeaderNames,
+        on_admission: AdmissionListener,
     ) -> None:
+        self._on_admission = on_admission
         self._runtime = runtime
         self._worker = worker
         self._slots = slots
@@ -62,9 +75,18 @@
             reason = self._slots.acquire(
                 request.priority, request.start_ms / 1000, self._ends_wait(attempt)
             )
+        started_at = self._runtime.monotonic()
+        slots = self._slots
+        self._on_admission(
+            request.request,
+            reason,
+            slots.running,
+            slots.queued,
+            slots.limit,
+            started_at - arrived_at,
+        )
         if reason is not Reason.NONE:
             return refusal(reason, retry_after_ms=self._retry_after_ms())
-        started_at = self._runtime.monotonic()
         reply: Reply | None = None
         try:
             if on_admitted is not None:
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -41,6 +41,7 @@
 _HEADER_TOO_LARGE = 431
 _BODY_TOO_LARGE = 413
 _REQUEST_TIMEOUT = 408
+_UNAVAILABLE = 503
 _BAD_REQUEST = 400
 _BODY_READ = 0
 _BODY_CUT = -1
@@ -51,7 +52,8 @@
 class Decision:
     """What became of one request, for logs and counters.
 
-    :ivar seconds: from its first byte to the end of its answer.
+    :ivar seconds: from its head to the end of its answer.
+    :ivar allowed_seconds: time it had, by its caller's word or its route's.
     """
 
     request: str
@@ -63,6 +65,7 @@
     attempts: int
     refusals: int
     seconds: float
+    allowed_seconds: float
     version: int
 
 
@@ -288,8 +291,9 @@
 
     def _own_lines(self, request: bytes, reply: Reply) -> bytes:
         lines = b"%s: %s\r\n" % (self._names.request, request) if request else b""
-        if reply.outcome is Outcome.NOT_RUN and reply.retry_after_ms:
-            lines += b"Retry-After: %.3f\r\n" % (reply.retry_after_ms / 1000)
+        if status_of(reply.outcome, reply.reason) == _UNAVAILABLE:
+            after = reply.retry_after_ms or DEFAULT_RETRY_AFTER_MS
+            lines += b"Retry-After: %.3f\r\n" % (after / 1000)
         return lines
 
     def _write_answer(
@@ -338,6 +342,7 @@
                 call.attempts if call else 0,
                 call.refusals if call else 0,
                 self._runtime.monotonic() - started_at,
+                call.deadline - call.started_at if call else 0.0,
                 table.version,
             )
         )
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -6,10 +6,10 @@
 
 import gevent
 
+from cranklane.common.addresses import peer_addresses
 from cranklane.common.logs import logger
 from cranklane.common.request_names import HeaderNames
-from cranklane.common.small_http import SmallHttp
-from cranklane.control.controller import peer_addresses
+from cranklane.common.small_http import SmallAnswer, SmallHttp
 from cranklane.node.members import MemberState
 from cranklane.node.subscription import FollowTiming, Subscription
 from cranklane.records.messages import Heartbeat, Hello, Member, MemberDelta, Subscribe
@@ -25,12 +25,13 @@
     whole_number,
 )
 from cranklane.sidecar.adopted_table import AdoptedTable
-from cranklane.sidecar.attempt import Reply
-from cranklane.sidecar.destinations import Destination, Destinations
-from cranklane.sidecar.dispatcher import Call, Dispatcher
+from cranklane.sidecar.decision_log import DecisionLog
+from cranklane.sidecar.destinations import Destinations
+from cranklane.sidecar.dispatcher import Dispatcher
 from cranklane.sidecar.gate import Gate
 from cranklane.sidecar.hang_up import HangUpWatch
-from cranklane.sidecar.ingress import Decision, Ingress
+from cranklane.sidecar.ingress import Ingress
+from cranklane.sidecar.metrics import SidecarMetrics
 from cranklane.sidecar.peers import PeerClient, PeerServer
 from cranklane.sidecar.retry_budget import RetryBudget
 from cranklane.sidecar.slots import Slots
@@ -45,6 +46,8 @@
 
 BUDGET_RESERVE = 2.0
 
+METRICS_PATH = "/metrics"
+
 WITHDRAWAL_SECONDS = 2.2
 """After a planned stop began, callers may need this long to notice it."""
 
@@ -71,6 +74,7 @@
     heartbeat_seconds: float = setting(
         seconds(0.01, 3600), 1.5, help="seconds between a worker's heartbeats"
     )
+    metrics: str = setting(OPTIONAL_ADDRESS, "", help="address of /metrics; none: nowhere")
     retry_ratio: float = setting(
         seconds(0, 10), 0.2, help="requests sent again for each request, over the whole fleet"
     )
@@ -106,7 +110,9 @@
             self._worker_changed,
             self._log,
         )
-        self.gate = Gate(runtime, self.worker, self.slots, names)
+        self.metrics = SidecarMetrics()
+        self.decisions = DecisionLog(runtime.monotonic, self.metrics, self._log)
+        self.gate = Gate(runtime, self.worker, self.slots, names, self.decisions.admission)
         hang_ups = HangUpWatch(runtime)
         self.peers = PeerClient(runtime, self._hello)
         self.peer_server = PeerServer(runtime, self.gate, hang_ups)
@@ -117,7 +123,7 @@
             self.peers,
             RetryBudget(settings.retry_ratio * BUDGET_PART, BUDGET_RESERVE),
             settings.name,
-            self._attempted,
+            self.decisions.attempted,
         )
         self.ingress = Ingress(
             runtime,
@@ -126,8 +132,9 @@
             lambda: self.adopted.table,
             self.dispatcher,
             hang_ups,
-            self._decided,
+            self.decisions.decided,
         )
+        self._add_gauges()
         self._own_sequence = 0
         self._stopping = False
         self._listeners: list[Listener] = []
@@ -142,10 +149,34 @@
         worker_api = WorkerApi(self.worker, self._log)
         self._listen(settings.registry, SmallHttp(self._runtime, worker_api.handle).accept)
         self._listen(settings.callers, self.ingress.accept)
+        if settings.metrics:
+            self._listen(settings.metrics, SmallHttp(self._runtime, self._show_metrics).accept)
         self._runtime.spawn(self.subscription.follow)
         self._runtime.spawn(self.worker.watch)
+        self._runtime.spawn(self.decisions.summarise)
         self._log.info("started", service=settings.service, seeds=settings.seeds)
 
+    def _add_gauges(self) -> None:
+        add = self.metrics.gauge
+        add("cranklane_table_version", "Operator's version in force.", self._table_version)
+        add("cranklane_running", "Requests at the worker now.", lambda: self.slots.running)
+        add("cranklane_queued", "Requests that wait for a slot now.", lambda: self.slots.queued)
+        add("cranklane_slots", "Slots of the worker.", lambda: self.slots.limit)
+        add("cranklane_ready", "Whether callers may send requests.", self.is_ready)
+        add(
+            "cranklane_control_connected",
+            "Whether a controller answers.",
+            lambda: self.subscription.connected,
+        )
+
+    def _table_version(self) -> float:
+        return self.adopted.table.version
+
+    def _show_metrics(self, method: str, path: str, _body: bytes) -> SmallAnswer:
+        if method != "GET" or path != METRICS_PATH:
+            return SmallAnswer(404)
+        return SmallAnswer(200, self.metrics.text(), b"text/plain; version=0.0.4")
+
     def _listen(self, address: str, handler: object) -> None:
         self._listeners.append(
             self._runtime.listen(parse_address(address), handler)  # type: ignore[arg-type]
@@ -237,14 +268,6 @@
         )
         self.subscription.announce()
 
-    # What is told of requests.
-
-    def _attempted(self, call: Call, destination: Destination, reply: Reply) -> None:
-        pass
-
-    def _decided(self, decision: Decision) -> None:
-        pass
-
     # Stop.
 
     def stop(self) -> bool:
--- /dev/null
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -0,0 +1,269 @@
+"""Controllers, sidecars and their workers in a simulated world."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+
+from cranklane.control.controller import Controller, ControllerSettings
+from cranklane.runtime.interface import Address, format_address
+from cranklane.sidecar.process import Sidecar, SidecarSettings
+from cranklane_lab.simulation.process import SimulatedProcess
+from cranklane_lab.simulation.world import World
+from cranklane_lab.standins.raw_http import RawAnswer, exchange
+from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+
+HOST = "shop.example"
+SEEDS = 3
+_PEER_PORT = 7000
+_OPERATOR_PORT = 7001
+_CALLERS_PORT = 8000
+_READINESS_PORT = 8001
+_REGISTRY_PORT = 8002
+_WORKER_PORT = 8080
+
+
+@dataclass
+class MeshMachine:
+    """A machine with a sidecar and a worker."""
+
+    name: str
+    service: str
+    zone: str
+    host: str
+    worker_process: SimulatedProcess
+    worker: RoutedWorker
+    process: SimulatedProcess
+    sidecar: Sidecar
+
+    @property
+    def callers(self) -> Address:
+        """Where requests enter."""
+        return self.host, _CALLERS_PORT
+
+    @property
+    def readiness(self) -> Address:
+        """Where readiness is asked."""
+        return self.host, _READINESS_PORT
+
+
+@dataclass
+class ControllerMachine:
+    """A machine with a controller."""
+
+    number: int
+    host: str
+    process: SimulatedProcess
+    controller: Controller
+
+    @property
+    def operators(self) -> Address:
+        """Where operators ask."""
+        return self.host, _OPERATOR_PORT
+
+
+def route_table(
+    version: int, base: int, routes: dict[str, dict[str, Any]], services: tuple[str, ...]
+) -> dict[str, Any]:
+    """Return a document; each route needs only what differs from the usual."""
+    usual = {
+        "host": HOST,
+        "repeat": "safe",
+        "timeout_ms": 5000,
+        "objective_ms": 1000,
+        "priority": 0,
+        "max_attempts": 2,
+    }
+    return {
+        "version": version,
+        "base": base,
+        "routes": {name: {**usual, **route} for name, route in routes.items()},
+        "services": {name: {"health_path": "/", "max_connections": 100} for name in services},
+        "limits": {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+@dataclass
+class Mesh:
+    """A running mesh."""
+
+    world: World
+    zones: tuple[str, ...] = ("a", "b", "c")
+    controllers: list[ControllerMachine] = field(default_factory=list)
+    machines: list[MeshMachine] = field(default_factory=list)
+    _requests: int = 0
+
+    def start_controllers(self, count: int, tolerated: int = 1) -> None:
+        """Start controllers for the first time."""
+        hosts = [self.world.new_host() for _ in range(count)]
+        self._seeds = [format_address((host, _OPERATOR_PORT)) for host in hosts[:SEEDS]]
+        self._tolerated = tolerated
+        for number, host in enumerate(hosts):
+            self.controllers.append(self._controller(number, host, True))
+
+    def _controller(self, number: int, host: str, first: bool) -> ControllerMachine:
+        zone = self.zones[number % len(self.zones)]
+        process = self.world.process(f"controller-{number}", zone, host)
+        settings = ControllerSettings(
+            name=f"controller-{number}",
+            zone=zone,
+            listen=f"{host}:{_PEER_PORT}",
+            http=f"{host}:{_OPERATOR_PORT}",
+            data="controller",
+            seeds=self._seeds,
+            peer_port=_PEER_PORT,
+            first_start=first,
+            tolerated_losses=self._tolerated,
+        )
+        controller = Controller(process, settings)
+        self.world.start(process, controller.start)
+        return ControllerMachine(number, host, process, controller)
+
+    def restart_controller(self, number: int, empty: bool = False) -> None:
+        """Start a killed controller again, with its disk or an empty one."""
+        host = self.controllers[number].host
+        if empty:
+            self.world.disk(host).wipe()
+        self.controllers[number] = self._controller(number, host, False)
+
+    def replace_controller(self, number: int) -> None:
+        """Put a new machine in the place of one that is gone for good.
+
+        Its settings name machines of the operators' present list.
+        """
+        present = [item for item in self.controllers if item.number != number]
+        self._seeds = [format_address(item.operators) for item in present[:SEEDS]]
+        self.controllers[number] = self._controller(number, self.world.new_host(), False)
+
+    def leader(self) -> ControllerMachine | None:
+        """Return the controller that leads for certain, or None."""
+        for machine in self.controllers:
+            if not machine.process.dead and machine.controller.replica.may_read:
+                return machine
+        return None
+
+    def voters(self) -> int:
+        """Return how many replicas vote, by the leader's word; 0 without one."""
+        leader = self.leader()
+        return len(leader.controller.replica.members.voters()) if leader else 0
+
+    def wait_for(self, condition: Callable[[], bool], seconds: float) -> bool:
+        """Wait until a condition holds; return whether it came to hold in time."""
+        until = self.world.loop.now() + seconds
+        while not condition():
+            if self.world.loop.now() >= until:
+                return False
+            gevent.sleep(0.05)
+        return True
+
+    def add_machine(self, service: str, slots: int = 4, beats: bool = True) -> MeshMachine:
+        """Start a sidecar and its worker."""
+        number = len(self.machines)
+        zone = self.zones[number % len(self.zones)]
+        host = self.world.new_host()
+        name = f"sidecar-{number}"
+        process, sidecar = self.start_sidecar(name, service, zone, host)
+        worker_process = self.world.process(f"worker-{number}", zone, host)
+        worker = RoutedWorker(
+            worker_process,
+            service,
+            f"i-{number}",
+            (host, _WORKER_PORT),
+            (host, _REGISTRY_PORT),
+            slots,
+        )
+        if beats:
+            worker_process.spawn(worker.beat_on)
+        machine = MeshMachine(name, service, zone, host, worker_process, worker, process, sidecar)
+        self.machines.append(machine)
+        return machine
+
+    def start_sidecar(
+        self, name: str, service: str, zone: str, host: str
+    ) -> tuple[SimulatedProcess, Sidecar]:
+        """Start a sidecar on a machine."""
+        process = self.world.process(name, zone, host)
+        settings = SidecarSettings(
+            name=name,
+            zone=zone,
+            service=service,
+            callers=f"{host}:{_CALLERS_PORT}",
+            readiness=f"{host}:{_READINESS_PORT}",
+            registry=f"{host}:{_REGISTRY_PORT}",
+            listen=f"{host}:{_PEER_PORT}",
+            seeds=self._seeds,
+            peer_port=_PEER_PORT,
+            worker=f"{host}:{_WORKER_PORT}",
+        )
+        sidecar = Sidecar(process, settings)
+        self.world.start(process, sidecar.start)
+        return process, sidecar
+
+    def client_process(self, name: str, host: str) -> SimulatedProcess:
+        """Return a process on a machine, for a client there."""
+        return self.world.process(name, self.zones[0], host)
+
+    def operate(
+        self, document: dict[str, Any] | bytes, number: int | None = None
+    ) -> RawAnswer | None:
+        """Send a route table to the leader, or to a stated controller."""
+        body = document if isinstance(document, bytes) else json.dumps(document).encode()
+        return self.ask_control("POST", body, number)
+
+    def describe(self, number: int | None = None) -> RawAnswer | None:
+        """Read the route table in force."""
+        return self.ask_control("GET", b"", number)
+
+    def ask_control(self, method: str, body: bytes, number: int | None) -> RawAnswer | None:
+        """Ask a controller, following its word on who leads."""
+        process = self.world.process("operator", self.zones[0])
+        machine = self.controllers[number] if number is not None else self.leader()
+        if machine is None:
+            return None
+        address = machine.operators
+        for _ in range(3):
+            answer = exchange(process, address, method, "/v1/route-table", {}, body)
+            if answer is None or answer.status != 307:
+                return answer
+            host, _, port = answer.headers["location"].split("/")[2].partition(":")
+            address = (host, int(port))
+        return answer
+
+    def request(
+        self,
+        machine: MeshMachine,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 5000,
+        headers: dict[str, str] | None = None,
+        name: str = "",
+    ) -> RawAnswer | None:
+        """Send one request from a client of a machine."""
+        self._requests += 1
+        process = self.client_process(f"client-{self._requests}", machine.host)
+        sent = {
+            "Host": HOST,
+            NAMES.request.decode(): name or f"request-{self._requests}",
+            NAMES.deadline.decode(): str(deadline_ms),
+            **(headers or {}),
+        }
+        return exchange(process, machine.callers, method, path, sent, body)
+
+    def run_of(self, name: str) -> list[str]:
+        """Return the workers that have run a request."""
+        return [
+            machine.worker.instance
+            for machine in self.machines
+            for run in machine.worker.state.runs
+            if run.request == name
+        ]
--- /dev/null
+++ b/tests/test_controllers.py
@@ -0,0 +1,202 @@
+"""A group of controllers that forms and repairs itself, on the virtual clock."""
+
+from __future__ import annotations
+
+import json
+
+import gevent
+import pytest
+
+from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.world import simulate
+
+ROUTES = {"read": {"prefix": "/read/", "service": "s"}}
+
+
+def delay(_source, _target):
+    return 0.0005
+
+
+def table(version, base, routes=ROUTES):
+    return route_table(version, base, routes, ("s",))
+
+
+def play(script, controllers=5, tolerated=2, seed=1):
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(controllers, tolerated)
+        assert mesh.wait_for(lambda: mesh.voters() == controllers, 9), mesh.voters()
+        result = script(mesh)
+        assert not world.loop.task_errors
+        return result
+
+    return simulate(seed, delay, scenario)
+
+
+def put(mesh, version, base):
+    """Send a table until it gets a clear answer; return its status."""
+    for _ in range(60):
+        answer = mesh.operate(table(version, base))
+        if answer is not None and answer.status < 500:
+            return answer.status
+        gevent.sleep(0.2)
+    return 0
+
+
+def version_read(mesh, seconds=20):
+    def read():
+        answer = mesh.describe()
+        return answer is not None and answer.status == 200
+
+    assert mesh.wait_for(read, seconds)
+    return json.loads(mesh.describe().body)["version"]
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_five_found_one_group_whoever_starts_first(seed):
+    def script(mesh):
+        leaders = [machine.controller.replica.leader for machine in mesh.controllers]
+        return len(set(leaders)), put(mesh, 1, 0)
+
+    assert play(script, seed=seed) == (1, 200)
+
+
+def test_an_equal_request_is_answered_alike_for_good_and_another_is_a_conflict():
+    def script(mesh):
+        statuses = [put(mesh, 3, 0), put(mesh, 3, 0), put(mesh, 9, 3), put(mesh, 3, 0)]
+        statuses += [put(mesh, 10, 3), put(mesh, 9, 9), put(mesh, 8, 9)]
+        return statuses, version_read(mesh)
+
+    assert play(script) == ([200, 200, 200, 200, 412, 400, 400], 9)
+
+
+def test_of_two_tables_on_one_version_one_wins():
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        statuses = []
+
+        def send(version):
+            statuses.append(mesh.operate(table(version, 1)).status)
+
+        gevent.joinall([gevent.spawn(send, version) for version in (2, 3)])
+        return sorted(statuses)
+
+    assert play(script) == [200, 412]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": {"r": {"prefix": "/r/", "service": "unknown"}}},
+        {"routes": {"r": {"prefix": "/r/", "service": "s", "host": ""}}},
+        {"routes": {"r": {"prefix": "/r/", "service": "s", "max_attempts": 0}}},
+        {"routes": {"r": {"prefix": "/r/", "service": "s", "timeout_ms": 600_001}}},
+        {"routes": {"r": {"prefix": "/r/", "service": "s", "objective_ms": 65_000}}},
+        {"routes": {"r": {"prefix": "r/", "service": "s"}}},
+        {
+            "routes": {
+                "a": {"prefix": "/r/", "service": "s"},
+                "b": {"prefix": "/r/", "service": "s"},
+            }
+        },
+    ],
+)
+def test_an_invalid_table_changes_nothing(change):
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        status = mesh.operate(table(2, 1, change["routes"])).status
+        cut_short = mesh.operate(json.dumps(table(2, 1)).encode()[:-9]).status
+        return status, cut_short, version_read(mesh)
+
+    assert play(script) == (400, 400, 1)
+
+
+def test_a_process_that_does_not_lead_names_the_leader():
+    def script(mesh):
+        leader = mesh.leader().number
+        other = (leader + 1) % 5
+        return mesh.operate(table(1, 0), other).status, mesh.describe(other).status
+
+    assert play(script) == (200, 200)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_two_lost_disks_and_a_loss_of_all_power_lose_nothing(seed):
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        assert put(mesh, 2, 1) == 200
+        leader = mesh.leader().number
+        wiped = {leader, (leader + 1) % 5}
+        for machine in mesh.controllers:
+            machine.process.kill(power_lost=True)
+        for number in range(5):
+            mesh.restart_controller(number, empty=number in wiped)
+        return version_read(mesh), put(mesh, 5, 2)
+
+    assert play(script, seed=seed) == (2, 200)
+
+
+def test_wiped_replicas_one_after_the_other_are_taken_back():
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        for number in (0, 1, 2, 3, 4, 0, 1):
+            mesh.controllers[number].process.kill(power_lost=True)
+            gevent.sleep(1.0)
+            mesh.restart_controller(number, empty=True)
+            gevent.sleep(4.0)
+        return version_read(mesh), mesh.voters(), put(mesh, 2, 1)
+
+    assert play(script) == (1, 5, 200)
+
+
+def test_machines_gone_for_good_are_replaced_within_seconds():
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        for number in (4, 0, 1, 2, 3):
+            mesh.controllers[number].process.kill(power_lost=True)
+            gevent.sleep(1.0)
+            mesh.replace_controller(number)
+            gevent.sleep(8.0)
+            alive = {machine.host for machine in mesh.controllers}
+            members = mesh.leader().controller.replica.members.voters()
+            assert {member.address.split(":")[0] for member in members} == alive
+        return version_read(mesh), put(mesh, 2, 1)
+
+    assert play(script) == (1, 200)
+
+
+def test_nobody_is_removed_only_because_it_is_away():
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        away = (mesh.leader().number + 1) % 5
+        mesh.controllers[away].process.kill(power_lost=True)
+        gevent.sleep(60.0)
+        voters = mesh.voters()
+        mesh.restart_controller(away)
+        gevent.sleep(5.0)
+        return voters, mesh.voters(), version_read(mesh)
+
+    assert play(script) == (5, 5, 1)
+
+
+def test_sidecars_get_a_table_soon_though_their_controller_is_cut_off():
+    def script(mesh):
+        machine = mesh.add_machine("s")
+        assert put(mesh, 1, 0) == 200
+        gevent.sleep(2.0)
+        followed = next(
+            item.number
+            for item in mesh.controllers
+            if machine.name in item.controller.publisher.subscribers
+        )
+        cut = mesh.controllers[followed].process.name
+        for other in mesh.controllers:
+            if other.process.name != cut:
+                mesh.world.network.cut(cut, other.process.name)
+                mesh.world.network.cut(other.process.name, cut)
+        gevent.sleep(1.0)
+        assert put(mesh, 2, 1) == 200
+        gevent.sleep(3.0)
+        return machine.sidecar.adopted.table.version
+
+    assert play(script) == 2
