Sidecars leave a control process whose leader is cut off; members outlive their control process

The follower counted as in touch because it heard its leader, which had no quorum, so 12 sidecars stayed with it and with version 2; 6 s later the majority took all nodes subscribed behind the cut for gone, and every service was without members (503 for 2 s). Ruled out: a lost acknowledgement (the majority had version 6 at 7.73 s); sidecars that cannot reach the others (they did, at 12.1 s, when sent away). Change: a leader says on each request whether it holds its lease; only that keeps a follower in touch. Members of a control process that is not heard stay 30 s; a whole list from one that knows few takes nobody away for 10 s. Before: 4 new tests fail; after: they pass with all others (make test).

--- a/src/cranklane/control/membership.py
+++ b/src/cranklane/control/membership.py
@@ -17,6 +17,10 @@
 LEASE_SECONDS = 6.0
 """Seconds without a heartbeat after which a node counts as gone."""
 
+OWNER_LEASE_SECONDS = 30.0
+"""Seconds that members stay whose control process is not heard any more: those
+that are there subscribe elsewhere, and the others are found out by their callers."""
+
 SESSION_SHIFT = 10
 """A member's sequence is its session in the high bits and a count of changes in
 the low ones, so that what a node's newest control process says goes first."""
@@ -161,17 +165,22 @@
 
     def expire(self) -> list[Member]:
         """Mark members whose lease has run out as gone, and return them."""
-        oldest = self._clock() - LEASE_SECONDS
+        now = self._clock()
         expired = [
             known
             for known in self._known.values()
-            if known.member.state != MemberState.GONE and self._heard_at(known) < oldest
+            if known.member.state != MemberState.GONE and self._is_expired(known, now)
         ]
         for known in expired:
             presumed = known.owner not in ("", self._own)
             self._set_state(known, MemberState.GONE, presumed)
         return [known.member for known in expired]
 
+    def _is_expired(self, known: _Known, now: float) -> bool:
+        own = known.owner in ("", self._own)
+        lease = LEASE_SECONDS if own else OWNER_LEASE_SECONDS
+        return now - self._heard_at(known) > lease
+
     def _heard_at(self, known: _Known) -> float:
         if known.owner in ("", self._own):
             return known.heard_at
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -1503,10 +1503,10 @@
 
 @dataclass(slots=True)
 class AppendRequest:
-    """The leader's entries after ``previous_index``, and what is committed."""
+    """The leader's entries after ``previous_index``, and what is committed. ``leased``: a quorum has answered it lately, so that it leads for certain."""
 
     KIND: ClassVar[int] = 58
-    LAYOUT: ClassVar[Struct] = Struct("!QQQQQI")
+    LAYOUT: ClassVar[Struct] = Struct("!QQQQQ?I")
 
     term: int = 0
     leader: int = 0
@@ -1514,11 +1514,12 @@
     previous_term: int = 0
     commit: int = 0
     entries: list[LogEntry] = field(default_factory=list)
+    leased: bool = False
 
     def pack(self) -> bytes:
         entries = pack_records(self.entries)
         try:
-            head = self.LAYOUT.pack(self.term, self.leader, self.previous_index, self.previous_term, self.commit, len(entries))
+            head = self.LAYOUT.pack(self.term, self.leader, self.previous_index, self.previous_term, self.commit, self.leased, len(entries))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, entries))
@@ -1526,7 +1527,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> AppendRequest:
         try:
-            term, leader, previous_index, previous_term, commit, entries_size, = cls.LAYOUT.unpack_from(payload)
+            term, leader, previous_index, previous_term, commit, leased, entries_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + entries_size
             entries = unpack_records(LogEntry.unpack, payload[start:end])
@@ -1535,7 +1536,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"AppendRequest of {len(payload)} bytes, not {start}")
-        return cls(term, leader, previous_index, previous_term, commit, entries)
+        return cls(term, leader, previous_index, previous_term, commit, entries, leased)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -231,8 +231,10 @@
     Record(
         58,
         "AppendRequest",
-        "The leader's entries after ``previous_index``, and what is committed.",
-        "term:u64 leader:u64 previous_index:u64 previous_term:u64 commit:u64 entries:[LogEntry]",
+        "The leader's entries after ``previous_index``, and what is committed. ``leased``: a "
+        "quorum has answered it lately, so that it leads for certain.",
+        "term:u64 leader:u64 previous_index:u64 previous_term:u64 commit:u64 entries:[LogEntry] "
+        "leased:bool",
     ),
     Record(
         59,
--- a/src/cranklane/replication/election.py
+++ b/src/cranklane/replication/election.py
@@ -29,7 +29,7 @@
         self._leader_heard_at: float | None = None
 
     def leader_heard(self) -> None:
-        """Take a leader's own word."""
+        """Take the word of a leader that leads for certain."""
         self._leader_heard_at = self._replica.runtime.monotonic()
         self.heard()
 
--- a/src/cranklane/replication/leadership.py
+++ b/src/cranklane/replication/leadership.py
@@ -122,6 +122,7 @@
             previous_term=previous_term,
             commit=replica.commit_index,
             entries=log.between(next_index, next_index + BATCH_ENTRIES - 1),
+            leased=self.has_lease(),
         )
         sent_at = replica.runtime.monotonic()
         reply = link.call(request, AppendReply, REPLY_SECONDS)
--- a/src/cranklane/replication/peer_service.py
+++ b/src/cranklane/replication/peer_service.py
@@ -87,7 +87,7 @@
         with replica.changing:
             if request.term < replica.term:
                 return AppendReply(replica.term, False, 0, replica.log.last_index)
-            replica.follow(request.term, request.leader)
+            replica.follow(request.term, request.leader, request.leased)
             if not self._matches(request):
                 return AppendReply(replica.term, False, 0, replica.log.last_index)
             new = [entry for entry in request.entries if self._is_new(entry)]
@@ -124,7 +124,7 @@
         with replica.changing:
             if chunk.term < replica.term:
                 return SnapshotReply(replica.term, 0)
-            replica.follow(chunk.term, chunk.leader)
+            replica.follow(chunk.term, chunk.leader, leased=False)
             if chunk.offset == 0:
                 self._incoming = b""
             if chunk.offset != len(self._incoming):
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -140,7 +140,7 @@
 
     @property
     def in_touch(self) -> bool:
-        """Whether it leads for certain, or has heard its leader lately."""
+        """Whether it leads for certain, or has lately heard a leader that did."""
         return self.may_read or (not self.is_leader and self.election.leader_heard_lately())
 
     @property
@@ -332,13 +332,18 @@
             self.leader = 0
             self.step_down()
 
-    def follow(self, term: int, leader: int) -> None:
-        """Take that a replica leads a term. Needs the lock."""
+    def follow(self, term: int, leader: int, leased: bool) -> None:
+        """Take that a replica leads a term. Needs the lock.
+
+        :param leased: whether it leads for certain, by its own word.
+        """
         self.take_term(term)
         if self.leader != leader:
             self.leader = leader
             self.event_log.info("following", group=self.own.group, term=term)
-        self.election.leader_heard()
+        self.election.heard()
+        if leased:
+            self.election.leader_heard()
 
     def step_down(self) -> None:
         """Lead no more; proposals under way end as unknown."""
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -18,6 +18,9 @@
 MAX_EJECT_SECONDS = 4.0
 FAILURES_BEFORE_EJECTION = 3
 LATENCY_WEIGHT = 0.1
+UNNAMED_SECONDS = 10.0
+"""A destination that a whole list of members leaves out is kept for this long."""
+
 OTHER_ZONE_COST = 1.15
 """A destination in another zone counts as this much slower."""
 
@@ -36,6 +39,7 @@
     :ivar reported: requests running or waiting there, by its newest answer.
     :ivar opened_since: requests sent there from here since that answer.
     :ivar in_flight: requests sent there from here without an answer yet.
+    :ivar unnamed_since: when a whole list of members left it out; None: named.
     :ivar latency: smoothed seconds until an answer; 0 when none was seen.
     """
 
@@ -54,6 +58,7 @@
     latency: float = 0.0
     failures: int = 0
     ejected_until: float = 0.0
+    unnamed_since: float | None = None
 
     def load(self) -> float:
         """Return the estimated requests there for each of its slots."""
@@ -108,13 +113,31 @@
     def apply(self, delta: MemberDelta) -> None:
         """Take what control says of members."""
         if delta.whole:
-            named = {member.node for member in delta.members}
-            for node in [n for n in self._by_node if n not in named and n != self._own]:
-                self._remove(node)
+            self._take_whole({member.node for member in delta.members})
         for member in delta.members:
             if member.node != self._own:
                 self._apply(member)
 
+    def _take_whole(self, named: set[str]) -> None:
+        """Take a whole list: those it leaves out stay for a while.
+
+        A control process that has just started knows few members; those that
+        are really gone are found out by the first request.
+        """
+        now = self._clock()
+        for node, known in list(self._by_node.items()):
+            if node in named or node == self._own:
+                known.unnamed_since = None
+            elif known.unnamed_since is None:
+                known.unnamed_since = now
+        self._drop_unnamed(now)
+
+    def _drop_unnamed(self, now: float) -> None:
+        for node, known in list(self._by_node.items()):
+            since = known.unnamed_since
+            if since is not None and now - since > UNNAMED_SECONDS:
+                self._remove(node)
+
     def state_own(self, member: Member) -> None:
         """State the worker beside this process."""
         self._apply(member)
@@ -137,6 +160,7 @@
             self._remove(member.node)
             self._add(member)
             return
+        known.unnamed_since = None
         known.incarnation = member.incarnation
         known.sequence = member.sequence
         known.state = MemberState(member.state)
@@ -172,7 +196,9 @@
         live = [
             item
             for item in self._by_service.get(service, ())
-            if item.state is MemberState.LIVE and item.node not in tried
+            if item.state is MemberState.LIVE
+            and item.node not in tried
+            and (item.unnamed_since is None or now - item.unnamed_since < UNNAMED_SECONDS)
         ]
         if not live:
             return None
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -200,3 +200,53 @@
         return machine.sidecar.adopted.table.version
 
     assert play(script) == 2
+
+
+def cut_apart(mesh, minority):
+    names = [machine.process.name for machine in mesh.controllers]
+    for inside in (names[number] for number in minority):
+        for outside in (name for i, name in enumerate(names) if i not in minority):
+            mesh.world.network.cut(inside, outside)
+            mesh.world.network.cut(outside, inside)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_sidecars_leave_a_cut_off_leader_and_its_follower_and_keep_their_members(seed):
+    def script(mesh):
+        leader = mesh.leader().number
+        minority = {leader, (leader + 1) % 5}
+        machines = [mesh.add_machine("s") for _ in range(6)]
+        assert put(mesh, 1, 0) == 200
+        gevent.sleep(2.0)
+        cut_apart(mesh, minority)
+        assert mesh.wait_for(lambda: mesh.leader() and mesh.leader().number not in minority, 5)
+        assert put(mesh, 2, 1) == 200
+        gevent.sleep(2.0)
+        versions = {machine.sidecar.adopted.table.version for machine in machines}
+        fewest = 6
+        for _ in range(100):
+            gevent.sleep(0.2)
+            counts = [machine.sidecar.destinations.count("s") for machine in machines]
+            fewest = min(fewest, *counts)
+        return versions, fewest
+
+    assert play(script, seed=seed) == ({2}, 6)
+
+
+def test_a_restarted_group_that_knows_nobody_yet_takes_no_members_away():
+    def script(mesh):
+        machines = [mesh.add_machine("s") for _ in range(4)]
+        assert put(mesh, 1, 0) == 200
+        gevent.sleep(2.0)
+        for machine in mesh.controllers:
+            machine.process.kill()
+        fewest = 4
+        for number in range(5):
+            mesh.restart_controller(number)
+        for _ in range(100):
+            gevent.sleep(0.05)
+            counts = [machine.sidecar.destinations.count("s") for machine in machines]
+            fewest = min(fewest, *counts)
+        return fewest
+
+    assert play(script) == 4
