--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -76,6 +76,7 @@
     def closed(self) -> None:
         """Count a request that has ended."""
         self.in_flight -= 1
+        self.opened_since = max(0, self.opened_since - 1)
 
     def answered(self, seconds: float, load: Load) -> None:
         """Take an answer."""
