--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -209,7 +209,8 @@
             return False
         if not reply.arrived:
             call.refusals += 1
-            if call.refusals >= MAX_REFUSALS:
+            if call.refusals >= MAX_REFUSALS or reply.reason is Reason.REFUSED_EARLY:
+                # Refused early means that the fault is deeper than this worker.
                 return False
             return call.attempts == 0 or call.attempts < call.route.max_attempts
         if call.attempts >= call.route.max_attempts:
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -13,12 +13,18 @@
 from cranklane.outcome import Reason
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal
+from cranklane.sidecar.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.worker_exchange import WorkerExchange
 from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
 
 MIN_RETRY_AFTER_MS = 50
 
+EARLY_RETRY_AFTER_MS = 400
+"""When a request may come again that is refused because others like it fail."""
+
+_FAILED_STATUS = (500, 504)
+
 
 AdmissionListener = Callable[[str, Reason, int, int, int, float], None]
 """Told of a decision: request, reason, running, queued, slots, seconds waited."""
@@ -42,6 +48,7 @@
         self._runtime = runtime
         self._worker = worker
         self._slots = slots
+        self._limiter = OutcomeLimiter(runtime.monotonic)
         self._exchange = (
             WorkerExchange(runtime, worker.pool, names, worker.other_instance)
             if worker.pool is not None
@@ -71,6 +78,8 @@
         request = attempt.request
         arrived_at = self._runtime.monotonic()
         reason = self._closed_to(request.service)
+        if reason is Reason.NONE and not self._limiter.admits(request.priority):
+            reason = Reason.REFUSED_EARLY
         if reason is Reason.NONE:
             reason = self._slots.acquire(
                 request.priority, request.start_ms / 1000, self._ends_wait(attempt)
@@ -86,8 +95,9 @@
             started_at - arrived_at,
         )
         if reason is not Reason.NONE:
-            return refusal(reason, retry_after_ms=self._retry_after_ms())
+            return refusal(reason, retry_after_ms=self._retry_after_ms(reason))
         reply: Reply | None = None
+        begun_in = self._limiter.began(request.priority)
         try:
             if on_admitted is not None:
                 on_admitted()
@@ -97,6 +107,8 @@
         finally:
             if reply is None or reply.rest is None:
                 self._release(started_at)
+        if not attempt.cancelled:
+            self._limiter.ended(request.priority, begun_in, _is_failure(reply))
         if reply.reason is Reason.WORKER_UNREACHABLE:
             self._worker.unreachable()
         if reply.rest is not None:
@@ -130,6 +142,13 @@
         finally:
             self._release(started_at)
 
-    def _retry_after_ms(self) -> int:
+    def _retry_after_ms(self, reason: Reason) -> int:
+        if reason is Reason.REFUSED_EARLY:
+            return EARLY_RETRY_AFTER_MS
         wait = self._slots.expected_wait(self._slots.rank(0))
         return max(MIN_RETRY_AFTER_MS, int(wait * 1000))
+
+
+def _is_failure(reply: Reply) -> bool:
+    """Return whether a run failed, as one does whose own calls were refused."""
+    return reply.status in _FAILED_STATUS or reply.reason is Reason.DEADLINE_PASSED
--- a/src/cranklane/sidecar/worker_registry.py
+++ b/src/cranklane/sidecar/worker_registry.py
@@ -21,6 +21,12 @@
 from cranklane.sidecar.slots import Slots
 from cranklane.sidecar.worker_pool import WorkerPool
 
+USABLE_PART = 0.95
+"""Part of its slots that a worker is given: some get slower when nearly full."""
+
+SMALL_WORKER_SLOTS = 10
+"""A worker with fewer slots is given all of them."""
+
 MISSED_HEARTBEATS = 3.5
 """Heartbeats in a row whose absence means that the worker is lost."""
 
@@ -124,8 +130,9 @@
         if instance in self._ended:
             return
         self.service = heartbeat.service
-        if heartbeat.slots != self._slots.limit:
-            self._slots.resize(heartbeat.slots)
+        usable = _usable(heartbeat.slots)
+        if usable != self._slots.limit:
+            self._slots.resize(usable)
             self._on_change()
         if heartbeat.phase is WorkerPhase.DRAINING:
             self._end(instance, WorkerState.DRAINING)
@@ -207,3 +214,12 @@
         known[instance] = value
         while len(known) > REMEMBERED_INSTANCES:
             known.popitem(last=False)
+
+
+def _usable(slots: int) -> int:
+    """Return how many of a worker's slots are used.
+
+    >>> _usable(4), _usable(14), _usable(44)
+    (4, 13, 41)
+    """
+    return slots if slots < SMALL_WORKER_SLOTS else int(slots * USABLE_PART)
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -59,6 +59,7 @@
     :ivar garbage_answers: answers that are no HTTP.
     :ivar unframed_answers: answers without length, ended by their connection.
     :ivar refuse: requests to refuse as not run.
+    :ivar fail: requests to run and answer with 500.
     :ivar body: of each answer.
     """
 
@@ -72,6 +73,7 @@
     unframed_answers: int = 0
     unmarked_answers: int = 0
     refuse: int = 0
+    fail: int = 0
     body: bytes = b"answer"
     arrivals: int = 0
     connections: int = 0
@@ -209,6 +211,8 @@
 
     def _finish(self, stream: Any, request: bytes) -> bool:
         state = self.state
+        if state.strikes("fail"):
+            return self._answer(stream, request, 500, b"failed")
         if state.strikes("lose_answers"):
             return False
         if state.strikes("garbage_answers"):
