The queue before a worker goes by the time of latest start

Change: rank is the latest start, a step of priority 0.1 s. Ruled out: strict priority, which starves. New tests of the queue: 5 pass (the first fails on the former order).

--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -145,7 +145,7 @@
     def _retry_after_ms(self, reason: Reason) -> int:
         if reason is Reason.REFUSED_EARLY:
             return EARLY_RETRY_AFTER_MS
-        wait = self._slots.expected_wait(self._slots.rank(0))
+        wait = self._slots.expected_wait(self._slots.rank(0, 0.0))
         return max(MIN_RETRY_AFTER_MS, int(wait * 1000))
 
 
--- a/src/cranklane/sidecar/slots.py
+++ b/src/cranklane/sidecar/slots.py
@@ -1,7 +1,8 @@
 """The slots of one worker and the queue before them.
 
-The order is by arrival, each step of priority counting as a fixed head start, so
-that important requests go first and none waits for ever.
+The order is by the time at which a request must have started, each step of
+priority counting as a fixed head start: a request in a hurry is not held up by
+many that can wait, important ones go first, and none waits for ever.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 from cranklane.outcome import Reason
 
-PRIORITY_STEP_SECONDS = 0.25
+PRIORITY_STEP_SECONDS = 0.1
 """Head start of one step of priority over the next."""
 
 HOLD_WEIGHT = 0.05
@@ -70,9 +71,9 @@
         ahead = sum(1 for entry in self._waiting if entry[0] <= rank)
         return (ahead + 1) * self.hold / max(1, self.limit)
 
-    def rank(self, priority: int) -> float:
+    def rank(self, priority: int, wait_seconds: float) -> float:
         """Return the place in the order of a request that comes now."""
-        return self._clock() + priority * PRIORITY_STEP_SECONDS
+        return self._clock() + wait_seconds + priority * PRIORITY_STEP_SECONDS
 
     def acquire(
         self,
@@ -87,7 +88,7 @@
         if self.running < self.limit and self.queued == 0:
             self.running += 1
             return Reason.NONE
-        rank = self.rank(priority)
+        rank = self.rank(priority, wait_seconds)
         if self.expected_wait(rank) > wait_seconds:
             return Reason.QUEUE_FULL
         waiter = Waiter()
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,91 @@
+"""The queue before a worker: who goes first, who is refused, what is counted."""
+
+import gevent
+
+from cranklane.outcome import Reason
+from cranklane.sidecar.slots import Slots
+from cranklane_lab.simulation.loop import run_virtual
+
+
+def play(script, limit=1):
+    def run(loop):
+        slots = Slots(loop.now)
+        slots.resize(limit)
+        return script(slots)
+
+    return run_virtual(run)
+
+
+def ask(slots, order, name, priority=0, wait=1.0, hold=0.1):
+    reason = slots.acquire(priority, wait, lambda _waiter: None)
+    order.append(name if reason is Reason.NONE else reason)
+    if reason is Reason.NONE:
+        gevent.sleep(hold)
+        slots.release(hold)
+
+
+def order_of(slots, requests):
+    order = []
+    tasks = []
+    for request in requests:
+        tasks.append(gevent.spawn(ask, slots, order, *request))
+        gevent.sleep(0)
+    gevent.joinall(tasks)
+    return order
+
+
+def test_a_request_in_a_hurry_goes_before_many_that_can_wait():
+    def script(slots):
+        patient = [(f"patient {n}", 0, 0.9) for n in range(3)]
+        return order_of(slots, [*patient, ("hurried", 0, 0.12)])
+
+    assert play(script) == ["patient 0", "hurried", "patient 1", "patient 2"]
+
+
+def test_the_more_important_goes_first():
+    def script(slots):
+        return order_of(slots, [("a", 0, 1.0), ("least", 2, 1.0), ("most", 0, 1.0)])
+
+    assert play(script) == ["a", "most", "least"]
+
+
+def test_what_cannot_start_in_time_is_refused_at_once():
+    def script(slots):
+        slots.hold = 0.5
+        order = order_of(slots, [("a", 0, 1.0), ("b", 0, 0.2)])
+        return order, slots.running, slots.queued
+
+    assert play(script) == ([Reason.QUEUE_FULL, "a"], 0, 0) or play(script) == (
+        ["a", Reason.QUEUE_FULL],
+        0,
+        0,
+    )
+
+
+def test_a_wait_that_is_ended_frees_its_place():
+    def script(slots):
+        order = []
+        waiters = []
+        holder = gevent.spawn(ask, slots, order, "holder", 0, 1.0, 0.3)
+        gevent.sleep(0)
+        waiting = gevent.spawn(lambda: order.append(slots.acquire(0, 1.0, waiters.append)))
+        gevent.sleep(0.05)
+        waiters[0].refuse(Reason.CANCELLED)
+        gevent.joinall([holder, waiting])
+        return order, slots.running, slots.queued
+
+    assert play(script) == (["holder", Reason.CANCELLED], 0, 0)
+
+
+def test_more_slots_start_those_that_wait():
+    def script(slots):
+        order = []
+        tasks = [gevent.spawn(ask, slots, order, name, 0, 1.0, 0.2) for name in "abc"]
+        gevent.sleep(0.05)
+        slots.resize(3)
+        gevent.sleep(0.01)
+        running = slots.running
+        gevent.joinall(tasks)
+        return running, sorted(order)
+
+    assert play(script) == (3, ["a", "b", "c"])
