Only routes that clients call are refused early; steadier steps of the limiter

Inner routes were limited too: a printshop that admits half makes half of the trees above fail, which lowers the parts above, for ever.

--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2136,7 +2136,7 @@
     """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all."""
 
     KIND: ClassVar[int] = 80
-    LAYOUT: ClassVar[Struct] = Struct("!IIB??B?QHHII")
+    LAYOUT: ClassVar[Struct] = Struct("!IIB??B?QHHHHII")
 
     deadline_ms: int = 0
     start_ms: int = 0
@@ -2147,29 +2147,39 @@
     whole: bool = False
     length: int = 0
     service: str = ""
+    route: str = ""
+    caller: str = ""
     request: str = ""
     lines: bytes = b""
     body: bytes = b""
 
     def pack(self) -> bytes:
         service = self.service.encode()
+        route = self.route.encode()
+        caller = self.caller.encode()
         request = self.request.encode()
         lines = self.lines
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.priority, self.repeatable, self.bodiless, self.framing, self.whole, self.length, len(service), len(request), len(lines), len(body))
+            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.priority, self.repeatable, self.bodiless, self.framing, self.whole, self.length, len(service), len(route), len(caller), len(request), len(lines), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, service, request, lines, body))
+        return b''.join((head, service, route, caller, request, lines, body))
 
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardRequest:
         try:
-            deadline_ms, start_ms, priority, repeatable, bodiless, framing, whole, length, service_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            deadline_ms, start_ms, priority, repeatable, bodiless, framing, whole, length, service_size, route_size, caller_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + service_size
             service = payload[start:end].decode()
             start = end
+            end = start + route_size
+            route = payload[start:end].decode()
+            start = end
+            end = start + caller_size
+            caller = payload[start:end].decode()
+            start = end
             end = start + request_size
             request = payload[start:end].decode()
             start = end
@@ -2183,7 +2193,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardRequest of {len(payload)} bytes, not {start}")
-        return cls(deadline_ms, start_ms, priority, repeatable, bodiless, framing, whole, length, service, request, lines, body)
+        return cls(deadline_ms, start_ms, priority, repeatable, bodiless, framing, whole, length, service, route, caller, request, lines, body)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -326,7 +326,7 @@
         "request is no longer worth starting. ``lines`` holds the request line and the "
         "headers, ``body`` what of the body has been read; ``whole`` tells that this is all.",
         "deadline_ms:u32 start_ms:u32 priority:u8 repeatable:bool bodiless:bool framing:u8 "
-        "whole:bool length:u64 service:str request:str lines:bytes body:bytes",
+        "whole:bool length:u64 service:str route:str caller:str request:str lines:bytes body:bytes",
     ),
     Record(
         81, "ForwardBody", "The next piece of a body; none after the last.", "last:bool data:bytes"
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -26,7 +26,7 @@
 MAX_REFUSALS = 3
 """Sidecars asked in turn before a request counts as refused."""
 
-START_PART = 0.5
+START_PART = 0.3
 """A request may wait for its start this part of its objective, and no longer."""
 
 DEFAULT_RETRY_AFTER_MS = 200
@@ -78,6 +78,7 @@
     """Chooses destinations for requests.
 
     :param own: name of this machine's node.
+    :param caller: service of this machine.
     :param on_attempt: told of each attempt that has ended, and its seconds.
     """
 
@@ -89,6 +90,7 @@
         peers: PeerClient,
         budget: RetryBudget,
         own: str,
+        caller: str,
         on_attempt: Callable[[Call, Destination, Reply, float], None],
     ) -> None:
         self._runtime = runtime
@@ -97,6 +99,7 @@
         self._peers = peers
         self._budget = budget
         self._own = own
+        self._caller = caller
         self._on_attempt = on_attempt
 
     def run(self, call: Call) -> Reply:
@@ -156,6 +159,8 @@
             whole=call.rest is None,
             length=call.length,
             service=call.service,
+            route=call.route.name,
+            caller=self._caller,
             request=call.request,
             lines=call.lines,
             body=call.body,
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -78,7 +78,9 @@
         request = attempt.request
         arrived_at = self._runtime.monotonic()
         reason = self._closed_to(request.service)
-        if reason is Reason.NONE and not self._limiter.admits(request.priority):
+        if reason is Reason.NONE and not self._limiter.admits(
+            request.route, request.priority, request.caller
+        ):
             reason = Reason.REFUSED_EARLY
         if reason is Reason.NONE:
             reason = self._slots.acquire(
@@ -97,7 +99,7 @@
         if reason is not Reason.NONE:
             return refusal(reason, retry_after_ms=self._retry_after_ms(reason))
         reply: Reply | None = None
-        begun_in = self._limiter.began(request.priority)
+        begun_in = self._limiter.began(request.route)
         try:
             if on_admitted is not None:
                 on_admitted()
@@ -108,7 +110,7 @@
             if reply is None or reply.rest is None:
                 self._release(started_at)
         if not attempt.cancelled:
-            self._limiter.ended(request.priority, begun_in, _is_failure(reply))
+            self._limiter.ended(request.route, begun_in, _is_failure(reply))
         if reply.reason is Reason.WORKER_UNREACHABLE:
             self._worker.unreachable()
         if reply.rest is not None:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -123,6 +123,7 @@
             self.peers,
             RetryBudget(settings.retry_ratio * BUDGET_PART, BUDGET_RESERVE),
             settings.name,
+            settings.service,
             self.decisions.attempted,
         )
         self.ingress = Ingress(
