explain-request: from a request's id to its cause, by the logs alone

Cause: the lines told outcomes but not where the time of a late request went, and no tool put the lines of several processes in order. Change: answers carry the time waited and the time at the worker; late requests have a line as failed ones do; 'cranklane explain-request ID LOG...' tells the story and names the cause.

--- a/src/cranklane/cli/main.py
+++ b/src/cranklane/cli/main.py
@@ -13,6 +13,7 @@
 from cranklane.cli.common import Control, Token, call, fail
 from cranklane.cli.control import control_commands
 from cranklane.cli.explain import explain_target, show_policy
+from cranklane.cli.story import read_lines, story_of
 from cranklane.errors import PolicyError
 from cranklane.policy.compiler import compile_policy
 from cranklane.policy.model import Policy, states_anything
@@ -37,6 +38,23 @@
     return policy
 
 
+@application.command("explain-request")
+def explain_request(request: str, logs: list[Path]) -> None:
+    """Tell what became of a request, from the logs of the processes that it passed."""
+    lines = []
+    for path in logs:
+        try:
+            with path.open(errors="replace") as file:
+                lines += read_lines(file)
+        except OSError as error:
+            raise fail([f"{path}: cannot be read: {error.strerror}"]) from error
+    story = story_of(request, lines)
+    if not story:
+        raise fail([f"no line tells of the request {request!r}"])
+    for line in story:
+        typer.echo(line)
+
+
 @policy_commands.command("check")
 def policy_check(path: Path) -> None:
     """Check a policy text; print every problem with its line and column."""
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2259,10 +2259,10 @@
 
 @dataclass(slots=True)
 class ForwardAnswer:
-    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count. ``body`` is the first piece, and all of it if ``whole``."""
+    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count; ``waited_ms`` and ``ran_ms`` are the times before and at the worker. ``body`` is the first piece, and all of it if ``whole``."""
 
     KIND: ClassVar[int] = 83
-    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIQII")
+    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIIIQII")
 
     outcome: int = 0
     reason: int = 0
@@ -2274,6 +2274,8 @@
     running: int = 0
     queued: int = 0
     slots: int = 0
+    waited_ms: int = 0
+    ran_ms: int = 0
     length: int = 0
     lines: bytes = b""
     body: bytes = b""
@@ -2282,7 +2284,7 @@
         lines = self.lines
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.length, len(lines), len(body))
+            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.waited_ms, self.ran_ms, self.length, len(lines), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, lines, body))
@@ -2290,7 +2292,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardAnswer:
         try:
-            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, length, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, waited_ms, ran_ms, length, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + lines_size
             lines = payload[start:end]
@@ -2302,7 +2304,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardAnswer of {len(payload)} bytes, not {start}")
-        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, length, lines, body)
+        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, waited_ms, ran_ms, length, lines, body)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/sidecar/attempt.py
+++ b/src/cranklane/sidecar/attempt.py
@@ -65,6 +65,8 @@
     :ivar retry_after_ms: when a refused request may come again.
     :ivar lines: the answer's headers as they go to the caller, without framing.
     :ivar body: the body, or its first piece when ``rest`` is there.
+    :ivar waited_ms: time it waited for a slot of the worker.
+    :ivar ran_ms: time until the worker had answered.
     :ivar rest: the further pieces; raises AnswerCutError when they end too early.
     """
 
@@ -79,6 +81,8 @@
     body: bytes = b""
     rest: Iterator[bytes] | None = None
     load: Load = field(default_factory=Load)
+    waited_ms: int = 0
+    ran_ms: int = 0
 
 
 def refusal(reason: Reason, arrived: bool = False, retry_after_ms: int = 0) -> Reply:
--- a/src/cranklane/sidecar/decision_log.py
+++ b/src/cranklane/sidecar/decision_log.py
@@ -1,6 +1,6 @@
 """Logs and counts what a sidecar decides about requests.
 
-Each refused or failed request, and each attempt that did not end in an answer,
+Each refused, failed or late request, and each attempt that did not end in an answer,
 has a line while the rate allows; of those that went well a sample has one. The
 lines of one request share its id at every sidecar that it passed.
 """
@@ -61,7 +61,8 @@
     def decided(self, decision: Decision) -> None:
         """Take what became of a request."""
         self._metrics.request(decision)
-        fine = decision.outcome is Outcome.ANSWERED and decision.status < 500
+        late = decision.seconds > decision.objective_seconds > 0
+        fine = decision.outcome is Outcome.ANSWERED and decision.status < 500 and not late
         limit = self._successes if fine else self._problems
         if not limit.allows():
             return
@@ -76,6 +77,9 @@
             attempts=decision.attempts,
             refusals=decision.refusals,
             seconds=round(decision.seconds, 4),
+            waited_ms=decision.waited_ms,
+            ran_ms=decision.ran_ms,
+            objective_seconds=decision.objective_seconds,
             deadline_seconds=round(decision.allowed_seconds, 3),
             table=decision.version,
         )
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -109,6 +109,8 @@
         finally:
             if reply is None or reply.rest is None:
                 self._release(started_at)
+        reply.waited_ms = int((started_at - arrived_at) * 1000)
+        reply.ran_ms = int((self._runtime.monotonic() - started_at) * 1000)
         if not attempt.cancelled:
             self._limiter.ended(request.route, begun_in, _is_failure(reply))
         if reply.reason is Reason.WORKER_UNREACHABLE:
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -53,6 +53,9 @@
     """What became of one request, for logs and counters.
 
     :ivar seconds: from its head to the end of its answer.
+    :ivar objective_seconds: an answer within this time is worth most; 0 without a route.
+    :ivar waited_ms: time it waited for a slot of the worker that answered last.
+    :ivar ran_ms: time it was at that worker.
     :ivar allowed_seconds: time it had, by its caller's word or its route's.
     """
 
@@ -66,6 +69,9 @@
     refusals: int
     seconds: float
     allowed_seconds: float
+    objective_seconds: float
+    waited_ms: int
+    ran_ms: int
     version: int
 
 
@@ -346,6 +352,9 @@
                 call.refusals if call else 0,
                 self._runtime.monotonic() - started_at,
                 call.deadline - call.started_at if call else 0.0,
+                call.route.objective_ms / 1000 if call else 0.0,
+                reply.waited_ms,
+                reply.ran_ms,
                 table.version,
             )
         )
--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -191,6 +191,8 @@
         answer.body,
         None,
         Load(answer.running, answer.queued, answer.slots),
+        answer.waited_ms,
+        answer.ran_ms,
     )
 
 
@@ -288,6 +290,8 @@
         running=load.running,
         queued=load.queued,
         slots=load.slots,
+        waited_ms=reply.waited_ms,
+        ran_ms=reply.ran_ms,
         length=reply.length,
         lines=reply.lines,
         body=reply.body,
