--- a/src/cranklane/cli/main.py
+++ b/src/cranklane/cli/main.py
@@ -13,7 +13,7 @@
 from cranklane.cli.common import Control, Token, call, fail
 from cranklane.cli.control import control_commands
 from cranklane.cli.explain import explain_target, show_policy
-from cranklane.cli.story import read_lines, story_of
+from cranklane.cli.story import LogLine, read_lines, story_of
 from cranklane.errors import PolicyError
 from cranklane.policy.compiler import compile_policy
 from cranklane.policy.model import Policy, states_anything
@@ -41,7 +41,7 @@
 @application.command("explain-request")
 def explain_request(request: str, logs: list[Path]) -> None:
     """Tell what became of a request, from the logs of the processes that it passed."""
-    lines = []
+    lines: list[LogLine] = []
     for path in logs:
         try:
             with path.open(errors="replace") as file:
--- a/src/cranklane/control/controller.py
+++ b/src/cranklane/control/controller.py
@@ -9,6 +9,8 @@
 from cranklane.common.addresses import peer_addresses
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
+from cranklane.common.metrics_server import GaugeRegistry, MetricsServer
+from cranklane.common.small_http import SmallHttp
 from cranklane.control.exchange import Exchange
 from cranklane.control.membership import Membership
 from cranklane.control.publisher import SILENT_SECONDS, Publisher
@@ -23,7 +25,16 @@
 from cranklane.replication.replica import Replica, ReplicaIdentity
 from cranklane.replication.self_assembly import SelfAssembly
 from cranklane.runtime.interface import Runtime, parse_address
-from cranklane.settings import ADDRESS, ADDRESSES, NAME, TEXT, YES_OR_NO, setting, whole_number
+from cranklane.settings import (
+    ADDRESS,
+    ADDRESSES,
+    NAME,
+    OPTIONAL_ADDRESS,
+    TEXT,
+    YES_OR_NO,
+    setting,
+    whole_number,
+)
 
 GROUP = "routes"
 """Name of the group of replicas that holds the route table."""
@@ -57,6 +68,7 @@
     tolerated_losses: int = setting(
         whole_number(0, 8), 1, help="controllers whose disks may be lost at once"
     )
+    metrics: str = setting(OPTIONAL_ADDRESS, "", help="address of /metrics; none: nowhere")
 
 
 class Controller:
@@ -94,8 +106,12 @@
         settings = self.settings
         self.replica.open()
         self._listener = self.runtime.listen(parse_address(settings.listen), self._port.accept)
-        api = RouteApi(self.replica, self.store, self.editor, self._log, lambda: b"")
+        api = RouteApi(self.replica, self.store, self.editor, self._log)
         self.http = HttpServer(self.runtime, parse_address(settings.http), api.application)
+        if settings.metrics:
+            metrics = MetricsServer(self._registry().text)
+            serve = SmallHttp(self.runtime, metrics.handle).accept
+            self.runtime.listen(parse_address(settings.metrics), serve)
         assembly = SelfAssembly(self.replica, self._seeds, settings.first_start)
         for task in (assembly.run, self._exchange.run, self._expire, self._watch_touch):
             self.runtime.spawn(task)
@@ -116,6 +132,23 @@
             self._log.info("seeds_changed", seeds=settings.seeds)
         self.settings = settings
 
+    def _registry(self) -> GaugeRegistry:
+        gauges = GaugeRegistry()
+        replica = self.replica
+        gauges.add("cranklane_table_version", "Version in force.", lambda: self.store.version)
+        gauges.add("cranklane_term", "Newest term known.", lambda: replica.term)
+        gauges.add("cranklane_leads", "Whether it leads for certain.", lambda: replica.may_read)
+        gauges.add("cranklane_in_touch", "Whether it heard of a leader.", lambda: self.in_touch)
+        gauges.add("cranklane_applied_index", "Entry applied.", lambda: replica.applied_index)
+        gauges.add("cranklane_voters", "Voters.", lambda: len(replica.members.voters()))
+        gauges.add(
+            "cranklane_subscribers",
+            "Nodes that follow it.",
+            lambda: len(self.publisher.subscribers),
+        )
+        gauges.add("cranklane_members", "Nodes known.", lambda: len(self.membership))
+        return gauges
+
     def _seeds(self) -> list[str]:
         return peer_addresses(self.settings.seeds, self.settings.peer_port)
 
--- a/src/cranklane/control/route_api.py
+++ b/src/cranklane/control/route_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import falcon
@@ -24,11 +23,7 @@
 
 
 class RouteApi:
-    """The WSGI application.
-
-    :param metrics_path: where the counters are served; empty: nowhere.
-    :param metrics: returns them in the Prometheus text format.
-    """
+    """The WSGI application."""
 
     def __init__(
         self,
@@ -36,13 +31,11 @@
         store: RouteTableStore,
         editor: RouteEditor,
         log: Any,
-        metrics: Callable[[], bytes],
     ) -> None:
         self._replica = replica
         self._store = store
         self._editor = editor
         self._log = log
-        self._metrics = metrics
         self.application = falcon.App()
         self.application.req_options.auto_parse_form_urlencoded = False
         self.application.add_route(ROUTE_TABLE_PATH, self)
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -8,8 +8,9 @@
 
 from cranklane.common.addresses import peer_addresses
 from cranklane.common.logs import logger
+from cranklane.common.metrics_server import MetricsServer
 from cranklane.common.request_names import HeaderNames
-from cranklane.common.small_http import SmallAnswer, SmallHttp
+from cranklane.common.small_http import SmallHttp
 from cranklane.node.members import MemberState
 from cranklane.node.subscription import FollowTiming, Subscription
 from cranklane.records.messages import Heartbeat, Hello, Member, MemberDelta, Subscribe
@@ -46,8 +47,6 @@
 
 BUDGET_RESERVE = 2.0
 
-METRICS_PATH = "/metrics"
-
 WITHDRAWAL_SECONDS = 2.2
 """After a planned stop began, callers may need this long to notice it."""
 
@@ -151,7 +150,8 @@
         self._listen(settings.registry, SmallHttp(self._runtime, worker_api.handle).accept)
         self._listen(settings.callers, self.ingress.accept)
         if settings.metrics:
-            self._listen(settings.metrics, SmallHttp(self._runtime, self._show_metrics).accept)
+            metrics = MetricsServer(self.metrics.text)
+            self._listen(settings.metrics, SmallHttp(self._runtime, metrics.handle).accept)
         self._runtime.spawn(self.subscription.follow)
         self._runtime.spawn(self.worker.watch)
         self._runtime.spawn(self.decisions.summarise)
@@ -173,11 +173,6 @@
     def _table_version(self) -> float:
         return self.adopted.table.version
 
-    def _show_metrics(self, method: str, path: str, _body: bytes) -> SmallAnswer:
-        if method != "GET" or path != METRICS_PATH:
-            return SmallAnswer(404)
-        return SmallAnswer(200, self.metrics.text(), b"text/plain; version=0.0.4")
-
     def _listen(self, address: str, handler: object) -> None:
         self._listeners.append(
             self._runtime.listen(parse_address(address), handler)  # type: ignore[arg-type]
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -24,6 +24,7 @@
 _CALLERS_PORT = 8000
 _READINESS_PORT = 8001
 _REGISTRY_PORT = 8002
+_METRICS_PORT = 8003
 _WORKER_PORT = 8080
 
 
@@ -200,6 +201,7 @@
             readiness=f"{host}:{_READINESS_PORT}",
             registry=f"{host}:{_REGISTRY_PORT}",
             listen=f"{host}:{_PEER_PORT}",
+            metrics=f"{host}:{_METRICS_PORT}",
             seeds=self._seeds,
             peer_port=_PEER_PORT,
             worker=f"{host}:{_WORKER_PORT}",
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -7,7 +7,7 @@
 
 from cranklane_lab.simulation.mesh import HOST, Mesh, route_table
 from cranklane_lab.simulation.world import simulate
-from cranklane_lab.standins.raw_http import RawConnection, request_bytes
+from cranklane_lab.standins.raw_http import RawConnection, exchange, request_bytes
 from cranklane_lab.standins.routed_worker import NAMES
 
 ROUTES = {
@@ -452,3 +452,16 @@
         return len(early) > 10, {answer.status for answer in passed}
 
     assert play(script) == (True, {500})
+
+
+def test_counters_and_readiness_are_served_at_their_addresses():
+    def script(mesh):
+        machine = mesh.machines[0]
+        mesh.request(machine, "/read/x")
+        process = mesh.client_process("scraper", machine.host)
+        ready = exchange(process, machine.readiness, "GET", "/v1/ready", {})
+        text = exchange(process, (machine.host, 8003), "GET", "/metrics", {}).body.decode()
+        other = exchange(process, (machine.host, 8003), "GET", "/elsewhere", {}).status
+        return ready.status, "cranklane_requests_total{" in text, other
+
+    assert play(script) == (200, True, 404)
