Full disks, clocks behind, and leaving workers that are asked first

Three faults found by reading, each with a test that failed first: - a full disk ended the tasks of a follower's connection and left half a frame before later ones; a refused write now steps down or gives no answer, and what was half written is cut before the next append; - a sidecar restarted with its clock an hour behind was taken for an older process and never listed again; control now says which incarnation it knows; - workers that leave used up the three tries of a request (503 with a free worker). Ruled out: truncating at once on a full disk, which may be refused too.

--- a/src/cranklane/control/membership.py
+++ b/src/cranklane/control/membership.py
@@ -78,6 +78,11 @@
             known.member for known in self._known.values() if known.member.state != MemberState.GONE
         ]
 
+    def incarnation_of(self, node: str) -> int:
+        """Return the newest incarnation known of a node, 0 for none."""
+        known = self._known.get(node)
+        return known.member.incarnation if known is not None else 0
+
     # Own subscribers.
 
     def joined(self, identity: Subscribe) -> None:
--- a/src/cranklane/control/publisher.py
+++ b/src/cranklane/control/publisher.py
@@ -21,6 +21,7 @@
     ConfigRow,
     ControlReplicas,
     Heartbeat,
+    IncarnationKnown,
     Member,
     MemberDelta,
     Ping,
@@ -115,6 +116,9 @@
         subscriber = Subscriber(identity, records)
         subscriber.since = self._runtime.monotonic()
         try:
+            newest = self._membership.incarnation_of(identity.node)
+            if newest > identity.incarnation:
+                records.send(IncarnationKnown(newest))
             self._join(subscriber)
             while True:
                 self._membership.heard(identity, records.expect(Heartbeat))
--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -17,6 +17,7 @@
     ControlReplicas,
     Heartbeat,
     Hello,
+    IncarnationKnown,
     MemberDelta,
     Ping,
     Subscribe,
@@ -84,12 +85,15 @@
     """Times of a subscription, in seconds.
 
     :ivar heartbeat: between heartbeats to control.
+    :ivar raises_incarnation: whether no other process of this name can be alive, so
+        that one that seems newer is an earlier one whose clock was ahead.
     :ivar silent: without a byte from control after which another one is tried.
     """
 
     heartbeat: float = HEARTBEAT_SECONDS
     silent: float = CONTROL_SILENT_SECONDS
     max_backoff: float = MAX_BACKOFF_SECONDS
+    raises_incarnation: bool = False
 
 
 class Subscription:
@@ -219,11 +223,24 @@
                 self._on_members(message)
             case ControlReplicas():
                 self._named = [parse_address(text) for text in message.addresses]
+            case IncarnationKnown():
+                self._raise_incarnation(message.incarnation)
             case Ping():
                 pass
             case _:
                 raise MalformedRecordError(f"{type(message).__name__} from control")
 
+    def _raise_incarnation(self, known: int) -> None:
+        """Subscribe again as newer than all that was known of this name.
+
+        Incarnations come from the clock of the day, which may have been ahead
+        when an earlier process of this name started.
+        """
+        if self._timing.raises_incarnation:
+            self._log.warning("incarnation_raised", known=known, own=self._identity.incarnation)
+            self._identity.incarnation = known + 1
+            raise ConnectionLostError("an earlier process of this name seemed newer")
+
     def _adopt(self, records: RecordConnection, delta: ConfigDelta) -> None:
         if delta.version < self._configuration.version:
             # An old replica: what is in force here stays.
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -735,6 +735,34 @@
         return cls(addresses)
 
 
+@dataclass(slots=True)
+class IncarnationKnown:
+    """A node of this name was known with a newer incarnation: its clock was ahead, or that of the node that subscribes now is behind."""
+
+    KIND: ClassVar[int] = 27
+    LAYOUT: ClassVar[Struct] = Struct("!Q")
+
+    incarnation: int = 0
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.incarnation)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> IncarnationKnown:
+        try:
+            incarnation, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"IncarnationKnown of {len(payload)} bytes, not {start}")
+        return cls(incarnation)
+
+
 @dataclass(slots=True)
 class LedgerBegin:
     """Asks to create the started entry of a once-call. ``lease_ms`` is the longest time from this request until the first byte goes to the worker, ``run_ms`` the longest that the call may then run."""
@@ -2354,6 +2382,7 @@
     24: MemberDelta,
     25: Heartbeat,
     26: ControlReplicas,
+    27: IncarnationKnown,
     30: LedgerBegin,
     31: LedgerGrant,
     32: LedgerFinish,
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -119,6 +119,13 @@
         "Addresses at which nodes may subscribe to control, as its group states them now.",
         "addresses:strings",
     ),
+    Record(
+        27,
+        "IncarnationKnown",
+        "A node of this name was known with a newer incarnation: its clock was ahead, or "
+        "that of the node that subscribes now is behind.",
+        "incarnation:u64",
+    ),
     Record(
         30,
         "LedgerBegin",
--- a/src/cranklane/replication/log.py
+++ b/src/cranklane/replication/log.py
@@ -63,6 +63,7 @@
         self._entries: list[LogEntry] = []
         self._size = 0
         self._synced = 0
+        self._half_written = False
         self.snapshot_size = 0
         self._syncing = Semaphore()
         self.snapshot = LogSnapshot()
@@ -158,13 +159,19 @@
         return self._entries[max(0, first - base) : max(0, last - base + 1)]
 
     def append(self, entries: list[LogEntry]) -> None:
-        """Write entries at the end; durable only after :meth:`sync`."""
+        """Write entries at the end; durable only after :meth:`sync`.
+
+        :raises OSError: when the disk refuses them; none of them counts then.
+        """
         frames = b"".join(_frame(entry, self._synced) for entry in entries)
+        if self._half_written:
+            # What was written of refused frames must not stand before later ones.
+            self._storage.truncate(LOG_FILE, self._size)
+            self._half_written = False
         try:
             self._storage.append(LOG_FILE, frames)
         except OSError:
-            # What was written of them must not stand before later frames.
-            self._storage.truncate(LOG_FILE, self._size)
+            self._half_written = True
             raise
         self._size += len(frames)
         for entry in entries:
--- a/src/cranklane/replication/peer_service.py
+++ b/src/cranklane/replication/peer_service.py
@@ -48,6 +48,9 @@
                 records.send(self._answer(message))
         except (ConnectionLostError, MalformedRecordError):
             pass
+        except OSError as error:
+            # The disk refused what would have been promised; the asker gets no answer.
+            self._replica.event_log.error("disk_failed", error=str(error))
         finally:
             records.close()
 
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -239,10 +239,7 @@
             try:
                 index = self._append_own(leadership, kind, command)
             except OSError as error:
-                # Nothing was written: somebody whose disk takes writes must lead.
-                self.event_log.error("disk_failed", error=str(error))
-                self.election.pause()
-                self.step_down()
+                self._disk_failed(error)
                 return Err(ProposalFailure.NOT_LEADER)
             waiting = self._waiting[index] = (leadership.term, applied)
         self._unsynced.set()
@@ -255,6 +252,12 @@
             if self._waiting.get(index) is waiting:
                 del self._waiting[index]
 
+    def _disk_failed(self, error: OSError) -> None:
+        """Leave leading to a replica whose disk takes writes."""
+        self.event_log.error("disk_failed", error=str(error))
+        self.election.pause()
+        self.step_down()
+
     def _append_own(self, leadership: Leadership, kind: EntryKind, data: bytes) -> int:
         entry = LogEntry(leadership.term, self.log.last_index + 1, kind, data)
         self.log.append([entry])
@@ -269,7 +272,11 @@
             self._unsynced.wait()
             self._unsynced.clear()
             leadership = self.leadership
-            durable = self.log.sync()
+            try:
+                durable = self.log.sync()
+            except OSError as error:
+                self._disk_failed(error)
+                continue
             if leadership is not None and self.leadership is leadership:
                 leadership.own_durable(durable)
 
@@ -300,8 +307,12 @@
         limit = max(SNAPSHOT_BYTES, SNAPSHOT_FACTOR * self.log.snapshot_size)
         if self.log.size < limit or self.applied_index <= self.log.snapshot.index:
             return
-        with self.changing:
-            self.compact()
+        try:
+            with self.changing:
+                self.compact()
+        except OSError as error:
+            # The log stays as it is; a later entry tries again.
+            self.event_log.error("disk_failed", error=str(error))
 
     def compact(self) -> None:
         """Replace the applied entries by a snapshot. Needs the lock."""
@@ -360,8 +371,11 @@
 
     def newer_term_seen(self, term: int) -> None:
         """Take a newer term that a reply has shown."""
-        with self.changing:
-            self.take_term(term)
+        try:
+            with self.changing:
+                self.take_term(term)
+        except OSError as error:
+            self._disk_failed(error)
 
     def stand(self) -> VoteRequest | None:
         """Begin a new term as its candidate; return what to ask the others.
@@ -385,9 +399,14 @@
         with self.changing:
             if self.term != term or self.leadership is not None:
                 return
+            leadership = Leadership(self, term)
+            try:
+                self._append_own(leadership, EntryKind.TERM_START, b"")
+            except OSError as error:
+                self._disk_failed(error)
+                return
             self.leader = self.identity
-            self.leadership = Leadership(self, term)
-            self._append_own(self.leadership, EntryKind.TERM_START, b"")
+            self.leadership = leadership
         self.event_log.info("leading", group=self.own.group, term=term)
         self._unsynced.set()
-        self.leadership.start()
+        leadership.start()
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -13,6 +13,7 @@
 import gevent
 
 from cranklane.common.http1 import Framing
+from cranklane.node.members import MemberState
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
 from cranklane.routes.table import Route
@@ -24,7 +25,12 @@
 from cranklane.sidecar.retry_budget import RetryBudget
 
 MAX_REFUSALS = 3
-"""Sidecars asked in turn before a request counts as refused."""
+"""Sidecars that refuse for want of room before a request counts as refused."""
+
+MAX_TRIES = 8
+"""Sidecars asked in turn, those included whose worker is leaving or cannot be reached."""
+
+_NO_ROOM = (Reason.QUEUE_FULL, Reason.DEADLINE_TOO_NEAR)
 
 START_PART = 0.3
 """A request may wait for its start this part of its objective, and no longer."""
@@ -171,9 +177,12 @@
             destination.answered(seconds, reply.load)
             return
         destination.take_load(reply.load)
+        if reply.reason is Reason.DRAINING:
+            # Its own sidecar knows best; control's word comes later.
+            destination.state = MemberState.DRAINING
         if reply.reason in UNREACHABLE:
             self._eject(destination, reply.reason)
-        elif reply.reason is Reason.WORKER_UNREACHABLE or (
+        elif reply.reason in (Reason.WORKER_UNREACHABLE, Reason.NO_MEMBERS) or (
             reply.outcome is Outcome.UNKNOWN
             and reply.reason not in (Reason.CANCELLED, Reason.DEADLINE_PASSED)
         ):
@@ -213,8 +222,9 @@
             # Pieces of its body are gone.
             return False
         if not reply.arrived:
-            call.refusals += 1
-            if call.refusals >= MAX_REFUSALS or reply.reason is Reason.REFUSED_EARLY:
+            call.refusals += reply.reason in _NO_ROOM
+            asked_enough = call.refusals >= MAX_REFUSALS or len(call.tried) >= MAX_TRIES
+            if asked_enough or reply.reason is Reason.REFUSED_EARLY:
                 # Refused early means that the fault is deeper than this worker.
                 return False
             return call.attempts == 0 or call.attempts < call.route.max_attempts
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -39,7 +39,7 @@
 from cranklane.sidecar.worker_api import ReadinessApi, WorkerApi
 from cranklane.sidecar.worker_registry import WorkerRegistry
 
-TIMING = FollowTiming(heartbeat=1.0, silent=1.6, max_backoff=0.8)
+TIMING = FollowTiming(heartbeat=1.0, silent=1.6, max_backoff=0.8, raises_incarnation=True)
 """Control pings each 0.5 s, so this much silence means that it is lost."""
 
 BUDGET_PART = 0.4
--- a/src/cranklane_lab/simulation/disk.py
+++ b/src/cranklane_lab/simulation/disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from dataclasses import dataclass, field
 from random import Random
 
@@ -23,12 +24,14 @@
 class Disk:
     """The files of one machine; they outlive its processes.
 
+    :ivar full: a fault: every write is refused; of an append, half is written.
     :ivar lose_syncs: a fault: syncs return without making anything durable.
     """
 
     random: Random
     files: dict[str, _File] = field(default_factory=dict)
     lose_syncs: bool = False
+    full: bool = False
     syncs: int = 0
 
     def lose_power(self) -> None:
@@ -64,6 +67,10 @@
         gevent.sleep(SYNC_SECONDS * (0.5 + self._disk.random.random()))
         self._disk.syncs += 1
 
+    def _refuse_when_full(self) -> None:
+        if self._disk.full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+
     def read(self, name: str) -> bytes | None:
         """Return a file's bytes, or None when there is no such file."""
         file = self._disk.files.get(self._name(name))
@@ -72,11 +79,16 @@
     def replace(self, name: str, data: bytes) -> None:
         """Put a file in place whole and synced."""
         self._wait()
+        self._refuse_when_full()
         self._disk.files[self._name(name)] = _File(durable=bytes(data))
 
     def append(self, name: str, data: bytes) -> None:
         """Write at a file's end; not yet durable."""
-        self._disk.files.setdefault(self._name(name), _File()).pending += data
+        file = self._disk.files.setdefault(self._name(name), _File())
+        if self._disk.full:
+            file.pending += data[: len(data) // 2]
+        self._refuse_when_full()
+        file.pending += data
 
     def sync(self, name: str) -> None:
         """Make all that was appended before this call durable."""
@@ -93,6 +105,7 @@
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file and sync it."""
+        self._refuse_when_full()
         data = self.read(name) or b""
         self._disk.files[self._name(name)] = _File(durable=data[:size])
 
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -189,10 +189,15 @@
         return machine
 
     def start_sidecar(
-        self, name: str, service: str, zone: str, host: str
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        host: str,
+        process: SimulatedProcess | None = None,
     ) -> tuple[SimulatedProcess, Sidecar]:
-        """Start a sidecar on a machine."""
-        process = self.world.process(name, zone, host)
+        """Start a sidecar on a machine, in a new process unless one is given."""
+        process = process or self.world.process(name, zone, host)
         settings = SidecarSettings(
             name=name,
             zone=zone,
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -250,3 +250,47 @@
         return fewest
 
     assert play(script) == 4
+
+
+def test_a_sidecar_restarted_with_a_clock_behind_is_known_again():
+    def script(mesh):
+        machines = [mesh.add_machine("s") for _ in range(2)]
+        assert put(mesh, 1, 0) == 200
+        gevent.sleep(2.0)
+        first = machines[0]
+        first.process.kill()
+        process = mesh.world.process(first.name, first.zone, first.host)
+        process.wall_offset = -3600.0
+        machines[0].process, machines[0].sidecar = mesh.start_sidecar(
+            first.name, first.service, first.zone, first.host, process
+        )
+        gevent.sleep(12.0)
+        return machines[1].sidecar.destinations.count("s")
+
+    assert play(script) == 2
+
+
+def test_a_full_disk_stops_no_replica_and_spoils_no_log():
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        leader = mesh.leader().number
+        full = [
+            mesh.world.disk(mesh.controllers[number].host) for number in (leader, (leader + 1) % 5)
+        ]
+        for disk in full:
+            disk.full = True
+        assert put(mesh, 2, 1) == 200
+        gevent.sleep(3.0)
+        for disk in full:
+            disk.full = False
+        assert put(mesh, 3, 2) == 200
+        gevent.sleep(2.0)
+        for machine in mesh.controllers:
+            machine.process.kill(power_lost=True)
+        for number in range(5):
+            mesh.restart_controller(number)
+        versions = version_read(mesh)
+        gevent.sleep(2.0)
+        return versions, {machine.controller.store.version for machine in mesh.controllers}
+
+    assert play(script) == (3, {3})
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -465,3 +465,13 @@
         return ready.status, "cranklane_requests_total{" in text, other
 
     assert play(script) == (200, True, 404)
+
+
+def test_leaving_workers_that_are_asked_first_do_not_use_up_the_tries():
+    def script(mesh):
+        for machine in mesh.machines[:5]:
+            assert machine.worker.drain() == 200
+        answers = [mesh.request(mesh.machines[6], "/sign/x", "POST", b"b") for _ in range(6)]
+        return {answer.status for answer in answers}
+
+    assert play(script, services=("s",) * 6 + ("t",)) == {200}
