Under overload requests are not sent only to be refused

Change: who had no room is not asked for 20 ms, and when nobody has, the request is refused where it begins; the queue is kept sorted and searched by halves. Ruled out: the logs (0.07 s of 5.9) and the records (0.2 s).

--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -18,6 +18,10 @@
 MAX_EJECT_SECONDS = 4.0
 FAILURES_BEFORE_EJECTION = 3
 LATENCY_WEIGHT = 0.1
+FULL_SECONDS = 0.02
+"""A destination that had no room for a request is not asked for this long: under
+overload most requests would be sent to be refused."""
+
 UNNAMED_SECONDS = 10.0
 """A destination that a whole list of members leaves out is kept for this long."""
 
@@ -41,6 +45,7 @@
     :ivar reported: requests running or waiting there, by its newest answer.
     :ivar opened_since: requests sent there from here since that answer.
     :ivar in_flight: requests sent there from here without an answer yet.
+    :ivar full_until: until when it is taken to have no room, after it said so.
     :ivar removed: whether it is a destination no more.
     :ivar unnamed_since: when a whole list of members left it out; None: named.
     :ivar latency: smoothed seconds until an answer; 0 when none was seen.
@@ -61,6 +66,7 @@
     latency: float = 0.0
     failures: int = 0
     ejected_until: float = 0.0
+    full_until: float = 0.0
     unnamed_since: float | None = None
     removed: bool = False
 
@@ -202,14 +208,26 @@
         """Return how many live workers a service has."""
         return sum(item.state is MemberState.LIVE for item in self._by_service.get(service, ()))
 
+    def all_full(self, service: str) -> bool:
+        """Return whether every live worker of a service has just said it has no room."""
+        now = self._clock()
+        live = [
+            item for item in self._by_service.get(service, ()) if item.state is MemberState.LIVE
+        ]
+        return bool(live) and all(item.full_until > now for item in live)
+
     def choose(self, service: str, tried: set[str]) -> Destination | None:
-        """Return the destination for the next attempt, or None when there is none."""
+        """Return the destination for the next attempt, or None when there is none.
+
+        One that has just said that it has no room is passed over.
+        """
         now = self._clock()
         live = [
             item
             for item in self._by_service.get(service, ())
             if item.state is MemberState.LIVE
             and item.node not in tried
+            and item.full_until <= now
             and (item.unnamed_since is None or now - item.unnamed_since < UNNAMED_SECONDS)
         ]
         if not live:
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -19,7 +19,7 @@
 from cranklane.routes.table import Route
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, BodyReader, Reply, refusal
-from cranklane.sidecar.destinations import UNREACHABLE, Destination, Destinations
+from cranklane.sidecar.destinations import FULL_SECONDS, UNREACHABLE, Destination, Destinations
 from cranklane.sidecar.gate import Gate
 from cranklane.sidecar.peers import PeerClient
 from cranklane.sidecar.retry_budget import RetryBudget
@@ -117,6 +117,8 @@
         while True:
             destination = self._destinations.choose(call.service, call.tried)
             if destination is None:
+                if not call.tried and self._destinations.all_full(call.service):
+                    result = refusal(Reason.QUEUE_FULL, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
                 break
             reply = self._attempt(call, destination)
             may_have_run |= reply.outcome is Outcome.UNKNOWN
@@ -177,6 +179,8 @@
             destination.answered(seconds, reply.load)
             return
         destination.take_load(reply.load)
+        if reply.reason is Reason.QUEUE_FULL:
+            destination.full_until = self._runtime.monotonic() + FULL_SECONDS
         if reply.reason is Reason.DRAINING:
             # Its own sidecar knows best; control's word comes later.
             destination.state = MemberState.DRAINING
--- a/src/cranklane/sidecar/slots.py
+++ b/src/cranklane/sidecar/slots.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import heapq
+from bisect import bisect_right, insort
 from collections.abc import Callable
 from itertools import count
 
@@ -52,6 +52,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        # Sorted by rank, so that a place in it is found without reading it all.
         self._waiting: list[tuple[float, int, Waiter]] = []
         self._numbers = count()
         self._abandoned = 0
@@ -68,7 +69,7 @@
         """Return the seconds until a request of a rank would start."""
         if self.running < self.limit:
             return 0.0
-        ahead = sum(1 for entry in self._waiting if entry[0] <= rank)
+        ahead = bisect_right(self._waiting, (rank,))
         return (ahead + 1) * self.hold / max(1, self.limit)
 
     def rank(self, priority: int, wait_seconds: float) -> float:
@@ -92,7 +93,7 @@
         if self.expected_wait(rank) > wait_seconds:
             return Reason.QUEUE_FULL
         waiter = Waiter()
-        heapq.heappush(self._waiting, (rank, next(self._numbers), waiter))
+        insort(self._waiting, (rank, next(self._numbers), waiter))
         on_wait(waiter)
         self._grant()
         waiter.event.wait(wait_seconds)
@@ -122,7 +123,7 @@
 
     def _grant(self) -> None:
         while self.running < self.limit and self._waiting:
-            waiter = heapq.heappop(self._waiting)[2]
+            waiter = self._waiting.pop(0)[2]
             if waiter.refused is not Reason.NONE:
                 self._abandoned = max(0, self._abandoned - 1)
                 continue
@@ -134,5 +135,4 @@
         """Forget those who wait no more once they are many."""
         if self._abandoned * 2 > len(self._waiting) and len(self._waiting) > 8:
             self._waiting = [entry for entry in self._waiting if not entry[2].refused]
-            heapq.heapify(self._waiting)
             self._abandoned = 0
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -475,3 +475,31 @@
         return {answer.status for answer in answers}
 
     assert play(script, services=("s",) * 6 + ("t",)) == {200}
+
+
+def test_under_overload_few_requests_are_sent_only_to_be_refused():
+    def script(mesh):
+        each_worker(mesh, seconds=0.5)
+        asked = []
+        for machine in mesh.machines:
+            original = machine.sidecar.gate.run
+
+            def run(attempt, on_admitted=None, original=original):
+                asked.append(attempt.request.request)
+                return original(attempt, on_admitted)
+
+            machine.sidecar.gate.run = run
+            machine.sidecar.peer_server._gate.run = run
+        answers = []
+
+        def ask():
+            answers.append(mesh.request(mesh.machines[2], "/read/x").status)
+
+        tasks = []
+        for _ in range(1000):
+            tasks.append(gevent.spawn(ask))
+            gevent.sleep(0.001)
+        gevent.joinall(tasks)
+        return len(asked) < 700, answers.count(200) >= 16, set(answers)
+
+    assert play(script) == (True, True, {200, 503})
