A randomized fault soak of the real programs

New setting 'advertise', so that others can be told a proxy's address. Ruled out: proxies before the operators' port, whose Location names the real one.

--- a/src/cranklane/control/controller.py
+++ b/src/cranklane/control/controller.py
@@ -69,6 +69,9 @@
         whole_number(0, 8), 1, help="controllers whose disks may be lost at once"
     )
     metrics: str = setting(OPTIONAL_ADDRESS, "", help="address of /metrics; none: nowhere")
+    advertise: str = setting(
+        OPTIONAL_ADDRESS, "", help="address told to others, when it is not the one listened on"
+    )
 
 
 class Controller:
@@ -84,7 +87,8 @@
             runtime, self.store, self.membership, self._replica_addresses, PING_SECONDS
         )
         # An address belongs to one machine at a time, so it names a replica.
-        identity = ReplicaIdentity(GROUP, settings.listen, settings.listen, settings.http)
+        told = settings.advertise or settings.listen
+        identity = ReplicaIdentity(GROUP, told, told, settings.http)
         self.replica = Replica(
             runtime,
             runtime.storage(settings.data),
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -74,6 +74,9 @@
         seconds(0.01, 3600), 1.5, help="seconds between a worker's heartbeats"
     )
     metrics: str = setting(OPTIONAL_ADDRESS, "", help="address of /metrics; none: nowhere")
+    advertise: str = setting(
+        OPTIONAL_ADDRESS, "", help="address told to others, when it is not the one listened on"
+    )
     retry_ratio: float = setting(
         seconds(0, 10), 0.2, help="requests sent again for each request, over the whole fleet"
     )
@@ -203,7 +206,7 @@
             node=settings.name,
             service=settings.service,
             zone=settings.zone,
-            address=settings.listen,
+            address=settings.advertise or settings.listen,
         )
         return Subscription(
             self._runtime,
@@ -258,7 +261,7 @@
                 node=settings.name,
                 service=self.worker.service,
                 zone=settings.zone,
-                address=settings.listen,
+                address=settings.advertise or settings.listen,
                 instance=self.worker.instance,
             )
         )
--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -54,6 +54,24 @@
     raise typer.Exit(run_control())
 
 
+@application.command()
+def soak(
+    seeds: Annotated[str, typer.Option(help="first and last seed, as A-B")] = "1-1",
+    seconds: Annotated[float, typer.Option(min=5, help="seconds of faults for each seed")] = 40.0,
+    folder: Annotated[str, typer.Option(help="where logs are kept")] = "",
+) -> None:
+    """Run the real programs under random faults; exit 1 when a promise broke."""
+    import json
+    from dataclasses import asdict
+
+    from cranklane_lab.soak.run import run_soak
+
+    results = run_soak(_seeds(seeds), seconds, folder)
+    for result in results:
+        typer.echo(json.dumps(asdict(result)))
+    raise typer.Exit(1 if any(result.broken for result in results) else 0)
+
+
 @application.command()
 def latency(
     calls: Annotated[int, typer.Option(min=100, help="pairs of calls")] = 4000,
--- /dev/null
+++ b/src/cranklane_lab/soak/checks.py
@@ -0,0 +1,62 @@
+"""The promises of a soak, from what callers, workers and operators see."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from cranklane_lab.standins.raw_http import RawAnswer
+from cranklane_lab.standins.routed_worker import RoutedWorker
+
+NOT_RUN_STATUS = frozenset({408, 421, 429, 503})
+
+
+@dataclass
+class Observations:
+    """What was seen, and which promises broke.
+
+    :ivar broken: one line for each broken promise.
+    :ivar refused_unrepeatable: ids that were told that they had not run.
+    """
+
+    broken: list[str] = field(default_factory=list)
+    statuses: Counter[str] = field(default_factory=Counter)
+    refused_unrepeatable: set[str] = field(default_factory=set)
+    unrepeatable: set[str] = field(default_factory=set)
+    acknowledged: int = 0
+    taken: dict[int, str] = field(default_factory=dict)
+
+    def break_promise(self, text: str) -> None:
+        """Take that a promise broke."""
+        self.broken.append(text)
+
+    def answered(self, request: str, repeatable: bool, answer: RawAnswer | None) -> None:
+        """Take what a caller got."""
+        status = answer.status if answer is not None else 0
+        self.statuses[str(status)] += 1
+        if not repeatable:
+            self.unrepeatable.add(request)
+            if status in NOT_RUN_STATUS:
+                self.refused_unrepeatable.add(request)
+        if answer is None or status != 200 or not answer.whole:
+            return
+        if answer.body != f"ran {request}".encode():
+            self.break_promise(f"{request} got another's answer: {answer.body[:80]!r}")
+
+    def read(self, sent_after: int, version: int) -> None:
+        """Take a read of the route table.
+
+        :param sent_after: newest version acknowledged before the read was sent.
+        """
+        if version < sent_after:
+            self.break_promise(f"a read gave version {version} after {sent_after} was acknowledged")
+
+    def check_runs(self, workers: list[RoutedWorker]) -> None:
+        """Compare what workers ran with what callers were told."""
+        runs = Counter(run.request for worker in workers for run in worker.state.runs)
+        for request in sorted(self.unrepeatable):
+            if runs[request] > 1:
+                self.break_promise(f"{request} may not be repeated and ran {runs[request]} times")
+        for request in sorted(self.refused_unrepeatable):
+            if runs[request]:
+                self.break_promise(f"{request} was told that it had not run, and ran")
--- /dev/null
+++ b/src/cranklane_lab/soak/site.py
@@ -0,0 +1,144 @@
+"""The processes of a soak: controllers, sidecars with workers, proxies between them."""
+
+from __future__ import annotations
+
+import shutil
+from collections.abc import Iterable
+from pathlib import Path
+
+from cranklane.runtime.real import RealRuntime
+from cranklane_lab.fleet.processes import FleetProcess, free_port, start
+from cranklane_lab.soak.proxy import Proxy
+from cranklane_lab.standins.routed_worker import RoutedWorker
+
+CONTROLLERS = 3
+TOLERATED = 1
+SERVICES = ("s", "s", "s", "t", "t")
+SLOTS = 16
+WORK_SECONDS = 0.01
+
+
+class SoakSite:
+    """Addresses are of the loopback range; those told to others are the proxies'.
+
+    :ivar controllers: running controllers by number.
+    :ivar sidecars: running sidecars by number.
+    :ivar proxies: by the name of the process behind each.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._peer_port = free_port()
+        self._http_port = free_port()
+        self._callers_port = free_port()
+        self._readiness_port = free_port()
+        self._registry_port = free_port()
+        self._worker_port = free_port()
+        self._runtime = RealRuntime()
+        self.controllers: dict[int, FleetProcess] = {}
+        self.sidecars: dict[int, FleetProcess] = {}
+        self.workers: list[RoutedWorker] = []
+        self.proxies: dict[str, Proxy] = {}
+
+    def start(self) -> None:
+        """Start everything for the first time."""
+        for number in range(CONTROLLERS):
+            self._proxy(f"controller-{number}", f"127.0.3.{number + 1}", f"127.0.1.{number + 1}")
+        for number in range(CONTROLLERS):
+            self.start_controller(number, first=True)
+        for number, service in enumerate(SERVICES):
+            self._proxy(f"sidecar-{number}", f"127.0.4.{number + 1}", f"127.0.2.{number + 1}")
+            self.start_sidecar(number)
+            self._start_worker(number, service)
+
+    def _proxy(self, name: str, near: str, far: str) -> None:
+        self.proxies[name] = Proxy((near, self._peer_port), (far, self._peer_port))
+
+    def _seeds(self) -> str:
+        # Operators are reached without a proxy, so the seeds' ports differ from theirs;
+        # only their hosts count, with the peer port.
+        return ",".join(f"127.0.3.{number + 1}:{self._http_port}" for number in range(CONTROLLERS))
+
+    def start_controller(self, number: int, first: bool = False, empty: bool = False) -> None:
+        """Start a controller, with its disk or an empty one."""
+        name = f"controller-{number}"
+        data = self._folder / name
+        if empty:
+            shutil.rmtree(data, ignore_errors=True)
+        host = f"127.0.1.{number + 1}"
+        flags = {
+            "name": name,
+            "zone": "a",
+            "listen": f"{host}:{self._peer_port}",
+            "advertise": f"127.0.3.{number + 1}:{self._peer_port}",
+            "http": f"{host}:{self._http_port}",
+            "data": str(data),
+            "seeds": self._seeds(),
+            "peer-port": str(self._peer_port),
+            "first-start": "yes" if first else "no",
+            "tolerated-losses": str(TOLERATED),
+        }
+        self.controllers[number] = self._start(name, "controller", flags)
+
+    def start_sidecar(self, number: int) -> None:
+        """Start a sidecar."""
+        name = f"sidecar-{number}"
+        host = f"127.0.2.{number + 1}"
+        flags = {
+            "name": name,
+            "zone": "a",
+            "service": SERVICES[number],
+            "callers": f"{host}:{self._callers_port}",
+            "readiness": f"{host}:{self._readiness_port}",
+            "registry": f"{host}:{self._registry_port}",
+            "listen": f"{host}:{self._peer_port}",
+            "advertise": f"127.0.4.{number + 1}:{self._peer_port}",
+            "worker": f"{host}:{self._worker_port}",
+            "seeds": self._seeds(),
+            "peer-port": str(self._peer_port),
+            "heartbeat-seconds": "0.5",
+        }
+        self.sidecars[number] = self._start(name, "sidecar", flags)
+
+    def _start(self, name: str, daemon: str, flags: dict[str, str]) -> FleetProcess:
+        arguments = [daemon]
+        for key, value in flags.items():
+            arguments += [f"--{key}", value]
+        return start(name, "cranklane.cli.entry", arguments, self._folder)
+
+    def _start_worker(self, number: int, service: str) -> None:
+        host = f"127.0.2.{number + 1}"
+        worker = RoutedWorker(
+            self._runtime,
+            service,
+            f"i-{number}",
+            (host, self._worker_port),
+            (host, self._registry_port),
+            SLOTS,
+            heartbeat_seconds=0.5,
+        )
+        worker.state.seconds = WORK_SECONDS
+        worker.state.echoes = True
+        self.workers.append(worker)
+        self._runtime.spawn(worker.beat_on)
+
+    def callers_address(self, number: int) -> tuple[str, int]:
+        """Return where a sidecar's machine sends its requests."""
+        return f"127.0.2.{number + 1}", self._callers_port
+
+    def operators_address(self, number: int) -> tuple[str, int]:
+        """Return where operators ask a controller."""
+        return f"127.0.1.{number + 1}", self._http_port
+
+    def processes(self) -> Iterable[FleetProcess]:
+        """Return every process that was started and not replaced."""
+        return [*self.controllers.values(), *self.sidecars.values()]
+
+    def stop(self) -> None:
+        """End the processes that this site started, by their numbers."""
+        for process in self.processes():
+            if process.alive:
+                process.thaw()
+                process.kill()
+        for proxy in self.proxies.values():
+            proxy.close()
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -61,6 +61,7 @@
     :ivar refuse: requests to refuse as not run.
     :ivar fail: requests to run and answer with 500.
     :ivar body: of each answer.
+    :ivar echoes: whether its answers name their request instead.
     """
 
     seconds: float = 0.02
@@ -75,6 +76,7 @@
     refuse: int = 0
     fail: int = 0
     body: bytes = b"answer"
+    echoes: bool = False
     arrivals: int = 0
     connections: int = 0
     running: int = 0
@@ -103,12 +105,14 @@
         address: Address,
         registry: Address,
         slots: int = 4,
+        heartbeat_seconds: float = HEARTBEAT_SECONDS,
     ) -> None:
         self._runtime = runtime
         self.service = service
         self.instance = instance
         self._registry = registry
         self._slots = slots
+        self._heartbeat_seconds = heartbeat_seconds
         self._sequence = 0
         self.phase = "ready"
         self.state = RoutedWorkerState()
@@ -141,7 +145,7 @@
         """Send heartbeats for ever."""
         while True:
             self.beat()
-            gevent.sleep(HEARTBEAT_SECONDS)
+            gevent.sleep(self._heartbeat_seconds)
 
     def _tell(self, call: str, body: bytes) -> int:
         path = f"/v1/instances/{self.instance}/{call}"
@@ -230,7 +234,8 @@
             return False
         if state.strikes("unmarked_answers"):
             return self._answer(stream, request, state.status, state.body, marked=False)
-        self._answer(stream, request, state.status, state.body)
+        body = b"ran " + request if state.echoes else state.body
+        self._answer(stream, request, state.status, body)
         if state.strikes("surplus_answers"):
             self._answer(stream, request, 200, b"once more")
         return True
