One NodeService for both kinds of control process; a caller's connection in a module of its own

Change: control/node_service.py with its times as a typed value; the connection in sidecar/caller_connection.py.

--- a/src/cranklane/control/controller.py
+++ b/src/cranklane/control/controller.py
@@ -4,21 +4,17 @@
 
 from dataclasses import dataclass
 
-import gevent
-
 from cranklane.common.addresses import peer_addresses
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
 from cranklane.common.metrics_server import GaugeRegistry, MetricsServer
 from cranklane.common.small_http import SmallHttp
-from cranklane.control.exchange import Exchange
-from cranklane.control.membership import Membership
-from cranklane.control.publisher import SILENT_SECONDS, Publisher
+from cranklane.control.node_service import NodeService, NodeServiceTiming
+from cranklane.control.publisher import SILENT_SECONDS
 from cranklane.control.route_api import RouteApi
 from cranklane.control.route_editor import RouteEditor
 from cranklane.control.route_store import RouteTableStore
-from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Hello, MemberReport, ReplicaMember, Subscribe
+from cranklane.records.messages import Hello
 from cranklane.replication.membership_change import MembershipChange
 from cranklane.replication.peer_service import PeerService
 from cranklane.replication.port import ReplicaPort
@@ -39,14 +35,9 @@
 GROUP = "routes"
 """Name of the group of replicas that holds the route table."""
 
-PING_SECONDS = 0.5
-EXPIRY_SECONDS = 0.5
-TOUCH_SECONDS = 0.2
-STALE_SECONDS = 1.2
-"""Seconds out of touch with the group after which subscribers are sent away."""
-
-LAST_RESORT_SECONDS = 3.0
-"""Seconds that a node which found no other process stays with one out of touch."""
+TIMING = NodeServiceTiming(stale=1.2, last_resort=3.0, touch=0.2, expiry=0.5, ping=0.5)
+"""Sidecars leave a controller that is cut off within these times, so that a table is
+in force at them soon although theirs has missed it."""
 
 
 @dataclass
@@ -82,10 +73,11 @@
         self.settings = settings
         self._log = logger(process="controller", node=settings.name)
         self.store = RouteTableStore()
-        self.membership = Membership(settings.name, runtime.monotonic, self._members_changed)
-        self.publisher = Publisher(
-            runtime, self.store, self.membership, self._replica_addresses, PING_SECONDS
+        self._nodes = NodeService(
+            runtime, settings.name, self.store, self._hello, self._log, TIMING, tells_replicas=True
         )
+        self.membership = self._nodes.membership
+        self.publisher = self._nodes.publisher
         # An address belongs to one machine at a time, so it names a replica.
         told = settings.advertise or settings.listen
         identity = ReplicaIdentity(GROUP, told, told, settings.http)
@@ -100,10 +92,8 @@
         voters = 2 * settings.tolerated_losses + 1
         self.changes = MembershipChange(self.replica, voters)
         peers = PeerService(self.replica, self.changes.join)
-        self._port = ReplicaPort(peers, self._hello, self._serve, SILENT_SECONDS)
-        self._exchange = Exchange(runtime, self.membership, self._others, self._hello)
+        self._port = ReplicaPort(peers, self._hello, self._nodes.serve, SILENT_SECONDS)
         self.editor = RouteEditor(self.store, self.replica, voters)
-        self._in_touch_at = runtime.monotonic()
 
     def start(self) -> None:
         """Come back to the last state, then open the ports and find the group."""
@@ -117,8 +107,8 @@
             serve = SmallHttp(self.runtime, metrics.handle).accept
             self.runtime.listen(parse_address(settings.metrics), serve)
         assembly = SelfAssembly(self.replica, self._seeds, settings.first_start)
-        for task in (assembly.run, self._exchange.run, self._expire, self._watch_touch):
-            self.runtime.spawn(task)
+        self.runtime.spawn(assembly.run)
+        self._nodes.start(self.replica)
         self._log.info(
             "started", version=self.store.version, term=self.replica.term, seeds=settings.seeds
         )
@@ -156,60 +146,14 @@
     def _seeds(self) -> list[str]:
         return peer_addresses(self.settings.seeds, self.settings.peer_port)
 
-    # Connections.
-
-    def _serve(self, records: RecordConnection) -> None:
-        _, message = records.receive()
-        match message:
-            case Subscribe() if self.in_touch or message.last_resort:
-                self._log.info("subscribed", member=message.node, version=message.version)
-                self.publisher.serve(records, message)
-            case MemberReport():
-                self._exchange.serve(records, message)
-            case _:
-                records.close()
-
     def _hello(self) -> Hello:
         return Hello(version=self.store.revision, node=self.settings.name)
 
-    def _others(self) -> list[ReplicaMember]:
-        replica = self.replica
-        return [item for item in replica.members.current if item.identity != replica.identity]
-
-    def _replica_addresses(self) -> list[str]:
-        return sorted(item.address for item in self.replica.members.current)
-
-    def _members_changed(self) -> None:
-        self.publisher.changed()
-        self._exchange.changed()
-
     def _applied(self) -> None:
         self._log.info("applied", version=self.store.version, index=self.replica.applied_index)
         self.publisher.changed()
 
-    # Tasks.
-
     @property
     def in_touch(self) -> bool:
         """Whether this process has heard of its group's leader lately."""
-        return self.runtime.monotonic() - self._in_touch_at < STALE_SECONDS
-
-    def _watch_touch(self) -> None:
-        """Send subscribers away while this process may miss what is committed."""
-        out_of_touch = False
-        while True:
-            gevent.sleep(TOUCH_SECONDS)
-            now = self.runtime.monotonic()
-            if self.replica.in_touch:
-                self._in_touch_at = now
-            if self.in_touch == out_of_touch:
-                out_of_touch = not out_of_touch
-                self._log.warning("out_of_touch" if out_of_touch else "in_touch")
-            if out_of_touch:
-                self.publisher.send_away(now, now - LAST_RESORT_SECONDS)
-
-    def _expire(self) -> None:
-        while True:
-            gevent.sleep(EXPIRY_SECONDS)
-            for member in self.membership.expire():
-                self._log.warning("member_gone", member=member.node)
+        return self._nodes.in_touch
--- a/src/cranklane/control/process.py
+++ b/src/cranklane/control/process.py
@@ -5,18 +5,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-import gevent
-
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
 from cranklane.control.editor import Editor
-from cranklane.control.exchange import Exchange
-from cranklane.control.membership import Membership
+from cranklane.control.node_service import NodeService, NodeServiceTiming
 from cranklane.control.operator_api import OperatorApi
-from cranklane.control.publisher import SILENT_SECONDS, Publisher
+from cranklane.control.publisher import SILENT_SECONDS
 from cranklane.control.store import ConfigurationStore
-from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Hello, MemberReport, ReplicaMember, Subscribe
+from cranklane.records.messages import Hello
 from cranklane.replication.joining import Joining
 from cranklane.replication.membership_change import MembershipChange
 from cranklane.replication.peer_service import PeerService
@@ -36,17 +32,10 @@
 GROUP = "control"
 """Name of the group of replicas that holds the configuration."""
 
-EXPIRY_SECONDS = 1.0
-"""Seconds between looks for members whose lease has run out."""
-
-TOUCH_SECONDS = 0.5
-"""Seconds between looks at whether this process is in touch with its group."""
-
 STALE_SECONDS = 3.0
 """Seconds out of touch with the group after which subscribers are sent away."""
 
-LAST_RESORT_SECONDS = 10.0
-"""Seconds that a node which found no other process stays with one out of touch."""
+TIMING = NodeServiceTiming(stale=STALE_SECONDS, last_resort=10.0, touch=0.5, expiry=1.0)
 
 
 def _are_operators(value: Any) -> bool:
@@ -90,8 +79,11 @@
         self.settings = settings
         self._log = logger(process="control", node=settings.name)
         self.store = ConfigurationStore()
-        self.membership = Membership(settings.name, runtime.monotonic, self._members_changed)
-        self.publisher = Publisher(runtime, self.store, self.membership)
+        self._nodes = NodeService(
+            runtime, settings.name, self.store, self._hello, self._log, TIMING
+        )
+        self.membership = self._nodes.membership
+        self.publisher = self._nodes.publisher
         identity = ReplicaIdentity(GROUP, settings.name, settings.listen, settings.http)
         storage = runtime.storage(settings.data)
         self.replica = Replica(
@@ -99,10 +91,8 @@
         )
         self.changes = MembershipChange(self.replica)
         peers = PeerService(self.replica, self.changes.join)
-        self._port = ReplicaPort(peers, self._hello, self._serve, SILENT_SECONDS)
-        self._exchange = Exchange(runtime, self.membership, self._others, self._hello)
+        self._port = ReplicaPort(peers, self._hello, self._nodes.serve, SILENT_SECONDS)
         self.editor = Editor(runtime, self.store, self.replica)
-        self._in_touch_at = runtime.monotonic()
 
     def start(self) -> None:
         """Come back to the last state, then open the ports and find the group."""
@@ -112,8 +102,8 @@
         api = OperatorApi(self, settings.operators)
         self.http = HttpServer(self.runtime, parse_address(settings.http), api.application)
         joining = Joining(self.replica, settings.replicas, settings.founder, settings.voter)
-        for task in (joining.run, self._exchange.run, self._expire, self._watch_touch):
-            self.runtime.spawn(task)
+        self.runtime.spawn(joining.run)
+        self._nodes.start(self.replica)
         self._log.info("started", revision=self.store.revision)
 
     def stop(self) -> bool:
@@ -123,55 +113,13 @@
         self._log.info("stopped", revision=self.store.revision)
         return True
 
-    # Connections.
-
-    def _serve(self, records: RecordConnection) -> None:
-        _, message = records.receive()
-        match message:
-            case Subscribe() if self.in_touch or message.last_resort:
-                self.publisher.serve(records, message)
-            case MemberReport():
-                self._exchange.serve(records, message)
-            case _:
-                records.close()
-
     def _hello(self) -> Hello:
         return Hello(version=self.store.revision, node=self.settings.name)
 
-    def _others(self) -> list[ReplicaMember]:
-        replica = self.replica
-        return [item for item in replica.members.current if item.identity != replica.identity]
-
-    def _members_changed(self) -> None:
-        self.publisher.changed()
-        self._exchange.changed()
-
-    # Tasks.
-
     @property
     def in_touch(self) -> bool:
         """Whether this process has heard of its group's leader lately."""
-        return self.runtime.monotonic() - self._in_touch_at < STALE_SECONDS
-
-    def _watch_touch(self) -> None:
-        """Send subscribers away while this process may miss what is committed."""
-        out_of_touch = False
-        while True:
-            gevent.sleep(TOUCH_SECONDS)
-            now = self.runtime.monotonic()
-            if self.replica.in_touch:
-                self._in_touch_at = now
-            if self.in_touch == out_of_touch:
-                out_of_touch = not out_of_touch
-                self._log.warning("out_of_touch" if out_of_touch else "in_touch")
-            if out_of_touch:
-                self.publisher.send_away(now, now - LAST_RESORT_SECONDS)
-
-    def _expire(self) -> None:
-        while True:
-            gevent.sleep(EXPIRY_SECONDS)
-            for member in self.membership.expire():
-                self._log.warning("member_gone", member=member.node)
+        return self._nodes.in_touch
 
     # What operators ask.
 
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import gevent
-
 from cranklane.common.http1 import (
     LAST_CHUNK,
     Framing,
@@ -15,7 +13,6 @@
     MalformedMessageError,
     MessageCutError,
     RequestHead,
-    RequestReader,
     chunk,
     end_to_end,
     framing_line,
@@ -29,12 +26,10 @@
 from cranklane.routes.table import Route, RouteTable
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.attempt import SMALL_BODY_BYTES, Reply, refusal
+from cranklane.sidecar.caller_connection import CallerConnection
 from cranklane.sidecar.dispatcher import DEFAULT_RETRY_AFTER_MS, Call, Dispatcher
 from cranklane.sidecar.hang_up import HangUpWatch
 
-DISCARD_SECONDS = 2.0
-"""Time in which the rest of a body is read and thrown away after an early answer."""
-
 WRITE_SECONDS = 10.0
 """A caller that takes no bytes for this long is given up."""
 
@@ -110,7 +105,7 @@
 
     def accept(self, stream: Any, _address: Address) -> None:
         """Serve a caller's connection until it ends."""
-        connection = _CallerConnection(self._runtime, stream, self._table())
+        connection = CallerConnection(self._runtime, stream, self._table())
         try:
             while self._serve_next(connection):
                 pass
@@ -126,7 +121,7 @@
             if not connection.reader.started and not self._runtime.has_input(connection.stream):
                 connection.close()
 
-    def _serve_next(self, connection: _CallerConnection) -> bool:
+    def _serve_next(self, connection: CallerConnection) -> bool:
         """Serve the next request; return whether the connection goes on."""
         limits = self._table().limits
         self._idle.add(connection)
@@ -154,12 +149,12 @@
         finally:
             self.in_flight -= 1
 
-    def _reject(self, connection: _CallerConnection, status: int) -> bool:
+    def _reject(self, connection: CallerConnection, status: int) -> bool:
         connection.send(_own_answer(status, b"", b"", False))
         connection.discard()
         return False
 
-    def _serve(self, connection: _CallerConnection, head: RequestHead) -> bool:
+    def _serve(self, connection: CallerConnection, head: RequestHead) -> bool:
         started_at = self._runtime.monotonic()
         request = head.value(self._request_name) or b""
         table = self._table()
@@ -193,7 +188,7 @@
             return None, refusal(Reason.UNKNOWN_ROUTE)
         return route, None
 
-    def _read_body(self, connection: _CallerConnection, head: RequestHead) -> int:
+    def _read_body(self, connection: CallerConnection, head: RequestHead) -> int:
         """Read a small body whole, or the first part of a large one.
 
         :returns: ``_BODY_READ``, ``_BODY_CUT``, or the status that refuses it.
@@ -219,7 +214,7 @@
 
     def _call(
         self,
-        connection: _CallerConnection,
+        connection: CallerConnection,
         head: RequestHead,
         request: bytes,
         route: Route,
@@ -261,7 +256,7 @@
 
     def _finish(
         self,
-        connection: _CallerConnection,
+        connection: CallerConnection,
         head: RequestHead,
         request: bytes,
         call: Call | None,
@@ -304,7 +299,7 @@
         return lines
 
     def _write_answer(
-        self, connection: _CallerConnection, reply: Reply, keep: bool, deadline: float
+        self, connection: CallerConnection, reply: Reply, keep: bool, deadline: float
     ) -> bool:
         head = b"%s%s%s%s\r\n" % (
             status_line(reply.status),
@@ -360,86 +355,6 @@
         )
 
 
-class _CallerConnection:
-    """One caller's connection and the request under way on it."""
-
-    def __init__(self, runtime: Runtime, stream: Any, table: RouteTable) -> None:
-        self._runtime = runtime
-        self.stream = stream
-        self.reader = RequestReader(stream, table.limits.max_header_bytes)
-        self.body = b""
-        self.body_whole = True
-        self._left = 0
-
-    def next_head(self, idle_seconds: float, head_seconds: float) -> RequestHead | None:
-        """Return the next request's head, or None at the end.
-
-        :raises TimeoutError: when nothing comes in time.
-        """
-        self.body = b""
-        self.body_whole = True
-        return self.reader.next_head(idle_seconds, head_seconds, self._runtime.monotonic)
-
-    def read_body(self, size: int, most: int) -> None:
-        """Read the body up to a size.
-
-        :raises HeadTooLargeError: when more than ``most`` bytes came.
-        """
-        self._left = most
-        self.body, self.body_whole = self.reader.body_so_far()
-        while not self.body_whole and len(self.body) < size:
-            piece = self.reader.next_piece()
-            self.body_whole = not piece
-            self.body += piece
-        self._count(len(self.body))
-
-    def _count(self, size: int) -> None:
-        self._left -= size
-        if self._left < 0:
-            raise HeadTooLargeError
-
-    def next_piece(self) -> bytes:
-        """Return the next piece of a large body, nothing at its end."""
-        piece = self.reader.next_piece()
-        self._count(len(piece))
-        return piece
-
-    def read_rest(self) -> bool:
-        """Read a small body that nobody wants; return whether that was all of it."""
-        try:
-            self.read_body(SMALL_BODY_BYTES, SMALL_BODY_BYTES)
-        except (HeadTooLargeError, MalformedMessageError, MessageCutError, OSError):
-            return False
-        return self.body_whole
-
-    def end_request(self) -> None:
-        """Make ready for the next request."""
-        self.reader.finish()
-
-    def send(self, data: bytes) -> None:
-        """Write bytes to the caller."""
-        self.stream.sendall(data)
-
-    def discard(self) -> None:
-        """End sending, and read what still comes for a while.
-
-        A close with unread bytes would reset the connection, and the answer
-        could be lost with it.
-        """
-        try:
-            self.stream.shutdown(1)
-            with gevent.Timeout(DISCARD_SECONDS, False):
-                self.stream.settimeout(DISCARD_SECONDS)
-                while self.stream.recv(65536):
-                    pass
-        except OSError:
-            pass
-
-    def close(self) -> None:
-        """Close it."""
-        self.stream.close()
-
-
 def _path_of(target: bytes) -> str | None:
     """Return the path of a request target without its query, or None.
 
