Each promise of sidecars and controllers breaks without its mechanism

tests/test_mesh_mechanisms.py switches twelve mechanisms off in turn and runs the test that provokes the failure; each must fail. The test of a planned stop was too mild: its requests ended within the time callers have to notice, so it held also without the waiting.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -338,15 +338,21 @@
 
 def test_a_planned_stop_cuts_nothing_and_is_out_of_use_at_once():
     def script(mesh):
-        each_worker(mesh, seconds=1.0)
+        each_worker(mesh, seconds=3.0)
         statuses = []
 
         def ask(machine):
-            statuses.append(mesh.request(machine, "/read/x").status)
+            answer = mesh.request(machine, "/read/x")
+            statuses.append(answer.status if answer is not None else 0)
+
+        def stop():
+            finished = mesh.machines[0].sidecar.stop()
+            gevent.spawn(mesh.machines[0].process.kill)
+            return finished
 
         asking = [gevent.spawn(ask, machine) for machine in mesh.machines for _ in range(2)]
         gevent.sleep(0.3)
-        stopping = mesh.machines[0].process.spawn(mesh.machines[0].sidecar.stop)
+        stopping = mesh.machines[0].process.spawn(stop)
         gevent.sleep(0.1)
         ready = mesh.machines[0].sidecar.is_ready()
         asking += [gevent.spawn(ask, mesh.machines[0]) for _ in range(2)]
--- /dev/null
+++ b/tests/test_mesh_mechanisms.py
@@ -0,0 +1,137 @@
+"""Each promise of sidecars and controllers breaks without the mechanism it rests on.
+
+Every entry switches one mechanism off and runs the test that provokes the failure,
+which must then fail.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+import test_controllers
+import test_mesh
+from cranklane.control.route_store import RouteTableStore
+from cranklane.outcome import Outcome
+from cranklane.replication.election import Election
+from cranklane.replication.log import Log
+from cranklane.replication.membership_change import MembershipChange
+from cranklane.routes.splitter import Splitter
+from cranklane.sidecar.dispatcher import Dispatcher
+from cranklane.sidecar.hang_up import HangUpWatch
+from cranklane.sidecar.outcome_limiter import OutcomeLimiter
+from cranklane.sidecar.process import Sidecar
+from cranklane.sidecar.retry_budget import RetryBudget
+from cranklane.sidecar.worker_exchange import WorkerExchange
+from cranklane.sidecar.worker_registry import WorkerRegistry
+
+
+def first_answer(self, request, connection):
+    return connection.reader.next_head(request.bodiless)
+
+
+def goes_on_after_unknown(self, call, reply):
+    return reply.outcome is Outcome.UNKNOWN and call.attempts < 2
+
+
+def no_end(self, instance, state):
+    pass
+
+
+def first_share(self, route):
+    return route.shares[0].service
+
+
+def heard_any_leader(self):
+    self._leader_heard_at = self._replica.runtime.monotonic()
+    Election_heard(self)
+
+
+Election_heard = Election.heard
+
+MECHANISMS = {
+    "request id of an answer": (
+        WorkerExchange,
+        "_own_answer",
+        first_answer,
+        test_mesh.test_surplus_and_late_answers_never_reach_another_caller,
+    ),
+    "memory of an unknown outcome": (
+        Dispatcher,
+        "_goes_on",
+        goes_on_after_unknown,
+        lambda: test_mesh.test_an_unrepeatable_request_is_never_sent_twice_nor_called_not_run(
+            "lose_answers"
+        ),
+    ),
+    "drain fence": (
+        WorkerRegistry,
+        "_end",
+        no_end,
+        test_mesh.test_a_draining_worker_gets_nothing_once_that_is_acknowledged,
+    ),
+    "retry budget": (
+        RetryBudget,
+        "take",
+        lambda self, service: True,
+        test_mesh.test_requests_sent_to_a_second_worker_stay_within_the_budget,
+    ),
+    "hang-up watch": (
+        HangUpWatch,
+        "add",
+        lambda self, connection, action: None,
+        test_mesh.test_a_caller_that_leaves_ends_the_work_within_half_a_second,
+    ),
+    "outcome limiter": (
+        OutcomeLimiter,
+        "admits",
+        lambda self, route, priority, caller: (
+            OutcomeLimiter_admits(self, route, priority, caller) or True
+        ),
+        test_mesh.test_requests_whose_runs_fail_are_refused_early_the_least_important_first,
+    ),
+    "waiting for requests in flight at a stop": (
+        Sidecar,
+        "_busy",
+        lambda self: False,
+        test_mesh.test_a_planned_stop_cuts_nothing_and_is_out_of_use_at_once,
+    ),
+    "splitter": (Splitter, "choose", first_share, test_mesh.test_a_split_keeps_its_shares),
+    "digests of taken tables": (
+        RouteTableStore,
+        "was_taken",
+        lambda self, digest: False,
+        test_controllers.test_an_equal_request_is_answered_alike_for_good_and_another_is_a_conflict,
+    ),
+    "word of a certain leader": (
+        Election,
+        "heard",
+        heard_any_leader,
+        lambda: (
+            test_controllers.test_sidecars_leave_a_cut_off_leader_and_its_follower_and_keep_their_members(
+                1
+            )
+        ),
+    ),
+    "removal of silent voters": (
+        MembershipChange,
+        "_remove_silent",
+        lambda self, least, seconds: False,
+        test_controllers.test_machines_gone_for_good_are_replaced_within_seconds,
+    ),
+    "sync of the log": (
+        Log,
+        "sync",
+        lambda self: self.last_index,
+        lambda: test_controllers.test_two_lost_disks_and_a_loss_of_all_power_lose_nothing(1),
+    ),
+}
+
+OutcomeLimiter_admits = OutcomeLimiter.admits
+
+
+@pytest.mark.parametrize("mechanism", sorted(MECHANISMS))
+def test_without_its_mechanism_the_promise_breaks(mechanism, monkeypatch):
+    owner, name, replacement, promise = MECHANISMS[mechanism]
+    monkeypatch.setattr(owner, name, replacement)
+    with pytest.raises(AssertionError):
+        promise()
