--- a/src/cranklane/sidecar/metrics.py
+++ b/src/cranklane/sidecar/metrics.py
@@ -1,95 +1,143 @@
-"""Counters and histograms of one sidecar, in the Prometheus text format."""
+"""Counters and histograms of one sidecar, in the Prometheus text format.
+
+A request is counted several times on its way, so counting is a plain addition; the
+library's families are made only when somebody asks for the figures.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 from typing import Any
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
 
 from cranklane.outcome import Outcome, Reason
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
+Labels = tuple[str, ...]
+Key = tuple[str | int | Outcome | Reason, ...]
+"""Values of a counter's labels, made into texts only when they are told."""
+
+
+def _label(value: str | int | Outcome | Reason) -> str:
+    return value.label if isinstance(value, Outcome | Reason) else str(value)
+
+
+@dataclass(slots=True)
+class _Counter:
+    """One counter with its labels' values."""
+
+    name: str
+    text: str
+    labels: Labels
+    values: defaultdict[Key, int] = field(default_factory=lambda: defaultdict(int))
+
+    def family(self) -> CounterMetricFamily:
+        """Return it as the library's family."""
+        family = CounterMetricFamily(self.name, self.text, labels=self.labels)
+        for key, value in self.values.items():
+            family.add_metric([_label(item) for item in key], value)
+        return family
+
+
+@dataclass(slots=True)
+class _Distribution:
+    """Observations by bucket; the last bucket has no bound."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(_SECONDS) + 1))
+    total: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one observation."""
+        self.counts[bisect_left(_SECONDS, seconds)] += 1
+        self.total += seconds
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return each bound with the observations up to it."""
+        bounds = [*(str(bound) for bound in _SECONDS), "+Inf"]
+        up_to = 0
+        cumulated = []
+        for bound, count in zip(bounds, self.counts, strict=True):
+            up_to += count
+            cumulated.append((bound, float(up_to)))
+        return cumulated
+
 
 class SidecarMetrics:
     """What one sidecar counts; each process has a registry of its own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self._requests = self._counter(
+        self._requests = _Counter(
             "cranklane_requests",
             "Requests of this machine's callers by service, outcome, reason and status.",
-            ["service", "outcome", "reason", "status"],
+            ("service", "outcome", "reason", "status"),
         )
-        self._attempts = self._counter(
+        self._attempts = _Counter(
             "cranklane_attempts",
             "Attempts to have a worker run a request.",
-            ["service", "outcome", "reason"],
+            ("service", "outcome", "reason"),
         )
-        self._admissions = self._counter(
+        self._admissions = _Counter(
             "cranklane_admissions",
             "Decisions on requests for this machine's worker; reason none is admitted.",
-            ["reason"],
+            ("reason",),
         )
-        self._left_out = self._counter(
-            "cranklane_log_lines_left_out", "Decision lines that the rate left out.", []
+        self._left_out = _Counter(
+            "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
-        self._request_seconds = Histogram(
+        self._request_seconds: defaultdict[str, _Distribution] = defaultdict(_Distribution)
+        self._queue_seconds = _Distribution()
+        self.registry.register(self)  # type: ignore[arg-type]
+
+    def collect(self) -> Iterator[Any]:
+        """Yield every counter and histogram; the registry asks for them."""
+        for counter in (self._requests, self._attempts, self._admissions, self._left_out):
+            yield counter.family()
+        requests = HistogramMetricFamily(
             "cranklane_request_seconds",
             "Seconds from a request's head to the end of its answer.",
-            ["service"],
-            buckets=_SECONDS,
-            registry=self.registry,
+            labels=("service",),
         )
-        self._queue_seconds = Histogram(
+        for service, seen in sorted(self._request_seconds.items()):
+            requests.add_metric((service,), seen.buckets(), seen.total)
+        yield requests
+        queue = HistogramMetricFamily(
             "cranklane_queue_seconds",
             "Seconds that requests waited for a slot of this machine's worker.",
-            buckets=_SECONDS,
-            registry=self.registry,
         )
-        self._cells: dict[tuple[object, ...], Any] = {}
-
-    def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
-        return Counter(name, text, labels, registry=self.registry)
+        queue.add_metric((), self._queue_seconds.buckets(), self._queue_seconds.total)
+        yield queue
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when it is asked for."""
         Gauge(name, text, registry=self.registry).set_function(read)
 
-    def _cell(self, metric: Any, *labels: object) -> Any:
-        # labels() costs more than the count itself; keep the cells.
-        key = (id(metric), *labels)
-        cell = self._cells.get(key)
-        if cell is None:
-            cell = self._cells[key] = metric.labels(*labels)
-        return cell
-
     def request(self, decision: Any) -> None:
         """Count a request that has ended; takes an ``ingress.Decision``."""
         outcome: Outcome = decision.outcome
-        self._cell(
-            self._requests,
-            decision.service,
-            outcome.label,
-            decision.reason.label,
-            decision.status,
-        ).inc()
-        self._cell(self._request_seconds, decision.service).observe(decision.seconds)
+        service = decision.service
+        self._requests.values[service, outcome, decision.reason, decision.status] += 1
+        self._request_seconds[service].observe(decision.seconds)
 
     def attempt(self, service: str, outcome: Outcome, reason: Reason) -> None:
         """Count an attempt that has ended."""
-        self._cell(self._attempts, service, outcome.label, reason.label).inc()
+        self._attempts.values[service, outcome, reason] += 1
 
     def admission(self, reason: Reason, waited: float) -> None:
         """Count a decision of the gate."""
-        self._cell(self._admissions, reason.label).inc()
+        self._admissions.values[(reason,)] += 1
         if waited > 0:
             self._queue_seconds.observe(waited)
 
     def lines_left_out(self, count: int) -> None:
         """Count log lines that were left out."""
-        self._left_out.inc(count)
+        self._left_out.values[()] += count
 
     def text(self) -> bytes:
         """Return everything in the text format."""
