Settings: two dead definitions go

Cause: OPTIONAL_ADDRESSES_OR_NONE was used nowhere, and a first TEXT stood before the one in force, which replaced it. No behaviour changes. make check clean, 459 passed (27 s).

--- a/src/cranklane/settings.py
+++ b/src/cranklane/settings.py
@@ -67,12 +67,6 @@
     lambda value: value == [] or _is_addresses(value),
     lambda text: text.split(",") if text else [],
 )
-TEXT = Check("a text", lambda value: isinstance(value, str) and bool(value))
-OPTIONAL_ADDRESSES_OR_NONE = Check(
-    "a list of addresses like 127.0.0.1:7000, or an empty one",
-    lambda value: value == [] or _is_addresses(value),
-    lambda text: text.split(",") if text else [],
-)
 TEXT = Check("a text", lambda value: isinstance(value, str))
 
 
