A leader that was restarted with its group leads again at once

Ruled out: a shorter lease (frozen leaders and slow disks need it); tables handed out before a leader is there (an entry that lost its election could come into force). Change: the vote file names the leader of the term, also where the vote went to another candidate, so a replica's answers can only support that leader's lease; when that very leader stands again it has none, and gets the vote at once. A former leader stands again right after its start. Proof: test_after_all_were_killed_the_former_leader_leads_at_once (six runs; fails with the early vote off), test_a_restarted_voter_keeps_the_lease_of_a_leader_it_has_not_voted_for.

--- a/src/cranklane/replication/election.py
+++ b/src/cranklane/replication/election.py
@@ -18,6 +18,9 @@
 VOTE_SECONDS = 0.5
 """Seconds a vote is waited for."""
 
+RETURN_SECONDS = 0.1
+"""Seconds between the tries of a former leader that was restarted."""
+
 
 class Election:
     """The part of a replica that follows and replaces leaders."""
@@ -60,12 +63,36 @@
             self.heard()
             if not replica.is_leader and replica.members.is_voter(replica.identity):
                 self._heard_at -= ELECTION_SECONDS
-                try:
-                    self.campaign()
-                except OSError as error:
-                    # The vote could not be written: others are to stand.
-                    replica.event_log.error("disk_failed", error=str(error))
-                    self.pause()
+                self._campaigned()
+
+    def _campaigned(self) -> bool:
+        """Stand for election; return whether this replica's disk took its vote."""
+        try:
+            self.campaign()
+        except OSError as error:
+            # The vote could not be written: others are to stand.
+            self._replica.event_log.error("disk_failed", error=str(error))
+            self.pause()
+            return False
+        return True
+
+    def return_to_lead(self) -> None:
+        """Stand again at once after a restart of a replica that led before it.
+
+        The others need not wait for a lease of its own to run out. It tries until
+        another leader may have been found the usual way.
+        """
+        replica = self._replica
+        ends_at = replica.runtime.monotonic() + ELECTION_SECONDS
+        while (
+            replica.runtime.monotonic() < ends_at
+            and not replica.leader
+            and replica.members.is_voter(replica.identity)
+            and replica.votes.state.voted_for == replica.identity
+        ):
+            if not self._campaigned():
+                return
+            gevent.sleep(RETURN_SECONDS)
 
     def pause(self) -> None:
         """Leave it to others to stand, for longer than an election takes."""
--- a/src/cranklane/replication/peer_service.py
+++ b/src/cranklane/replication/peer_service.py
@@ -69,7 +69,9 @@
     def _vote(self, request: VoteRequest) -> VoteReply:
         replica = self._replica
         with replica.changing:
-            if replica.election.heard_lately() or replica.is_leader:
+            if replica.is_leader or (
+                replica.election.heard_lately() and not self._gave_up_its_lease(request)
+            ):
                 # A leader is there: whoever asks has lost touch with it, and its
                 # lease must hold.
                 return VoteReply(replica.term, False)
@@ -85,6 +87,16 @@
                 replica.election.heard()
             return VoteReply(replica.term, granted)
 
+    def _gave_up_its_lease(self, request: VoteRequest) -> bool:
+        """Return whether the only lease that this replica may support is the asker's.
+
+        Answers to a leader are what its lease rests on. Those of this replica, also
+        before it was restarted, went to the leader of its newest term, whom the vote
+        file names, and to earlier leaders, whose leases ran out before that one was
+        elected. When that leader stands again, as after a restart, it has none.
+        """
+        return self._replica.votes.state.voted_for == request.candidate
+
     def _append(self, request: AppendRequest) -> AppendReply:
         replica = self._replica
         with replica.changing:
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -178,6 +178,8 @@
         for task in (self._apply, self._sync, self.election.watch):
             self.runtime.spawn(task)
         self._lead_alone()
+        if self.members.quorum() > 1:
+            self.runtime.spawn(self.election.return_to_lead)
 
     def _lead_alone(self) -> None:
         """Stand at once when there is nobody to hear from."""
@@ -349,6 +351,9 @@
         :param leased: whether it leads for certain, by its own word.
         """
         self.take_term(term)
+        if self.votes.state.voted_for != leader:
+            # Whoever leads has the term for good; see PeerService on its lease.
+            self.votes.save(term, leader)
         if self.leader != leader:
             self.leader = leader
             self.event_log.info("following", group=self.own.group, term=term)
--- a/src/cranklane/replication/vote_file.py
+++ b/src/cranklane/replication/vote_file.py
@@ -16,7 +16,8 @@
 class VoteFile:
     """What a replica must never forget.
 
-    :ivar state: the term, who got this replica's vote in it, and its identity.
+    :ivar state: the term, this replica's identity, and in ``voted_for`` who leads the
+        term, once that is known, or else who got this replica's vote in it.
     """
 
     def __init__(self, storage: Storage) -> None:
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -136,6 +136,42 @@
     assert play(script, seed=seed) == (2, 200)
 
 
+@pytest.mark.parametrize("power_lost", [False, True])
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_after_all_were_killed_the_former_leader_leads_at_once(seed, power_lost):
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        gevent.sleep(2.0)
+        former = mesh.leader().number
+        for machine in mesh.controllers:
+            machine.process.kill(power_lost=power_lost)
+        gevent.sleep(1.0)
+        for number in range(5):
+            mesh.restart_controller(number)
+        assert mesh.wait_for(lambda: mesh.leader() is not None, 0.5)
+        return mesh.leader().number == former, mesh.leader().controller.store.version
+
+    assert play(script, seed=seed) == (True, 1)
+
+
+def test_a_restarted_voter_keeps_the_lease_of_a_leader_it_has_not_voted_for():
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        leader = mesh.leader()
+        follower = mesh.controllers[(leader.number + 1) % 5]
+        replica = follower.controller.replica
+        # Its vote went to another candidate of the term, which the leader then won.
+        replica.votes.save(replica.term, 77)
+        gevent.sleep(1.0)
+        follower.process.kill(power_lost=True)
+        mesh.restart_controller(follower.number)
+        votes = mesh.controllers[follower.number].controller.replica.votes.state
+        return votes.term, votes.voted_for, replica.term, leader.controller.replica.identity
+
+    term, voted_for, former_term, leader = play(script)
+    assert (term, voted_for) == (former_term, leader)
+
+
 def test_wiped_replicas_one_after_the_other_are_taken_back():
     def script(mesh):
         assert put(mesh, 1, 0) == 200
--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+import test_call_tree
 import test_controllers
 import test_mesh
 from cranklane.control.route_store import RouteTableStore
@@ -15,7 +16,9 @@
 from cranklane.replication.election import Election
 from cranklane.replication.log import Log
 from cranklane.replication.membership_change import MembershipChange
+from cranklane.replication.peer_service import PeerService
 from cranklane.routes.splitter import Splitter
+from cranklane.sidecar.call_tree import CallTree
 from cranklane.sidecar.dispatcher import Dispatcher
 from cranklane.sidecar.hang_up import HangUpWatch
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
@@ -118,6 +121,20 @@
         lambda self, least, seconds: False,
         test_controllers.test_machines_gone_for_good_are_replaced_within_seconds,
     ),
+    "root of a call": (
+        CallTree,
+        "root_of",
+        lambda self, request: None,
+        test_call_tree.test_the_call_for_the_more_important_request_goes_first,
+    ),
+    "early vote for the former leader": (
+        PeerService,
+        "_gave_up_its_lease",
+        lambda self, request: False,
+        lambda: test_controllers.test_after_all_were_killed_the_former_leader_leads_at_once(
+            1, True
+        ),
+    ),
     "sync of the log": (
         Log,
         "sync",
