A worker's own calls count as much as the request they are made for

Change: a call whose id is the id of a run under way at its machine and a dot and more is tied to that run; the priority and the age of the root travel with it, order the queue, and a worker without room for one priority is still asked for higher ones. Proof: tests/test_call_tree.py; without the root the first of them fails.

--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -46,6 +46,7 @@
     :ivar opened_since: requests sent there from here since that answer.
     :ivar in_flight: requests sent there from here without an answer yet.
     :ivar full_until: until when it is taken to have no room, after it said so.
+    :ivar full_priority: for requests of this priority and less important ones.
     :ivar removed: whether it is a destination no more.
     :ivar unnamed_since: when a whole list of members left it out; None: named.
     :ivar latency: smoothed seconds until an answer; 0 when none was seen.
@@ -67,6 +68,7 @@
     failures: int = 0
     ejected_until: float = 0.0
     full_until: float = 0.0
+    full_priority: int = 0
     unnamed_since: float | None = None
     removed: bool = False
 
@@ -98,6 +100,16 @@
             self.reported = load.running + load.queued
             self.opened_since = 0
 
+    def no_room(self, now: float, priority: int) -> None:
+        """Take that it had no room for a request of a priority."""
+        known = self.full_until > now
+        self.full_priority = min(self.full_priority, priority) if known else priority
+        self.full_until = now + FULL_SECONDS
+
+    def is_full(self, now: float, priority: int) -> bool:
+        """Return whether it has lately had no room for what matters this much or more."""
+        return self.full_until > now and priority >= self.full_priority
+
     def failed(self, now: float, reason: Reason) -> None:
         """Count a failure; after some it gets nothing for a while."""
         self.failures += 1
@@ -208,18 +220,20 @@
         """Return how many live workers a service has."""
         return sum(item.state is MemberState.LIVE for item in self._by_service.get(service, ()))
 
-    def all_full(self, service: str) -> bool:
-        """Return whether every live worker of a service has just said it has no room."""
+    def all_full(self, service: str, priority: int) -> bool:
+        """Return whether every live worker has just said it has no room for a priority."""
         now = self._clock()
         live = [
             item for item in self._by_service.get(service, ()) if item.state is MemberState.LIVE
         ]
-        return bool(live) and all(item.full_until > now for item in live)
+        return bool(live) and all(item.is_full(now, priority) for item in live)
 
-    def choose(self, service: str, tried: set[str]) -> Destination | None:
+    def choose(self, service: str, tried: set[str], priority: int) -> Destination | None:
         """Return the destination for the next attempt, or None when there is none.
 
         One that has just said that it has no room is passed over.
+
+        :param priority: of the request at the root of the call tree.
         """
         now = self._clock()
         live = [
@@ -227,7 +241,7 @@
             for item in self._by_service.get(service, ())
             if item.state is MemberState.LIVE
             and item.node not in tried
-            and item.full_until <= now
+            and not item.is_full(now, priority)
             and (item.unnamed_since is None or now - item.unnamed_since < UNNAMED_SECONDS)
         ]
         if not live:
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -19,7 +19,8 @@
 from cranklane.routes.table import Route
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, BodyReader, Reply, refusal
-from cranklane.sidecar.destinations import FULL_SECONDS, UNREACHABLE, Destination, Destinations
+from cranklane.sidecar.call_tree import Root
+from cranklane.sidecar.destinations import UNREACHABLE, Destination, Destinations
 from cranklane.sidecar.gate import Gate
 from cranklane.sidecar.peers import PeerClient
 from cranklane.sidecar.retry_budget import RetryBudget
@@ -51,6 +52,7 @@
     :ivar deadline: monotonic second at which nobody waits any more, by the
         caller's own word or by the route.
     :ivar lines: request line and headers, without framing and what a gate sets.
+    :ivar root: the request for whose sake it is made; itself for one of a client.
     :ivar rest: reads the part of the body that is not in ``body``; such a
         request is sent once only.
     :ivar attempts: workers reached so far.
@@ -66,6 +68,7 @@
     length: int
     lines: bytes
     body: bytes
+    root: Root
     rest: BodyReader | None = None
     attempts: int = 0
     refusals: int = 0
@@ -115,9 +118,10 @@
         may_have_run = False
         answered: Reply | None = None
         while True:
-            destination = self._destinations.choose(call.service, call.tried)
+            priority = call.root.priority
+            destination = self._destinations.choose(call.service, call.tried, priority)
             if destination is None:
-                if not call.tried and self._destinations.all_full(call.service):
+                if not call.tried and self._destinations.all_full(call.service, priority):
                     result = refusal(Reason.QUEUE_FULL, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
                 break
             reply = self._attempt(call, destination)
@@ -149,7 +153,7 @@
             destination.closed()
         call.attempts += reply.arrived
         seconds = self._runtime.monotonic() - now
-        self._learn(destination, reply, seconds)
+        self._learn(call, destination, reply, seconds)
         self._on_attempt(call, destination, reply, seconds)
         return reply
 
@@ -161,6 +165,8 @@
             deadline_ms=int(left * 1000),
             start_ms=max(0, int(start * 1000)),
             priority=call.route.priority,
+            root_priority=call.root.priority,
+            root_age_ms=max(0, int((now - call.root.began_at) * 1000)),
             repeatable=call.route.repeatable,
             bodiless=call.bodiless,
             framing=call.framing,
@@ -174,13 +180,13 @@
             body=call.body,
         )
 
-    def _learn(self, destination: Destination, reply: Reply, seconds: float) -> None:
+    def _learn(self, call: Call, destination: Destination, reply: Reply, seconds: float) -> None:
         if reply.outcome is Outcome.ANSWERED:
             destination.answered(seconds, reply.load)
             return
         destination.take_load(reply.load)
         if reply.reason is Reason.QUEUE_FULL:
-            destination.full_until = self._runtime.monotonic() + FULL_SECONDS
+            destination.no_room(self._runtime.monotonic(), call.root.priority)
         if reply.reason is Reason.DRAINING:
             # Its own sidecar knows best; control's word comes later.
             destination.state = MemberState.DRAINING
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -13,6 +13,7 @@
 from cranklane.outcome import Reason
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal
+from cranklane.sidecar.call_tree import CallTree, Root
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.worker_exchange import WorkerExchange
@@ -33,6 +34,7 @@
 class Gate:
     """Admits requests to the worker.
 
+    :param call_tree: told of the runs, to which the worker's own calls are tied.
     :param on_admission: told of each decision.
     """
 
@@ -42,8 +44,10 @@
         worker: WorkerRegistry,
         slots: Slots,
         names: HeaderNames,
+        call_tree: CallTree,
         on_admission: AdmissionListener,
     ) -> None:
+        self._call_tree = call_tree
         self._on_admission = on_admission
         self._runtime = runtime
         self._worker = worker
@@ -84,7 +88,10 @@
             reason = Reason.REFUSED_EARLY
         if reason is Reason.NONE:
             reason = self._slots.acquire(
-                request.priority, request.start_ms / 1000, self._ends_wait(attempt)
+                request.root_priority,
+                request.start_ms / 1000,
+                self._ends_wait(attempt),
+                request.root_age_ms / 1000,
             )
         started_at = self._runtime.monotonic()
         slots = self._slots
@@ -100,6 +107,8 @@
             return refusal(reason, retry_after_ms=self._retry_after_ms(reason))
         reply: Reply | None = None
         begun_in = self._limiter.began(request.route)
+        root = Root(request.root_priority, arrived_at - request.root_age_ms / 1000)
+        self._call_tree.begin(request.request, root)
         try:
             if on_admitted is not None:
                 on_admitted()
@@ -108,7 +117,7 @@
             reply = self._exchange.run(attempt, self._worker.instance, deadline)
         finally:
             if reply is None or reply.rest is None:
-                self._release(started_at)
+                self._release(request.request, started_at)
         reply.waited_ms = int((started_at - arrived_at) * 1000)
         reply.ran_ms = int((self._runtime.monotonic() - started_at) * 1000)
         if not attempt.cancelled:
@@ -116,7 +125,7 @@
         if reply.reason is Reason.WORKER_UNREACHABLE:
             self._worker.unreachable()
         if reply.rest is not None:
-            reply.rest = self._until_end(reply.rest, started_at)
+            reply.rest = self._until_end(reply.rest, request.request, started_at)
         return reply
 
     def _closed_to(self, service: str) -> Reason:
@@ -137,14 +146,15 @@
 
         return on_wait
 
-    def _release(self, started_at: float) -> None:
+    def _release(self, request: str, started_at: float) -> None:
+        self._call_tree.end(request)
         self._slots.release(self._runtime.monotonic() - started_at)
 
-    def _until_end(self, rest: Iterator[bytes], started_at: float) -> Iterator[bytes]:
+    def _until_end(self, rest: Iterator[bytes], request: str, started_at: float) -> Iterator[bytes]:
         try:
             yield from rest
         finally:
-            self._release(started_at)
+            self._release(request, started_at)
 
     def _retry_after_ms(self, reason: Reason) -> int:
         if reason is Reason.REFUSED_EARLY:
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -26,6 +26,7 @@
 from cranklane.routes.table import Route, RouteTable
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.attempt import SMALL_BODY_BYTES, Reply, refusal
+from cranklane.sidecar.call_tree import CallTree, Root
 from cranklane.sidecar.caller_connection import CallerConnection
 from cranklane.sidecar.dispatcher import DEFAULT_RETRY_AFTER_MS, Call, Dispatcher
 from cranklane.sidecar.hang_up import HangUpWatch
@@ -75,6 +76,7 @@
 
     :param table: returns the route table in force.
     :param caller: service of this machine, stated on every request.
+    :param call_tree: knows the runs of this machine's worker.
     :ivar stopping: whether answers end their connections.
     """
 
@@ -86,8 +88,10 @@
         table: Callable[[], RouteTable],
         dispatcher: Dispatcher,
         hang_ups: HangUpWatch,
+        call_tree: CallTree,
         on_decision: Callable[[Decision], None],
     ) -> None:
+        self._call_tree = call_tree
         self._runtime = runtime
         self._names = names
         self._caller = caller.encode()
@@ -238,8 +242,9 @@
             self._names.caller,
             self._caller,
         )
+        name = request.decode("latin-1")
         return Call(
-            request=request.decode("latin-1"),
+            request=name,
             route=route,
             service=self._splitter.choose(route),
             started_at=started_at,
@@ -249,6 +254,7 @@
             length=length,
             lines=lines,
             body=body,
+            root=self._call_tree.root_of(name) or Root(route.priority, started_at),
             rest=None if connection.body_whole else connection.next_piece,
         )
 
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -26,6 +26,7 @@
     whole_number,
 )
 from cranklane.sidecar.adopted_table import AdoptedTable
+from cranklane.sidecar.call_tree import CallTree
 from cranklane.sidecar.decision_log import DecisionLog
 from cranklane.sidecar.destinations import Destinations
 from cranklane.sidecar.dispatcher import Dispatcher
@@ -114,7 +115,10 @@
         )
         self.metrics = SidecarMetrics()
         self.decisions = DecisionLog(runtime.monotonic, self.metrics, self._log)
-        self.gate = Gate(runtime, self.worker, self.slots, names, self.decisions.admission)
+        call_tree = CallTree()
+        self.gate = Gate(
+            runtime, self.worker, self.slots, names, call_tree, self.decisions.admission
+        )
         hang_ups = HangUpWatch(runtime)
         self.peers = PeerClient(runtime, self._hello)
         self.peer_server = PeerServer(runtime, self.gate, hang_ups)
@@ -135,6 +139,7 @@
             lambda: self.adopted.table,
             self.dispatcher,
             hang_ups,
+            call_tree,
             self.decisions.decided,
         )
         self._add_gauges()
--- a/src/cranklane/sidecar/slots.py
+++ b/src/cranklane/sidecar/slots.py
@@ -2,7 +2,9 @@
 
 The order is by the time at which a request must have started, each step of
 priority counting as a fixed head start: a request in a hurry is not held up by
-many that can wait, important ones go first, and none waits for ever.
+many that can wait, important ones go first, and none waits for ever. Priority is
+that of the request at the root of the call tree, and of two such trees the older
+one has a small head start, since more of its work would be lost.
 """
 
 from __future__ import annotations
@@ -18,6 +20,11 @@
 PRIORITY_STEP_SECONDS = 0.1
 """Head start of one step of priority over the next."""
 
+AGE_WEIGHT = 0.1
+"""Head start for each second of the age of a request's root."""
+
+MAX_AGE_SECONDS = 1.5
+
 HOLD_WEIGHT = 0.05
 """Weight of the newest request in the smoothed time that a slot is held."""
 
@@ -72,24 +79,30 @@
         ahead = bisect_right(self._waiting, (rank,))
         return (ahead + 1) * self.hold / max(1, self.limit)
 
-    def rank(self, priority: int, wait_seconds: float) -> float:
-        """Return the place in the order of a request that comes now."""
-        return self._clock() + wait_seconds + priority * PRIORITY_STEP_SECONDS
+    def rank(self, priority: int, wait_seconds: float, root_age: float = 0.0) -> float:
+        """Return the place in the order of a request that comes now.
+
+        :param root_age: seconds since the root of its call tree was taken.
+        """
+        head_start = AGE_WEIGHT * min(root_age, MAX_AGE_SECONDS)
+        return self._clock() + wait_seconds + priority * PRIORITY_STEP_SECONDS - head_start
 
     def acquire(
         self,
         priority: int,
         wait_seconds: float,
         on_wait: Callable[[Waiter], None],
+        root_age: float = 0.0,
     ) -> Reason:
         """Take a slot, waiting up to ``wait_seconds``; NONE means it is taken.
 
         :param on_wait: given the waiter before the wait, so that it can be ended.
+        :param root_age: seconds since the root of its call tree was taken.
         """
         if self.running < self.limit and self.queued == 0:
             self.running += 1
             return Reason.NONE
-        rank = self.rank(priority, wait_seconds)
+        rank = self.rank(priority, wait_seconds, root_age)
         if self.expected_wait(rank) > wait_seconds:
             return Reason.QUEUE_FULL
         waiter = Waiter()
--- /dev/null
+++ b/tests/test_call_tree.py
@@ -0,0 +1,103 @@
+"""A call that a worker makes counts as much as the request it is made for."""
+
+from __future__ import annotations
+
+from random import Random
+
+import gevent
+
+from cranklane.node.members import MemberState
+from cranklane.records.messages import Member
+from cranklane.sidecar.destinations import FULL_SECONDS, Destinations
+from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.world import simulate
+
+ROUTES = {
+    "pay": {"prefix": "/pay/", "service": "top", "priority": 0},
+    "view": {"prefix": "/view/", "service": "top", "priority": 2},
+    "look": {"prefix": "/look/", "service": "deep", "priority": 1},
+}
+ROOT_SECONDS = 3.0
+DEEP_SECONDS = 0.1
+
+
+def delay(_source, _target):
+    return 0.0005
+
+
+def order_at_a_full_worker(first, later, gap=0.0, separator="."):
+    """Make two calls, each from a run of its own, wait for one slot; return their order.
+
+    :param first: route and id of the run that calls first.
+    :param gap: seconds between the starts of the two runs.
+    """
+
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(3)
+        top = mesh.add_machine("top")
+        deep = mesh.add_machine("deep", 1)
+        assert mesh.wait_for(lambda: mesh.voters() == 3, 10)
+        table = route_table(1, 0, ROUTES, ("top", "deep"))
+        assert mesh.wait_for(lambda: mesh.operate(table).status == 200, 5)
+        gevent.sleep(2.0)
+        top.worker.state.seconds = ROOT_SECONDS
+        deep.worker.state.seconds = DEEP_SECONDS
+        tasks = []
+
+        def send(path, name):
+            tasks.append(gevent.spawn(mesh.request, top, path, name=name))
+
+        runs = sorted([first, later], key=lambda item: item[2])
+        send(f"/{runs[0][0]}/", runs[0][1])
+        gevent.sleep(gap + 0.01)
+        send(f"/{runs[1][0]}/", runs[1][1])
+        gevent.sleep(0.1)
+        send("/look/", "holder")
+        gevent.sleep(0.01)
+        for _, name, _ in (first, later):
+            send("/look/", f"{name}{separator}1")
+            gevent.sleep(0.01)
+        gevent.joinall(tasks)
+        return [run.request for run in deep.worker.state.runs]
+
+    return simulate(1, delay, scenario)
+
+
+def test_the_call_for_the_more_important_request_goes_first():
+    order = order_at_a_full_worker(("view", "v", 0), ("pay", "p", 1))
+    assert order == ["holder", "p.1", "v.1"]
+
+
+def test_the_call_for_the_older_request_goes_first():
+    order = order_at_a_full_worker(("view", "young", 1), ("view", "old", 0), gap=1.0)
+    assert order == ["holder", "old.1", "young.1"]
+
+
+def test_a_call_that_names_no_run_counts_for_itself():
+    order = order_at_a_full_worker(("view", "v", 0), ("pay", "p", 1), separator="-")
+    assert order == ["holder", "v-1", "p-1"]
+
+
+class Clock:
+    def __init__(self):
+        self.now = 5.0
+
+    def __call__(self):
+        return self.now
+
+
+def test_no_room_for_the_less_important_says_nothing_of_the_more_important():
+    clock = Clock()
+    known = Destinations(clock, Random(1), "own", "a")
+    known.state_own(
+        Member(1, 1, MemberState.LIVE, "n", service="s", zone="a", address="127.0.0.1:1", slots=4)
+    )
+    destination = known.choose("s", set(), 0)
+    destination.no_room(clock.now, 1)
+    assert known.choose("s", set(), 0) is destination
+    assert known.choose("s", set(), 1) is None
+    assert known.all_full("s", 2)
+    assert not known.all_full("s", 0)
+    clock.now += FULL_SECONDS + 0.001
+    assert known.choose("s", set(), 2) is destination
