A machine that only control cannot reach is used on

Ruled out: the limiter of failing runs alone (refusals begin at 10.6 s, when the lease ends). Change: control calls a member whose lease ran out silent, not gone; a sidecar keeps a silent destination for 10 s after each answer that it gives. Proof: test_a_machine_that_only_control_cannot_reach_is_used_on (fails without answers as a sign of life), test_a_machine_that_nobody_reaches_any_more_is_forgotten.

--- a/src/cranklane/control/membership.py
+++ b/src/cranklane/control/membership.py
@@ -32,7 +32,7 @@
 
     :ivar owner: the control process it is subscribed to; empty: nobody's now.
     :ivar heard_at: last heartbeat, or when its owner was lost.
-    :ivar presumed: gone only because its owner was not heard.
+    :ivar presumed: silent only because its owner was not heard.
     """
 
     member: Member
@@ -73,10 +73,8 @@
         return len(self.members())
 
     def members(self) -> list[Member]:
-        """Return all members that are not gone."""
-        return [
-            known.member for known in self._known.values() if known.member.state != MemberState.GONE
-        ]
+        """Return all members that are there."""
+        return [known.member for known in self._known.values() if _is_there(known.member)]
 
     def incarnation_of(self, node: str) -> int:
         """Return the newest incarnation known of a node, 0 for none."""
@@ -169,16 +167,19 @@
     # Changes.
 
     def expire(self) -> list[Member]:
-        """Mark members whose lease has run out as gone, and return them."""
+        """Mark members whose lease has run out as silent, and return them.
+
+        They may be cut off from control only: nodes that reach them keep them.
+        """
         now = self._clock()
         expired = [
             known
             for known in self._known.values()
-            if known.member.state != MemberState.GONE and self._is_expired(known, now)
+            if _is_there(known.member) and self._is_expired(known, now)
         ]
         for known in expired:
             presumed = known.owner not in ("", self._own)
-            self._set_state(known, MemberState.GONE, presumed)
+            self._set_state(known, MemberState.SILENT, presumed)
         return [known.member for known in expired]
 
     def _is_expired(self, known: _Known, now: float) -> bool:
@@ -207,7 +208,7 @@
         """Return the members changed after a position, and the position now."""
         changed = [known.member for known in self._changed_after(position)]
         if position == 0:
-            changed = [member for member in changed if member.state != MemberState.GONE]
+            changed = [member for member in changed if _is_there(member)]
         return changed, self._position
 
     def _changed_after(self, position: int) -> list[_Known]:
@@ -247,3 +248,7 @@
         """Return the version in force at a node, as last told; 0 for none."""
         known = self._versions.get(node)
         return known.number if known is not None else 0
+
+
+def _is_there(member: Member) -> bool:
+    return MemberState(member.state).is_there
--- a/src/cranklane/node/members.py
+++ b/src/cranklane/node/members.py
@@ -16,6 +16,14 @@
     LIVE = 0
     DRAINING = 1
     GONE = 2
+    """It said that it ends, or that nothing runs there."""
+    SILENT = 3
+    """Control has not heard of it for its lease: it is gone, or cut off from control."""
+
+    @property
+    def is_there(self) -> bool:
+        """Whether control takes the node to be there."""
+        return self in (MemberState.LIVE, MemberState.DRAINING)
 
 
 EJECT_AFTER_FAILURES = 3
@@ -120,7 +128,7 @@
             order = (known.incarnation, known.sequence)
             if (member.incarnation, member.sequence) < order:
                 return []
-        if member.state == MemberState.GONE:
+        if not MemberState(member.state).is_there:
             removed = members.pop(member.node, None)
             return [removed] if removed is not None else []
         if known is None or known.incarnation != member.incarnation:
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -22,8 +22,9 @@
 """A destination that had no room for a request is not asked for this long: under
 overload most requests would be sent to be refused."""
 
-UNNAMED_SECONDS = 10.0
-"""A destination that a whole list of members leaves out is kept for this long."""
+UNCONFIRMED_SECONDS = 10.0
+"""A destination that control leaves out of a whole list, or no longer hears of, is
+kept for this long after that and after each answer of its own."""
 
 OTHER_ZONE_COST = 1.15
 """A destination in another zone counts as this much slower."""
@@ -48,7 +49,8 @@
     :ivar full_until: until when it is taken to have no room, after it said so.
     :ivar full_priority: for requests of this priority and less important ones.
     :ivar removed: whether it is a destination no more.
-    :ivar unnamed_since: when a whole list of members left it out; None: named.
+    :ivar confirmed_at: since when only its own answers tell that it is there, or the
+        last of them; None while control says so.
     :ivar latency: smoothed seconds until an answer; 0 when none was seen.
     """
 
@@ -69,7 +71,7 @@
     ejected_until: float = 0.0
     full_until: float = 0.0
     full_priority: int = 0
-    unnamed_since: float | None = None
+    confirmed_at: float | None = None
     removed: bool = False
 
     def load(self) -> float:
@@ -86,9 +88,11 @@
         self.in_flight -= 1
         self.opened_since = max(0, self.opened_since - 1)
 
-    def answered(self, seconds: float, load: Load) -> None:
+    def answered(self, now: float, seconds: float, load: Load) -> None:
         """Take an answer."""
         self.failures = 0
+        if self.confirmed_at is not None:
+            self.confirmed_at = now
         self.take_load(load)
         weight = LATENCY_WEIGHT if self.latency else 1.0
         self.latency += weight * (seconds - self.latency)
@@ -118,6 +122,15 @@
             pause = min(MAX_EJECT_SECONDS, EJECT_SECONDS * self.failures)
             self.ejected_until = now + pause
 
+    def unconfirmed(self, now: float) -> None:
+        """Take that control does not say any more that it is there."""
+        if self.confirmed_at is None:
+            self.confirmed_at = now
+
+    def is_forgotten(self, now: float) -> bool:
+        """Return whether nothing has told for too long that it is there."""
+        return self.confirmed_at is not None and now - self.confirmed_at > UNCONFIRMED_SECONDS
+
     def reachable(self) -> None:
         """Take that a connection to it has succeeded."""
         self.failures = 0
@@ -146,6 +159,7 @@
         for member in delta.members:
             if member.node != self._own:
                 self._apply(member)
+        self.drop_forgotten()
 
     def _take_whole(self, named: set[str]) -> None:
         """Take a whole list: those it leaves out stay for a while.
@@ -154,17 +168,17 @@
         are really gone are found out by the first request.
         """
         now = self._clock()
-        for node, known in list(self._by_node.items()):
+        for node, known in self._by_node.items():
             if node in named or node == self._own:
-                known.unnamed_since = None
-            elif known.unnamed_since is None:
-                known.unnamed_since = now
-        self._drop_unnamed(now)
+                known.confirmed_at = None
+            else:
+                known.unconfirmed(now)
 
-    def _drop_unnamed(self, now: float) -> None:
+    def drop_forgotten(self) -> None:
+        """Remove those that nothing has told to be there for too long."""
+        now = self._clock()
         for node, known in list(self._by_node.items()):
-            since = known.unnamed_since
-            if since is not None and now - since > UNNAMED_SECONDS:
+            if known.is_forgotten(now):
                 self._remove(node)
 
     def state_own(self, member: Member) -> None:
@@ -177,6 +191,11 @@
             order = (known.incarnation, known.sequence)
             if (member.incarnation, member.sequence) < order:
                 return
+        if member.state == MemberState.SILENT:
+            if known is not None:
+                known.sequence = member.sequence
+                known.unconfirmed(self._clock())
+            return
         if member.state == MemberState.GONE or not member.service:
             self._remove(member.node)
             return
@@ -189,7 +208,7 @@
             self._remove(member.node)
             self._add(member)
             return
-        known.unnamed_since = None
+        known.confirmed_at = None
         known.incarnation = member.incarnation
         known.sequence = member.sequence
         known.state = MemberState(member.state)
@@ -242,7 +261,7 @@
             if item.state is MemberState.LIVE
             and item.node not in tried
             and not item.is_full(now, priority)
-            and (item.unnamed_since is None or now - item.unnamed_since < UNNAMED_SECONDS)
+            and not item.is_forgotten(now)
         ]
         if not live:
             return None
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -182,7 +182,7 @@
 
     def _learn(self, call: Call, destination: Destination, reply: Reply, seconds: float) -> None:
         if reply.outcome is Outcome.ANSWERED:
-            destination.answered(seconds, reply.load)
+            destination.answered(self._runtime.monotonic(), seconds, reply.load)
             return
         destination.take_load(reply.load)
         if reply.reason is Reason.QUEUE_FULL:
@@ -210,6 +210,7 @@
     def _probe(self, destination: Destination) -> None:
         while not destination.removed:
             gevent.sleep(PROBE_SECONDS)
+            self._destinations.drop_forgotten()
             if self._peers.reaches(destination.address):
                 destination.reachable()
                 return
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -413,6 +413,36 @@
     assert play(script) == (True, True)
 
 
+def cut_from_controllers(mesh, machine):
+    for controller in mesh.controllers:
+        mesh.world.network.cut(machine.process.name, controller.process.name)
+        mesh.world.network.cut(controller.process.name, machine.process.name)
+
+
+def test_a_machine_that_only_control_cannot_reach_is_used_on():
+    def script(mesh):
+        cut_from_controllers(mesh, mesh.machines[2])
+        statuses = []
+        for _ in range(60):
+            statuses.append(mesh.request(mesh.machines[0], "/other/x").status)
+            gevent.sleep(0.5)
+        return statuses
+
+    assert play(script) == [200] * 60
+
+
+def test_a_machine_that_nobody_reaches_any_more_is_forgotten():
+    def script(mesh):
+        mesh.machines[2].process.kill(power_lost=True)
+        mesh.request(mesh.machines[0], "/other/x")
+        known = mesh.machines[0].sidecar.destinations
+        before = known.count("t")
+        gevent.sleep(30.0)
+        return before, known.count("t")
+
+    assert play(script) == (1, 0)
+
+
 def test_an_answer_goes_no_further_than_its_route_s_time():
     def script(mesh):
         machine = mesh.machines[2]
--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -21,6 +21,7 @@
 from cranklane.replication.peer_service import PeerService
 from cranklane.routes.splitter import Splitter
 from cranklane.sidecar.call_tree import CallTree
+from cranklane.sidecar.destinations import Destination
 from cranklane.sidecar.dispatcher import Dispatcher
 from cranklane.sidecar.hang_up import HangUpWatch
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
@@ -135,6 +136,12 @@
         lambda self, revision: None,
         test_route_rows.test_a_change_of_one_route_costs_a_node_a_few_hundred_bytes,
     ),
+    "own answers as a sign of life": (
+        Destination,
+        "is_forgotten",
+        lambda self, now: self.confirmed_at is not None,
+        test_mesh.test_a_machine_that_only_control_cannot_reach_is_used_on,
+    ),
     "early vote for the former leader": (
         PeerService,
         "_gave_up_its_lease",
