--- a/src/cranklane/sidecar/outcome_limiter.py
+++ b/src/cranklane/sidecar/outcome_limiter.py
@@ -4,7 +4,9 @@
 its work was done in vain. What helps the overloaded service is fewer requests at
 the top of the tree, the least important first. Each sidecar sees how the runs of
 its own worker end, so each adapts by itself: the part of a route's requests that it
-admits falls by a factor while too many runs fail, and grows by steps otherwise.
+admits falls by a factor while too many runs fail, and grows by a smaller factor
+otherwise. It grows by a factor too, so that a part that fell far after a sudden
+fault is back within seconds.
 
 How many failures are too many depends on the priority, so that the less important
 routes have made room before the others are touched. A route that workers call is
@@ -25,7 +27,10 @@
 DECREASE = 0.6
 """Factor at which the admitted part falls when every run has failed."""
 
-INCREASE = 0.05
+INCREASE = 0.1
+"""Part of itself by which the admitted part grows when few runs have failed."""
+
+LEAST_INCREASE = 0.02
 ROUND_SECONDS = 0.25
 LEAST_SAMPLES = 20
 LONGEST_ROUND_SECONDS = 1.0
@@ -123,7 +128,8 @@
             level.part = max(LEAST_PART, level.part * (1 - DECREASE * failing))
             level.round += 1
         else:
-            level.part = min(1.0, level.part + INCREASE)
+            step = max(LEAST_INCREASE, INCREASE * level.part)
+            level.part = min(1.0, level.part + step)
         level.begun_at = self._clock()
         level.runs = 0
         level.failures = 0
