--- a/src/cranklane/node/subscription.py
+++ b/src/cranklane/node/subscription.py
@@ -35,6 +35,12 @@
 another control process: its own may have lost touch without knowing it."""
 
 CONNECT_SECONDS = 1.0
+
+FIRST_CONNECT_SECONDS = 0.25
+"""Seconds for a connection in the first round over all control processes: a machine
+without power does not answer at all, and another one may be there. Each further
+round allows twice as long."""
+
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 3.0
 
@@ -160,17 +166,20 @@
     def follow(self) -> None:
         """Follow control until told to stop."""
         backoff = MIN_BACKOFF_SECONDS
+        connect = FIRST_CONNECT_SECONDS
         while not self._stopped:
             self._identity.last_resort = False
             for address in self._candidates():
-                if not self._stopped and self._follow_one(address):
+                if not self._stopped and self._follow_one(address, connect):
                     backoff = MIN_BACKOFF_SECONDS
+                    connect = FIRST_CONNECT_SECONDS
+            connect = min(CONNECT_SECONDS, connect * 2)
             if backoff > MIN_BACKOFF_SECONDS:
                 # None of them is in touch with its group: better one that knows
                 # the members around it than none.
                 self._identity.last_resort = True
                 for address in self._candidates():
-                    if not self._stopped and self._follow_one(address):
+                    if not self._stopped and self._follow_one(address, connect):
                         break
             gevent.sleep(backoff * (0.5 + self._runtime.random.random()))
             backoff = min(self._timing.max_backoff, backoff * 2)
@@ -187,10 +196,10 @@
         """Replace the addresses to start from, as when the settings have changed."""
         self._controls = list(controls)
 
-    def _follow_one(self, address: Address) -> bool:
+    def _follow_one(self, address: Address, connect_seconds: float) -> bool:
         """Follow one control process until it is lost; return whether it served."""
         try:
-            connection = self._runtime.connect(address, CONNECT_SECONDS)
+            connection = self._runtime.connect(address, connect_seconds)
         except OSError:
             return False
         records = RecordConnection(connection, self._timing.silent)
--- a/src/cranklane/sidecar/attempt.py
+++ b/src/cranklane/sidecar/attempt.py
@@ -67,6 +67,7 @@
     :ivar body: the body, or its first piece when ``rest`` is there.
     :ivar waited_ms: time it waited for a slot of the worker.
     :ivar ran_ms: time until the worker had answered.
+    :ivar starved: whether a run failed since a call of it, or of one below, found no room.
     :ivar rest: the further pieces; raises AnswerCutError when they end too early.
     """
 
@@ -83,6 +84,7 @@
     load: Load = field(default_factory=Load)
     waited_ms: int = 0
     ran_ms: int = 0
+    starved: bool = False
 
 
 def refusal(reason: Reason, arrived: bool = False, retry_after_ms: int = 0) -> Reply:
--- a/src/cranklane/sidecar/call_tree.py
+++ b/src/cranklane/sidecar/call_tree.py
@@ -27,15 +27,31 @@
     began_at: float
 
 
+@dataclass(slots=True)
+class Run:
+    """One run under way.
+
+    :ivar starved: whether a call that it made found no room, here or further down.
+    """
+
+    root: Root
+    starved: bool = False
+
+
 class CallTree:
-    """The runs under way at one worker, by request id, and their roots."""
+    """The runs under way at one worker, by request id.
+
+    :ivar ties: whether a call was ever tied to a run: whether its worker's ids do so.
+    """
 
     def __init__(self) -> None:
-        self._runs: dict[str, Root] = {}
+        self._runs: dict[str, Run] = {}
+        self.ties = False
 
-    def begin(self, request: str, root: Root) -> None:
+    def begin(self, request: str, root: Root) -> Run:
         """Take that the worker runs a request."""
-        self._runs[request] = root
+        run = self._runs[request] = Run(root)
+        return run
 
     def end(self, request: str) -> None:
         """Take that a run has ended."""
@@ -45,9 +61,22 @@
         """Return the root of a call that a run under way makes, or None.
 
         >>> tree = CallTree()
-        >>> tree.begin("7f", Root(0, 1.5))
+        >>> run = tree.begin("7f", Root(0, 1.5))
         >>> tree.root_of("7f.1"), tree.root_of("8a.1"), tree.root_of("7f")
         (Root(priority=0, began_at=1.5), None, None)
         """
-        run, separator, _ = request.rpartition(ID_SEPARATOR)
-        return self._runs.get(run) if separator else None
+        run = self._run_of(request)
+        if run is None:
+            return None
+        self.ties = True
+        return run.root
+
+    def call_starved(self, request: str) -> None:
+        """Take that a call found no room; nothing if no run under way makes it."""
+        run = self._run_of(request)
+        if run is not None:
+            run.starved = True
+
+    def _run_of(self, request: str) -> Run | None:
+        name, separator, _ = request.rpartition(ID_SEPARATOR)
+        return self._runs.get(name) if separator else None
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -31,7 +31,8 @@
 MAX_TRIES = 8
 """Sidecars asked in turn, those included whose worker is leaving or cannot be reached."""
 
-_NO_ROOM = (Reason.QUEUE_FULL, Reason.DEADLINE_TOO_NEAR)
+NO_ROOM = (Reason.QUEUE_FULL, Reason.DEADLINE_TOO_NEAR)
+"""Why a sidecar refuses for want of room at its worker."""
 
 START_PART = 0.3
 """A request may wait for its start this part of its objective, and no longer."""
@@ -233,7 +234,7 @@
             # Pieces of its body are gone.
             return False
         if not reply.arrived:
-            call.refusals += reply.reason in _NO_ROOM
+            call.refusals += reply.reason in NO_ROOM
             asked_enough = call.refusals >= MAX_REFUSALS or len(call.tried) >= MAX_TRIES
             if asked_enough or reply.reason is Reason.REFUSED_EARLY:
                 # Refused early means that the fault is deeper than this worker.
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -13,7 +13,7 @@
 from cranklane.outcome import Reason
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal
-from cranklane.sidecar.call_tree import CallTree, Root
+from cranklane.sidecar.call_tree import CallTree, Root, Run
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.worker_exchange import WorkerExchange
@@ -24,7 +24,8 @@
 EARLY_RETRY_AFTER_MS = 400
 """When a request may come again that is refused because others like it fail."""
 
-_FAILED_STATUS = (500, 504)
+_SERVER_ERROR = 500
+_GATEWAY_TIMEOUT = 504
 
 
 AdmissionListener = Callable[[str, Reason, int, int, int, float], None]
@@ -108,7 +109,7 @@
         reply: Reply | None = None
         begun_in = self._limiter.began(request.route)
         root = Root(request.root_priority, arrived_at - request.root_age_ms / 1000)
-        self._call_tree.begin(request.request, root)
+        run = self._call_tree.begin(request.request, root)
         try:
             if on_admitted is not None:
                 on_admitted()
@@ -121,7 +122,8 @@
         reply.waited_ms = int((started_at - arrived_at) * 1000)
         reply.ran_ms = int((self._runtime.monotonic() - started_at) * 1000)
         if not attempt.cancelled:
-            self._limiter.ended(request.route, begun_in, _is_failure(reply))
+            reply.starved = self._is_starved(run, reply)
+            self._limiter.ended(request.route, begun_in, reply.starved)
         if reply.reason is Reason.WORKER_UNREACHABLE:
             self._worker.unreachable()
         if reply.rest is not None:
@@ -162,7 +164,12 @@
         wait = self._slots.expected_wait(self._slots.rank(0, 0.0))
         return max(MIN_RETRY_AFTER_MS, int(wait * 1000))
 
+    def _is_starved(self, run: Run, reply: Reply) -> bool:
+        """Return whether a run failed for want of room further down, or of time.
 
-def _is_failure(reply: Reply) -> bool:
-    """Return whether a run failed, as one does whose own calls were refused."""
-    return reply.status in _FAILED_STATUS or reply.reason is Reason.DEADLINE_PASSED
+        Where calls cannot be tied to runs, every failed run is taken for starved.
+        """
+        if reply.status == _GATEWAY_TIMEOUT or reply.reason is Reason.DEADLINE_PASSED:
+            return True
+        failed = reply.status == _SERVER_ERROR
+        return failed and (run.starved or not self._call_tree.ties)
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -28,7 +28,12 @@
 from cranklane.sidecar.attempt import SMALL_BODY_BYTES, Reply, refusal
 from cranklane.sidecar.call_tree import CallTree, Root
 from cranklane.sidecar.caller_connection import CallerConnection
-from cranklane.sidecar.dispatcher import DEFAULT_RETRY_AFTER_MS, Call, Dispatcher
+from cranklane.sidecar.dispatcher import (
+    DEFAULT_RETRY_AFTER_MS,
+    NO_ROOM,
+    Call,
+    Dispatcher,
+)
 from cranklane.sidecar.hang_up import HangUpWatch
 
 WRITE_SECONDS = 10.0
@@ -177,6 +182,8 @@
             reply = self._dispatcher.run(call)
         finally:
             self._hang_ups.remove(connection.stream)
+        if reply.starved or reply.reason in NO_ROOM:
+            self._call_tree.call_starved(call.request)
         return self._finish(connection, head, request, call, reply, started_at, table)
 
     def _route(self, head: RequestHead, table: RouteTable) -> tuple[Route | None, Reply | None]:
--- a/src/cranklane/sidecar/outcome_limiter.py
+++ b/src/cranklane/sidecar/outcome_limiter.py
@@ -27,10 +27,13 @@
 DECREASE = 0.6
 """Factor at which the admitted part falls when every run has failed."""
 
-INCREASE = 0.1
-"""Part of itself by which the admitted part grows when few runs have failed."""
+INCREASE = 0.08
+"""Growth of the admitted part in a second when few runs have failed: by time, so
+that a route with few requests is back as soon as others."""
+
+INCREASE_FACTOR = 0.15
+"""Further growth in a second, as a part of the admitted part."""
 
-LEAST_INCREASE = 0.02
 ROUND_SECONDS = 0.25
 LEAST_SAMPLES = 20
 LONGEST_ROUND_SECONDS = 1.0
@@ -128,7 +131,8 @@
             level.part = max(LEAST_PART, level.part * (1 - DECREASE * failing))
             level.round += 1
         else:
-            step = max(LEAST_INCREASE, INCREASE * level.part)
+            seconds = min(LONGEST_ROUND_SECONDS, self._clock() - level.begun_at)
+            step = seconds * (INCREASE + INCREASE_FACTOR * level.part)
             level.part = min(1.0, level.part + step)
         level.begun_at = self._clock()
         level.runs = 0
--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -193,6 +193,7 @@
         Load(answer.running, answer.queued, answer.slots),
         answer.waited_ms,
         answer.ran_ms,
+        answer.starved,
     )
 
 
@@ -292,6 +293,7 @@
         slots=load.slots,
         waited_ms=reply.waited_ms,
         ran_ms=reply.ran_ms,
+        starved=reply.starved,
         length=reply.length,
         lines=reply.lines,
         body=reply.body,
