A restarted sidecar asks its worker who it is

Ruled out: taking the worker on trust (a leaving one must get nothing): its health address says 503 while it leaves. Change: with the first table a sidecar asks the health address once; a worker that is well, names its start and tells its slots gets requests until its heartbeats say otherwise.

--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -38,6 +38,7 @@
 from cranklane.sidecar.retry_budget import RetryBudget
 from cranklane.sidecar.slots import Slots
 from cranklane.sidecar.worker_api import ReadinessApi, WorkerApi
+from cranklane.sidecar.worker_probe import WorkerProbe
 from cranklane.sidecar.worker_registry import WorkerRegistry
 
 TIMING = FollowTiming(heartbeat=1.0, silent=1.6, max_backoff=0.8, raises_incarnation=True)
@@ -99,7 +100,7 @@
         self.settings = settings
         self._log = logger(process="sidecar", node=settings.name)
         self.incarnation = int(runtime.wall() * 1000)
-        self.adopted = AdoptedTable(self._log, lambda: None)
+        self.adopted = AdoptedTable(self._log, self._table_adopted)
         self.destinations = Destinations(
             runtime.monotonic, runtime.random, settings.name, settings.zone
         )
@@ -142,6 +143,9 @@
             call_tree,
             self.decisions.decided,
         )
+        self._probe = (
+            WorkerProbe(runtime, parse_address(settings.worker), names) if settings.worker else None
+        )
         self._add_gauges()
         self._own_sequence = 0
         self._stopping = False
@@ -253,6 +257,21 @@
             changed=[f"{item.node}:{MemberState(item.state).name}" for item in delta.members[:20]],
         )
 
+    def _table_adopted(self) -> None:
+        """Look for the worker once there is a table, which names its health address."""
+        entry = self.adopted.table.services.get(self.settings.service)
+        if self._probe is not None and entry is not None:
+            self._runtime.spawn(self._find_worker, self._probe, entry.health_path)
+            self._probe = None
+
+    def _find_worker(self, probe: WorkerProbe, path: str) -> None:
+        if self.worker.instance:
+            return
+        found = probe.find(path)
+        if found is not None:
+            self._log.info("worker_probed", instance=found.instance, slots=found.slots)
+            self.worker.probed(found)
+
     def _worker_changed(self) -> None:
         """Tell this process's own table, and control, what is known of the worker."""
         settings = self.settings
--- a/src/cranklane/sidecar/worker_registry.py
+++ b/src/cranklane/sidecar/worker_registry.py
@@ -20,6 +20,7 @@
 from cranklane.runtime.interface import Address, Runtime, parse_address
 from cranklane.sidecar.slots import Slots
 from cranklane.sidecar.worker_pool import WorkerPool
+from cranklane.sidecar.worker_probe import ProbedWorker
 
 USABLE_PART = 0.95
 """Part of its slots that a worker is given: some get slower when nearly full."""
@@ -139,6 +140,15 @@
         else:
             self._set_state(WorkerState.READY)
 
+    def probed(self, worker: ProbedWorker) -> None:
+        """Take what a healthy worker has said; nothing after its first heartbeat."""
+        if self.instance:
+            return
+        self._take_instance(worker.instance)
+        self._heard_at = self._runtime.monotonic()
+        self._slots.resize(_usable(worker.slots))
+        self._set_state(WorkerState.READY)
+
     def deregister(self, instance: str) -> None:
         """Take that an instance is about to end."""
         if not self.instance:
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -15,7 +15,7 @@
 from cranklane_lab.simulation.process import SimulatedProcess
 from cranklane_lab.simulation.world import World
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
-from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_worker import HEALTH_PATH, NAMES, RoutedWorker
 
 HOST = "shop.example"
 SEEDS = 3
@@ -83,7 +83,9 @@
         "version": version,
         "base": base,
         "routes": {name: {**usual, **route} for name, route in routes.items()},
-        "services": {name: {"health_path": "/", "max_connections": 100} for name in services},
+        "services": {
+            name: {"health_path": HEALTH_PATH, "max_connections": 100} for name in services
+        },
         "limits": {
             "max_header_bytes": 8192,
             "max_body_bytes": 1_000_000,
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -26,6 +26,7 @@
 
 NAMES = HeaderNames()
 HEARTBEAT_SECONDS = 1.5
+HEALTH_PATH = "/healthz"
 INTEGRITY = b"whole"
 _LOOK_SECONDS = 0.02
 
@@ -172,6 +173,9 @@
             stream.close()
 
     def _serve(self, stream: Any, reader: RequestReader, head: RequestHead) -> bool:
+        if head.target == HEALTH_PATH.encode():
+            reader.finish()
+            return self._tell_health(stream)
         state = self.state
         state.arrivals += 1
         body = b""
@@ -197,6 +201,21 @@
             return False
         return self._finish(stream, request)
 
+    def _tell_health(self, stream: Any) -> bool:
+        status = 200 if self.phase == "ready" else 503
+        stream.sendall(
+            b"%s%s: %s\r\n%s: %d,0,%d\r\nContent-Length: 0\r\n\r\n"
+            % (
+                status_line(status),
+                NAMES.instance_answer,
+                self.instance.encode(),
+                NAMES.load,
+                self.state.running,
+                self._slots,
+            )
+        )
+        return True
+
     def _work(self, stream: Any, run: RoutedRun) -> bool:
         """Run a request; return whether somebody still waits for its answer."""
         state = self.state
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -101,3 +101,43 @@
     assert not known.all_full("s", 0)
     clock.now += FULL_SECONDS + 0.001
     assert known.choose("s", set(), 2) is destination
+
+
+def refused_early_after(deep_slots, count=250):
+    """Return how many of some requests are refused early after runs that all failed.
+
+    Each run makes one call, which finds room only if the worker called has slots.
+    """
+
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(3)
+        top = mesh.add_machine("top", 8)
+        deep = mesh.add_machine("deep", deep_slots)
+        assert mesh.wait_for(lambda: mesh.voters() == 3, 10)
+        table = route_table(1, 0, ROUTES, ("top", "deep"))
+        assert mesh.wait_for(lambda: mesh.operate(table).status == 200, 5)
+        gevent.sleep(2.0)
+        top.worker.state.seconds = 0.05
+        top.worker.state.status = 500
+
+        def one(number):
+            client_at = (top, deep)[number % 2]
+            run = gevent.spawn(mesh.request, client_at, "/view/", name=f"run{number}")
+            gevent.sleep(0.02)
+            mesh.request(top, "/look/", name=f"run{number}.1")
+            return run.get().status
+
+        for number in range(count):
+            one(number)
+        return sum(mesh.request(top, "/view/").status == 503 for _ in range(20))
+
+    return simulate(1, delay, scenario)
+
+
+def test_failed_runs_whose_calls_found_room_lower_nothing():
+    assert refused_early_after(deep_slots=4) == 0
+
+
+def test_failed_runs_whose_calls_found_no_room_lower_the_admitted_part():
+    assert refused_early_after(deep_slots=0) > 10
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -288,6 +288,19 @@
     assert play(script) == 4
 
 
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_sidecar_finds_control_soon_though_most_seeds_say_nothing(seed):
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        # The first three are the seeds.
+        for number in (0, 1):
+            mesh.world.network.cut("sidecar-0", mesh.controllers[number].process.name)
+        machine = mesh.add_machine("s")
+        return mesh.wait_for(lambda: machine.sidecar.adopted.table.version == 1, 0.7)
+
+    assert play(script, seed=seed)
+
+
 def test_a_sidecar_restarted_with_a_clock_behind_is_known_again():
     def script(mesh):
         machines = [mesh.add_machine("s") for _ in range(2)]
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -310,6 +310,38 @@
     assert play(script) == (0, {200})
 
 
+def restart_sidecar(mesh, number):
+    machine = mesh.machines[number]
+    machine.process.kill()
+    machine.process, machine.sidecar = mesh.start_sidecar(
+        machine.name, machine.service, machine.zone, machine.host
+    )
+    return machine
+
+
+def test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat():
+    def script(mesh):
+        mesh.machines[2].worker.beat = lambda: 0
+        machine = restart_sidecar(mesh, 2)
+        gevent.sleep(0.3)
+        served = mesh.request(machine, "/other/x").status
+        return served, machine.sidecar.slots.limit, len(machine.worker.state.runs)
+
+    assert play(script) == (200, 4, 1)
+
+
+def test_a_restarted_sidecar_leaves_a_leaving_worker_alone():
+    def script(mesh):
+        machine = mesh.machines[2]
+        assert machine.worker.drain() == 200
+        machine.worker.beat = lambda: 0
+        machine = restart_sidecar(mesh, 2)
+        gevent.sleep(1.0)
+        return mesh.request(machine, "/other/x").status, len(machine.worker.state.runs)
+
+    assert play(script) == (503, 0)
+
+
 def test_a_deregistered_worker_gets_nothing_and_its_successor_everything():
     def script(mesh):
         machine = mesh.machines[2]
--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -28,6 +28,7 @@
 from cranklane.sidecar.process import Sidecar
 from cranklane.sidecar.retry_budget import RetryBudget
 from cranklane.sidecar.worker_exchange import WorkerExchange
+from cranklane.sidecar.worker_probe import WorkerProbe
 from cranklane.sidecar.worker_registry import WorkerRegistry
 
 
@@ -142,6 +143,12 @@
         lambda self, now: self.confirmed_at is not None,
         test_mesh.test_a_machine_that_only_control_cannot_reach_is_used_on,
     ),
+    "question to the worker": (
+        WorkerProbe,
+        "find",
+        lambda self, path: None,
+        test_mesh.test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat,
+    ),
     "early vote for the former leader": (
         PeerService,
         "_gave_up_its_lease",
