A leader that lost its disk is replaced at once after a restart of all

Ruled out: shorter election times (frozen leaders need the lease). Change: a restarted replica asks the former leader's address on a new connection; if another replica answers there, that leader's process is over for good. It stands at once and names the lost leader, and voters that supported no later one grant the vote.

--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -1470,20 +1470,21 @@
 
 @dataclass(slots=True)
 class VoteRequest:
-    """Asks for a vote; ``trial`` only asks whether it would be given."""
+    """Asks for a vote; ``trial`` only asks whether it would be given. ``lost`` is a former leader that has lost its disk, 0 for none: another replica answers at its address."""
 
     KIND: ClassVar[int] = 56
-    LAYOUT: ClassVar[Struct] = Struct("!QQQQ?")
+    LAYOUT: ClassVar[Struct] = Struct("!QQQQ?Q")
 
     term: int = 0
     candidate: int = 0
     last_index: int = 0
     last_term: int = 0
     trial: bool = False
+    lost: int = 0
 
     def pack(self) -> bytes:
         try:
-            head = self.LAYOUT.pack(self.term, self.candidate, self.last_index, self.last_term, self.trial)
+            head = self.LAYOUT.pack(self.term, self.candidate, self.last_index, self.last_term, self.trial, self.lost)
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
@@ -1491,13 +1492,13 @@
     @classmethod
     def unpack(cls, payload: bytes) -> VoteRequest:
         try:
-            term, candidate, last_index, last_term, trial, = cls.LAYOUT.unpack_from(payload)
+            term, candidate, last_index, last_term, trial, lost, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
         except (StructError, UnicodeDecodeError) as error:
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"VoteRequest of {len(payload)} bytes, not {start}")
-        return cls(term, candidate, last_index, last_term, trial)
+        return cls(term, candidate, last_index, last_term, trial, lost)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -231,8 +231,9 @@
     Record(
         56,
         "VoteRequest",
-        "Asks for a vote; ``trial`` only asks whether it would be given.",
-        "term:u64 candidate:u64 last_index:u64 last_term:u64 trial:bool",
+        "Asks for a vote; ``trial`` only asks whether it would be given. ``lost`` is a former "
+        "leader that has lost its disk, 0 for none: another replica answers at its address.",
+        "term:u64 candidate:u64 last_index:u64 last_term:u64 trial:bool lost:u64",
     ),
     Record(57, "VoteReply", "Answer to VoteRequest.", "term:u64 granted:bool"),
     Record(
--- a/src/cranklane/replication/election.py
+++ b/src/cranklane/replication/election.py
@@ -18,18 +18,25 @@
 VOTE_SECONDS = 0.5
 """Seconds a vote is waited for."""
 
-RETURN_SECONDS = 0.1
-"""Seconds between the tries of a former leader that was restarted."""
+RETRY_SECONDS = 0.1
+"""Seconds between the tries to replace a former leader at once after a restart."""
+
+TURN_SECONDS = 0.1
+"""Seconds by which replicas that would replace a lost leader follow each other."""
 
 
 class Election:
-    """The part of a replica that follows and replaces leaders."""
+    """The part of a replica that follows and replaces leaders.
+
+    :ivar lost_leader: the former leader if its disk is known to be lost, else 0.
+    """
 
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._heard_at = 0.0
         self._patience = 0.0
         self._leader_heard_at: float | None = None
+        self.lost_leader = 0
 
     def leader_heard(self) -> None:
         """Take the word of a leader that leads for certain."""
@@ -76,23 +83,39 @@
             return False
         return True
 
-    def return_to_lead(self) -> None:
-        """Stand again at once after a restart of a replica that led before it.
+    def replace_former_leader(self) -> None:
+        """Stand at once after a restart, if the former leader can have no lease.
 
-        The others need not wait for a lease of its own to run out. It tries until
-        another leader may have been found the usual way.
+        That is so when it was this very replica, or when its disk is lost. Tries
+        until another leader may have been found the usual way.
         """
         replica = self._replica
+        former = replica.votes.state.voted_for
         ends_at = replica.runtime.monotonic() + ELECTION_SECONDS
-        while (
-            replica.runtime.monotonic() < ends_at
-            and not replica.leader
-            and replica.members.is_voter(replica.identity)
-            and replica.votes.state.voted_for == replica.identity
-        ):
-            if not self._campaigned():
+        while replica.runtime.monotonic() < ends_at:
+            if former != replica.identity and self._has_lost_its_disk(former):
+                self.lost_leader = former
+                gevent.sleep(TURN_SECONDS * self._turn())
+            if replica.leader or not replica.members.is_voter(replica.identity):
                 return
-            gevent.sleep(RETURN_SECONDS)
+            own_or_lost = former in (replica.identity, self.lost_leader)
+            if former and own_or_lost and not self._campaigned():
+                return
+            gevent.sleep(RETRY_SECONDS)
+
+    def _has_lost_its_disk(self, identity: int) -> bool:
+        """Return whether another replica answers at a member's address now."""
+        replica = self._replica
+        member = replica.members.find(identity)
+        if member is None:
+            return False
+        answering = replica.link(member).identity_now(VOTE_SECONDS)
+        return answering not in (0, identity)
+
+    def _turn(self) -> int:
+        """Return how many other voters stand before this one."""
+        voters = sorted(member.identity for member in self._replica.members.voters())
+        return sum(identity < self._replica.identity for identity in voters)
 
     def pause(self) -> None:
         """Leave it to others to stand, for longer than an election takes."""
--- a/src/cranklane/replication/link.py
+++ b/src/cranklane/replication/link.py
@@ -47,6 +47,17 @@
                 reply = self._try(request, kind, timeout - waited)
             return reply
 
+    def identity_now(self, timeout: float) -> int:
+        """Return who answers on a connection opened now; 0 when nobody does."""
+        with self._busy:
+            self._drop()
+            try:
+                self._connected(timeout)
+            except (OSError, ConnectionLostError, MalformedRecordError):
+                self._drop()
+                return 0
+            return self.peer
+
     def _try(self, request: Message, kind: type[_Reply], timeout: float) -> _Reply | None:
         try:
             records = self._connected(timeout)
--- a/src/cranklane/replication/peer_service.py
+++ b/src/cranklane/replication/peer_service.py
@@ -88,14 +88,16 @@
             return VoteReply(replica.term, granted)
 
     def _gave_up_its_lease(self, request: VoteRequest) -> bool:
-        """Return whether the only lease that this replica may support is the asker's.
+        """Return whether the only lease that this replica may support is over.
 
         Answers to a leader are what its lease rests on. Those of this replica, also
         before it was restarted, went to the leader of its newest term, whom the vote
         file names, and to earlier leaders, whose leases ran out before that one was
-        elected. When that leader stands again, as after a restart, it has none.
+        elected. When that leader stands again, as after a restart, it has none; nor
+        has it when its disk is lost, since its process has ended then.
         """
-        return self._replica.votes.state.voted_for == request.candidate
+        last_leader = self._replica.votes.state.voted_for
+        return last_leader != 0 and last_leader in (request.candidate, request.lost)
 
     def _append(self, request: AppendRequest) -> AppendReply:
         replica = self._replica
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -179,7 +179,7 @@
             self.runtime.spawn(task)
         self._lead_alone()
         if self.members.quorum() > 1:
-            self.runtime.spawn(self.election.return_to_lead)
+            self.runtime.spawn(self.election.replace_former_leader)
 
     def _lead_alone(self) -> None:
         """Stand at once when there is nobody to hear from."""
@@ -397,7 +397,14 @@
     def vote_request(self, trial: bool) -> VoteRequest:
         """Return what to ask the others for."""
         term = self.term + 1 if trial else self.term
-        return VoteRequest(term, self.identity, self.log.last_index, self.log.last_term, trial)
+        return VoteRequest(
+            term,
+            self.identity,
+            self.log.last_index,
+            self.log.last_term,
+            trial,
+            self.election.lost_leader,
+        )
 
     def lead(self, term: int) -> None:
         """Begin to lead a term that a quorum has voted for."""
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -154,6 +154,24 @@
     assert play(script, seed=seed) == (True, 1)
 
 
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_after_all_were_killed_and_the_leader_lost_its_disk_another_leads_at_once(seed):
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        gevent.sleep(2.0)
+        former = mesh.leader().number
+        lost = {former, (former + 1) % 5}
+        for machine in mesh.controllers:
+            machine.process.kill(power_lost=True)
+        gevent.sleep(1.0)
+        for number in range(5):
+            mesh.restart_controller(number, empty=number in lost)
+        assert mesh.wait_for(lambda: mesh.leader() is not None, 0.8)
+        return mesh.leader().controller.store.version, mesh.wait_for(lambda: mesh.voters() == 5, 5)
+
+    assert play(script, seed=seed) == (1, True)
+
+
 def test_a_restarted_voter_keeps_the_lease_of_a_leader_it_has_not_voted_for():
     def script(mesh):
         assert put(mesh, 1, 0) == 200
--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -143,6 +143,16 @@
         lambda self, now: self.confirmed_at is not None,
         test_mesh.test_a_machine_that_only_control_cannot_reach_is_used_on,
     ),
+    "look for a lost leader": (
+        Election,
+        "_has_lost_its_disk",
+        lambda self, identity: False,
+        lambda: (
+            test_controllers.test_after_all_were_killed_and_the_leader_lost_its_disk_another_leads_at_once(
+                1
+            )
+        ),
+    ),
     "question to the worker": (
         WorkerProbe,
         "find",
