--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from cranklane.node.members import MemberState
@@ -11,13 +11,13 @@
 from cranklane.records.messages import Member, MemberDelta
 from cranklane.runtime.interface import Address, parse_address
 from cranklane.sidecar.attempt import Load
+from cranklane.sidecar.slowness import Slowness
 
 EJECT_SECONDS = 1.0
 """A destination that could not be reached gets nothing for this long at first."""
 
 MAX_EJECT_SECONDS = 4.0
 FAILURES_BEFORE_EJECTION = 3
-LATENCY_WEIGHT = 0.1
 FULL_SECONDS = 0.02
 """A destination that had no room for a request is not asked for this long: under
 overload most requests would be sent to be refused."""
@@ -34,6 +34,18 @@
 
 FULL_COST = 4.0
 
+EMPTY_LOAD = 0.02
+"""Load that an idle worker counts as, so that its zone and its times matter too."""
+
+SLOW_COST = 0.3
+"""Load that a worker counts as for each time that it is slower than tolerated: one
+that fails at once is always idle."""
+
+CHOICES = 16
+"""Of more destinations than this only so many, drawn at random, are compared: the
+best of them is hardly worse than the best of all, and a call costs the same in a
+service of any size."""
+
 UNREACHABLE = (Reason.PEER_UNREACHABLE, Reason.PEER_LOST)
 """Failures after which a destination is tried with requests only once a
 connection to it has succeeded."""
@@ -51,7 +63,7 @@
     :ivar removed: whether it is a destination no more.
     :ivar confirmed_at: since when only its own answers tell that it is there, or the
         last of them; None while control says so.
-    :ivar latency: smoothed seconds until an answer; 0 when none was seen.
+    :ivar slowness: how its runs' times compare with those of others.
     """
 
     node: str
@@ -66,7 +78,7 @@
     reported: int = 0
     opened_since: int = 0
     in_flight: int = 0
-    latency: float = 0.0
+    slowness: Slowness = field(default_factory=Slowness)
     failures: int = 0
     ejected_until: float = 0.0
     full_until: float = 0.0
@@ -88,14 +100,12 @@
         self.in_flight -= 1
         self.opened_since = max(0, self.opened_since - 1)
 
-    def answered(self, now: float, seconds: float, load: Load) -> None:
+    def answered(self, now: float, load: Load) -> None:
         """Take an answer."""
         self.failures = 0
         if self.confirmed_at is not None:
             self.confirmed_at = now
         self.take_load(load)
-        weight = LATENCY_WEIGHT if self.latency else 1.0
-        self.latency += weight * (seconds - self.latency)
 
     def take_load(self, load: Load) -> None:
         """Take the load that its sidecar has told."""
@@ -255,9 +265,20 @@
         :param priority: of the request at the root of the call tree.
         """
         now = self._clock()
+        members = self._by_service.get(service, [])
+        if len(members) > CHOICES:
+            drawn = self._random.sample(members, CHOICES)
+            return self._best(drawn, tried, priority, now) or self._best(
+                members, tried, priority, now
+            )
+        return self._best(members, tried, priority, now)
+
+    def _best(
+        self, members: list[Destination], tried: set[str], priority: int, now: float
+    ) -> Destination | None:
         live = [
             item
-            for item in self._by_service.get(service, ())
+            for item in members
             if item.state is MemberState.LIVE
             and item.node not in tried
             and not item.is_full(now, priority)
@@ -266,11 +287,13 @@
         if not live:
             return None
         healthy = [item for item in live if item.ejected_until <= now]
-        return min(healthy or live, key=self._score)
+        return min(healthy or live, key=lambda item: self._score(item, now))
 
-    def _score(self, item: Destination) -> tuple[float, float]:
+    def _score(self, item: Destination, now: float) -> tuple[float, float]:
         load = item.load()
-        cost = (load + 0.02) * (1.0 if item.zone == self._zone else OTHER_ZONE_COST)
+        cost = (load + EMPTY_LOAD) * (1.0 if item.zone == self._zone else OTHER_ZONE_COST)
+        slowness = item.slowness.cost(now)
+        cost = cost * slowness + SLOW_COST * (slowness - 1.0)
         if load > FULL_LOAD:
             cost += FULL_COST * (load - FULL_LOAD)
         return cost, self._random.random()
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -24,6 +24,7 @@
 from cranklane.sidecar.gate import Gate
 from cranklane.sidecar.peers import PeerClient
 from cranklane.sidecar.retry_budget import RetryBudget
+from cranklane.sidecar.slowness import FAILED_RATIO, TypicalTimes
 
 MAX_REFUSALS = 3
 """Sidecars that refuse for want of room before a request counts as refused."""
@@ -43,6 +44,7 @@
 """Seconds between tries to connect to a destination that could not be reached."""
 
 _SERVER_ERROR = 500
+_FAULTS = (Reason.WORKER_FAILED, Reason.ANSWER_CUT)
 
 
 @dataclass(slots=True)
@@ -111,6 +113,7 @@
         self._own = own
         self._caller = caller
         self._on_attempt = on_attempt
+        self._times = TypicalTimes()
 
     def run(self, call: Call) -> Reply:
         """Return the answer of a worker, or why there is none."""
@@ -182,8 +185,10 @@
         )
 
     def _learn(self, call: Call, destination: Destination, reply: Reply, seconds: float) -> None:
+        if reply.arrived:
+            self._learn_times(call, destination, reply, seconds)
         if reply.outcome is Outcome.ANSWERED:
-            destination.answered(self._runtime.monotonic(), seconds, reply.load)
+            destination.answered(self._runtime.monotonic(), reply.load)
             return
         destination.take_load(reply.load)
         if reply.reason is Reason.QUEUE_FULL:
@@ -199,6 +204,20 @@
         ):
             destination.failed(self._runtime.monotonic(), reply.reason)
 
+    def _learn_times(
+        self, call: Call, destination: Destination, reply: Reply, seconds: float
+    ) -> None:
+        """Compare a run's time with what is typical of its route."""
+        failed = reply.status == _SERVER_ERROR or reply.reason in _FAULTS
+        if reply.reason is Reason.CANCELLED or (failed and reply.starved):
+            # It tells nothing of this worker.
+            return
+        if failed:
+            ratio = FAILED_RATIO
+        else:
+            ratio = self._times.ratio(call.route.name, reply.ran_ms / 1000 or seconds)
+        destination.slowness.sample(self._runtime.monotonic(), ratio)
+
     def _eject(self, destination: Destination, reason: Reason) -> None:
         """Send nothing there until a connection has succeeded."""
         probed = destination.ejected_until > self._runtime.monotonic()
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -122,8 +122,10 @@
         reply.waited_ms = int((started_at - arrived_at) * 1000)
         reply.ran_ms = int((self._runtime.monotonic() - started_at) * 1000)
         if not attempt.cancelled:
-            reply.starved = self._is_starved(run, reply)
-            self._limiter.ended(request.route, begun_in, reply.starved)
+            reply.starved = _is_starved(run, reply)
+            # Where calls cannot be tied to runs, any failed run is taken for starved.
+            untold = reply.status == _SERVER_ERROR and not self._call_tree.ties
+            self._limiter.ended(request.route, begun_in, reply.starved or untold)
         if reply.reason is Reason.WORKER_UNREACHABLE:
             self._worker.unreachable()
         if reply.rest is not None:
@@ -164,12 +166,9 @@
         wait = self._slots.expected_wait(self._slots.rank(0, 0.0))
         return max(MIN_RETRY_AFTER_MS, int(wait * 1000))
 
-    def _is_starved(self, run: Run, reply: Reply) -> bool:
-        """Return whether a run failed for want of room further down, or of time.
 
-        Where calls cannot be tied to runs, every failed run is taken for starved.
-        """
-        if reply.status == _GATEWAY_TIMEOUT or reply.reason is Reason.DEADLINE_PASSED:
-            return True
-        failed = reply.status == _SERVER_ERROR
-        return failed and (run.starved or not self._call_tree.ties)
+def _is_starved(run: Run, reply: Reply) -> bool:
+    """Return whether a run failed for want of room further down, or of time."""
+    if reply.status == _GATEWAY_TIMEOUT or reply.reason is Reason.DEADLINE_PASSED:
+        return True
+    return reply.status == _SERVER_ERROR and run.starved
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -475,6 +475,23 @@
     assert play(script) == (1, 0)
 
 
+@pytest.mark.parametrize("fault", ["slow", "failing"])
+def test_a_worker_much_worse_than_others_gets_little(fault):
+    def script(mesh):
+        worse = mesh.machines[0].worker.state
+        if fault == "slow":
+            worse.seconds = 0.4
+        else:
+            worse.fail = 10_000
+        for number in range(300):
+            gevent.spawn(mesh.request, mesh.machines[0], "/sign/x", "POST", b"b", name=f"n{number}")
+            gevent.sleep(0.02)
+        gevent.sleep(2.0)
+        return len(worse.runs) < 60, len(mesh.machines[1].worker.state.runs) > 200
+
+    assert play(script) == (True, True)
+
+
 def test_an_answer_goes_no_further_than_its_route_s_time():
     def script(mesh):
         machine = mesh.machines[2]
