--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2290,10 +2290,10 @@
 
 @dataclass(slots=True)
 class ForwardAnswer:
-    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count; ``waited_ms`` and ``ran_ms`` are the times before and at the worker; ``starved`` that a call made by the run, or below it, found no room. ``body`` is the first piece, and all of it if ``whole``."""
+    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count; ``waited_ms`` and ``ran_ms`` are the times before and at the worker; ``faults`` is the part of its runs that failed by its own fault, in percent; ``starved`` that a call made by the run, or below it, found no room. ``body`` is the first piece, and all of it if ``whole``."""
 
     KIND: ClassVar[int] = 83
-    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIII?QII")
+    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIBII?QII")
 
     outcome: int = 0
     reason: int = 0
@@ -2305,6 +2305,7 @@
     running: int = 0
     queued: int = 0
     slots: int = 0
+    faults: int = 0
     waited_ms: int = 0
     ran_ms: int = 0
     starved: bool = False
@@ -2316,7 +2317,7 @@
         lines = self.lines
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.waited_ms, self.ran_ms, self.starved, self.length, len(lines), len(body))
+            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.faults, self.waited_ms, self.ran_ms, self.starved, self.length, len(lines), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, lines, body))
@@ -2324,7 +2325,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardAnswer:
         try:
-            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, waited_ms, ran_ms, starved, length, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, waited_ms, ran_ms, starved, length, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + lines_size
             lines = payload[start:end]
@@ -2336,7 +2337,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardAnswer of {len(payload)} bytes, not {start}")
-        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, waited_ms, ran_ms, starved, length, lines, body)
+        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, waited_ms, ran_ms, starved, length, lines, body)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -351,12 +351,12 @@
         "First record of the answer. ``outcome`` and ``reason`` are those of a call; "
         "``arrived`` tells whether the request reached the worker. The load is the sidecar's "
         "own count; ``waited_ms`` and ``ran_ms`` are the times before and at the "
-        "worker; ``starved`` that a call made by the run, or below it, found no room. "
+        "worker; ``faults`` is the part of its runs that failed by its own fault, in percent; "
+        "``starved`` that a call made by the run, or below it, found no room. "
         "``body`` is the first piece, and all of it if ``whole``.",
         "outcome:u8 reason:u8 arrived:bool whole:bool framing:u8 status:u16 retry_after_ms:u32 "
-        "running:u32 queued:u32 slots:u32 waited_ms:u32 ran_ms:u32 starved:bool length:u64 "
-        "lines:bytes "
-        "body:bytes",
+        "running:u32 queued:u32 slots:u32 faults:u8 waited_ms:u32 ran_ms:u32 starved:bool "
+        "length:u64 lines:bytes body:bytes",
     ),
     Record(84, "ForwardCut", "The answer ends here, before its last byte.", "reason:u8"),
 )
--- a/src/cranklane/sidecar/attempt.py
+++ b/src/cranklane/sidecar/attempt.py
@@ -50,11 +50,15 @@
 
 @dataclass(slots=True)
 class Load:
-    """Load of a worker by its own sidecar's count."""
+    """Load of a worker by its own sidecar's count.
+
+    :ivar faults: part of its runs that failed by its own fault, in percent.
+    """
 
     running: int = 0
     queued: int = 0
     slots: int = 0
+    faults: int = 0
 
 
 @dataclass(slots=True)
--- a/src/cranklane/sidecar/call_tree.py
+++ b/src/cranklane/sidecar/call_tree.py
@@ -32,10 +32,20 @@
     """One run under way.
 
     :ivar starved: whether a call that it made found no room, here or further down.
+    :ivar calls_under_way: calls that it made and that have not ended.
+    :ivar call_failed: whether a call that it made has failed.
     """
 
     root: Root
     starved: bool = False
+    calls_under_way: int = 0
+    call_failed: bool = False
+
+    def call_ended(self, failed: bool, starved: bool) -> None:
+        """Take how a call that it made ended."""
+        self.calls_under_way -= 1
+        self.call_failed |= failed
+        self.starved |= starved
 
 
 class CallTree:
@@ -57,26 +67,15 @@
         """Take that a run has ended."""
         self._runs.pop(request, None)
 
-    def root_of(self, request: str) -> Root | None:
-        """Return the root of a call that a run under way makes, or None.
+    def run_of(self, request: str) -> Run | None:
+        """Return the run under way that makes a call, or None.
 
         >>> tree = CallTree()
         >>> run = tree.begin("7f", Root(0, 1.5))
-        >>> tree.root_of("7f.1"), tree.root_of("8a.1"), tree.root_of("7f")
-        (Root(priority=0, began_at=1.5), None, None)
+        >>> tree.run_of("7f.1") is run, tree.run_of("8a.1"), tree.run_of("7f")
+        (True, None, None)
         """
-        run = self._run_of(request)
-        if run is None:
-            return None
-        self.ties = True
-        return run.root
-
-    def call_starved(self, request: str) -> None:
-        """Take that a call found no room; nothing if no run under way makes it."""
-        run = self._run_of(request)
-        if run is not None:
-            run.starved = True
-
-    def _run_of(self, request: str) -> Run | None:
         name, separator, _ = request.rpartition(ID_SEPARATOR)
-        return self._runs.get(name) if separator else None
+        run = self._runs.get(name) if separator else None
+        self.ties |= run is not None
+        return run
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -11,6 +11,7 @@
 from cranklane.records.messages import Member, MemberDelta
 from cranklane.runtime.interface import Address, parse_address
 from cranklane.sidecar.attempt import Load
+from cranklane.sidecar.fault_share import faded
 from cranklane.sidecar.slowness import Slowness
 
 EJECT_SECONDS = 1.0
@@ -38,8 +39,11 @@
 """Load that an idle worker counts as, so that its zone and its times matter too."""
 
 SLOW_COST = 0.3
-"""Load that a worker counts as for each time that it is slower than tolerated: one
-that fails at once is always idle."""
+"""Load that a worker counts as besides, for each time that it is slower than
+tolerated: one that fails at once is always idle."""
+
+FAULTS_COST = 8.0
+"""How many times slower a worker counts that fails every run."""
 
 CHOICES = 16
 """Of more destinations than this only so many, drawn at random, are compared: the
@@ -63,6 +67,7 @@
     :ivar removed: whether it is a destination no more.
     :ivar confirmed_at: since when only its own answers tell that it is there, or the
         last of them; None while control says so.
+    :ivar faults: part of its runs that failed by its own fault, as last told.
     :ivar slowness: how its runs' times compare with those of others.
     """
 
@@ -78,6 +83,8 @@
     reported: int = 0
     opened_since: int = 0
     in_flight: int = 0
+    faults: float = 0.0
+    faults_at: float = 0.0
     slowness: Slowness = field(default_factory=Slowness)
     failures: int = 0
     ejected_until: float = 0.0
@@ -105,11 +112,13 @@
         self.failures = 0
         if self.confirmed_at is not None:
             self.confirmed_at = now
-        self.take_load(load)
+        self.take_load(now, load)
 
-    def take_load(self, load: Load) -> None:
+    def take_load(self, now: float, load: Load) -> None:
         """Take the load that its sidecar has told."""
         if load.slots:
+            self.faults = load.faults / 100
+            self.faults_at = now
             self.slots = load.slots
             self.reported = load.running + load.queued
             self.opened_since = 0
@@ -293,6 +302,8 @@
         load = item.load()
         cost = (load + EMPTY_LOAD) * (1.0 if item.zone == self._zone else OTHER_ZONE_COST)
         slowness = item.slowness.cost(now)
+        if item.faults:
+            slowness += FAULTS_COST * faded(item.faults, now - item.faults_at)
         cost = cost * slowness + SLOW_COST * (slowness - 1.0)
         if load > FULL_LOAD:
             cost += FULL_COST * (load - FULL_LOAD)
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -24,7 +24,7 @@
 from cranklane.sidecar.gate import Gate
 from cranklane.sidecar.peers import PeerClient
 from cranklane.sidecar.retry_budget import RetryBudget
-from cranklane.sidecar.slowness import FAILED_RATIO, TypicalTimes
+from cranklane.sidecar.slowness import TypicalTimes
 
 MAX_REFUSALS = 3
 """Sidecars that refuse for want of room before a request counts as refused."""
@@ -44,7 +44,6 @@
 """Seconds between tries to connect to a destination that could not be reached."""
 
 _SERVER_ERROR = 500
-_FAULTS = (Reason.WORKER_FAILED, Reason.ANSWER_CUT)
 
 
 @dataclass(slots=True)
@@ -190,7 +189,7 @@
         if reply.outcome is Outcome.ANSWERED:
             destination.answered(self._runtime.monotonic(), reply.load)
             return
-        destination.take_load(reply.load)
+        destination.take_load(self._runtime.monotonic(), reply.load)
         if reply.reason is Reason.QUEUE_FULL:
             destination.no_room(self._runtime.monotonic(), call.root.priority)
         if reply.reason is Reason.DRAINING:
@@ -208,15 +207,10 @@
         self, call: Call, destination: Destination, reply: Reply, seconds: float
     ) -> None:
         """Compare a run's time with what is typical of its route."""
-        failed = reply.status == _SERVER_ERROR or reply.reason in _FAULTS
-        if reply.reason is Reason.CANCELLED or (failed and reply.starved):
-            # It tells nothing of this worker.
-            return
-        if failed:
-            ratio = FAILED_RATIO
-        else:
+        answered = reply.outcome is Outcome.ANSWERED and reply.status < _SERVER_ERROR
+        if answered or reply.reason is Reason.DEADLINE_PASSED:
             ratio = self._times.ratio(call.route.name, reply.ran_ms / 1000 or seconds)
-        destination.slowness.sample(self._runtime.monotonic(), ratio)
+            destination.slowness.sample(self._runtime.monotonic(), ratio)
 
     def _eject(self, destination: Destination, reason: Reason) -> None:
         """Send nothing there until a connection has succeeded."""
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -14,6 +14,7 @@
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.call_tree import CallTree, Root, Run
+from cranklane.sidecar.fault_share import FaultShare
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.worker_exchange import WorkerExchange
@@ -26,6 +27,7 @@
 
 _SERVER_ERROR = 500
 _GATEWAY_TIMEOUT = 504
+_BROKEN_ANSWERS = (Reason.WORKER_FAILED, Reason.ANSWER_CUT)
 
 
 AdmissionListener = Callable[[str, Reason, int, int, int, float], None]
@@ -54,6 +56,7 @@
         self._worker = worker
         self._slots = slots
         self._limiter = OutcomeLimiter(runtime.monotonic)
+        self._faults = FaultShare()
         self._exchange = (
             WorkerExchange(runtime, worker.pool, names, worker.other_instance)
             if worker.pool is not None
@@ -63,7 +66,9 @@
     @property
     def load(self) -> Load:
         """The worker's load now."""
-        return Load(self._slots.running, self._slots.queued, self._slots.limit)
+        slots = self._slots
+        faults = round(100 * self._faults.at(self._runtime.monotonic()))
+        return Load(slots.running, slots.queued, slots.limit, faults)
 
     @property
     def busy(self) -> bool:
@@ -123,6 +128,7 @@
         reply.ran_ms = int((self._runtime.monotonic() - started_at) * 1000)
         if not attempt.cancelled:
             reply.starved = _is_starved(run, reply)
+            self._faults.sample(self._runtime.monotonic(), _is_own_fault(run, reply))
             # Where calls cannot be tied to runs, any failed run is taken for starved.
             untold = reply.status == _SERVER_ERROR and not self._call_tree.ties
             self._limiter.ended(request.route, begun_in, reply.starved or untold)
@@ -169,6 +175,17 @@
 
 def _is_starved(run: Run, reply: Reply) -> bool:
     """Return whether a run failed for want of room further down, or of time."""
-    if reply.status == _GATEWAY_TIMEOUT or reply.reason is Reason.DEADLINE_PASSED:
+    return _timed_out(reply) or (reply.status == _SERVER_ERROR and run.starved)
+
+
+def _is_own_fault(run: Run, reply: Reply) -> bool:
+    """Return whether a run failed though the calls that it made did not."""
+    if reply.reason in _BROKEN_ANSWERS:
         return True
-    return reply.status == _SERVER_ERROR and run.starved
+    if _timed_out(reply):
+        return run.calls_under_way == 0
+    return reply.status == _SERVER_ERROR and not run.call_failed
+
+
+def _timed_out(reply: Reply) -> bool:
+    return reply.status == _GATEWAY_TIMEOUT or reply.reason is Reason.DEADLINE_PASSED
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -44,6 +44,7 @@
 _REQUEST_TIMEOUT = 408
 _UNAVAILABLE = 503
 _BAD_REQUEST = 400
+_FIRST_ERROR = 500
 _BODY_READ = 0
 _BODY_CUT = -1
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -176,14 +177,19 @@
             return False
         if problem != _BODY_READ:
             return self._reject(connection, problem)
-        call = self._call(connection, head, request, route, started_at)
+        run = self._call_tree.run_of(request.decode("latin-1"))
+        root = run.root if run is not None else Root(route.priority, started_at)
+        call = self._call(connection, head, request, route, root, started_at)
         self._hang_ups.add(connection.stream, call.cancel)
+        if run is not None:
+            run.calls_under_way += 1
         try:
             reply = self._dispatcher.run(call)
         finally:
             self._hang_ups.remove(connection.stream)
-        if reply.starved or reply.reason in NO_ROOM:
-            self._call_tree.call_starved(call.request)
+        if run is not None:
+            failed = reply.outcome is not Outcome.ANSWERED or reply.status >= _FIRST_ERROR
+            run.call_ended(failed, reply.starved or reply.reason in NO_ROOM)
         return self._finish(connection, head, request, call, reply, started_at, table)
 
     def _route(self, head: RequestHead, table: RouteTable) -> tuple[Route | None, Reply | None]:
@@ -229,6 +235,7 @@
         head: RequestHead,
         request: bytes,
         route: Route,
+        root: Root,
         started_at: float,
     ) -> Call:
         allowed = route.timeout_ms / 1000
@@ -249,9 +256,8 @@
             self._names.caller,
             self._caller,
         )
-        name = request.decode("latin-1")
         return Call(
-            request=name,
+            request=request.decode("latin-1"),
             route=route,
             service=self._splitter.choose(route),
             started_at=started_at,
@@ -261,7 +267,7 @@
             length=length,
             lines=lines,
             body=body,
-            root=self._call_tree.root_of(name) or Root(route.priority, started_at),
+            root=root,
             rest=None if connection.body_whole else connection.next_piece,
         )
 
--- a/src/cranklane/sidecar/slowness.py
+++ b/src/cranklane/sidecar/slowness.py
@@ -1,7 +1,7 @@
 """How slow a worker is against others of its service, as callers see it.
 
-Load alone tells little of a worker that is slow or fails while there is not much
-to do: it has few requests at once, like the others, but each of them takes long.
+Load alone tells little of a worker that is slow while there is not much to do: it has
+few requests at once, like the others, but each of them takes long.
 """
 
 from __future__ import annotations
@@ -18,9 +18,6 @@
 SAMPLE_WEIGHT = 0.1
 MAX_RATIO = 16.0
 
-FAILED_RATIO = 8.0
-"""What a failed run counts as: it is worse than a run that takes this much longer."""
-
 HALF_LIFE_SECONDS = 2.0
 """A worker that is asked no more counts as half as slow after this long, so that it
 is tried again."""
