--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -81,7 +81,7 @@
     except SettingsError as error:
         print("\n".join(error.problems), file=sys.stderr)
         return EXIT_SETTINGS
-    configure_logs()
+    lines = configure_logs()
     # An error of this kind in any task ends the process, not only the task.
     hub = gevent.get_hub()
     hub.SYSTEM_ERROR = (*hub.SYSTEM_ERROR, InvariantError)
@@ -99,7 +99,11 @@
     if path and reload is not None:
         _watch_settings(path, lambda: load(settings_kind, path, flags), reload)
     told.wait()
-    return 0 if process.stop() else 1
+    try:
+        return 0 if process.stop() else 1
+    finally:
+        # The last lines still gather; they tell how the process ended.
+        lines.write_now()
 
 
 def _stop_signal() -> Event:
--- a/src/cranklane/runtime/real.py
+++ b/src/cranklane/runtime/real.py
@@ -168,8 +168,12 @@
 
     def has_input(self, connection: Any) -> bool:
         """Return whether a connection has bytes to read, has ended or is broken."""
+        descriptor = connection.fileno()
+        if descriptor < 0:
+            # Closed here, by another task.
+            return True
         poll = select.poll()
-        poll.register(connection.fileno(), select.POLLIN | _HANG_UP)
+        poll.register(descriptor, select.POLLIN | _HANG_UP)
         return bool(poll.poll(0))
 
     def end_when_unheard(self, connection: Any) -> None:
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from gevent.event import Event
+
 from cranklane.node.members import MemberState
 from cranklane.outcome import Reason
 from cranklane.records.messages import Member, MemberDelta
@@ -170,6 +172,7 @@
         self._zone = zone
         self._by_node: dict[str, Destination] = {}
         self._by_service: dict[str, list[Destination]] = {}
+        self._news = Event()
 
     def apply(self, delta: MemberDelta) -> None:
         """Take what control says of members."""
@@ -179,6 +182,12 @@
             if member.node != self._own:
                 self._apply(member)
         self.drop_forgotten()
+        self._news.set()
+        self._news.clear()
+
+    def wait_for_news(self, seconds: float) -> bool:
+        """Wait until control has told of members; return whether it did in time."""
+        return bool(self._news.wait(seconds))
 
     def _take_whole(self, named: set[str]) -> None:
         """Take a whole list: those it leaves out stay for a while.
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -126,6 +126,8 @@
             if destination is None:
                 if not call.tried and self._destinations.all_full(call.service, priority):
                     result = refusal(Reason.QUEUE_FULL, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+                elif not call.tried and self._member_comes(call):
+                    continue
                 break
             reply = self._attempt(call, destination)
             may_have_run |= reply.outcome is Outcome.UNKNOWN
@@ -139,6 +141,15 @@
             result = Reply(Outcome.UNKNOWN, result.reason, arrived=True)
         return result
 
+    def _member_comes(self, call: Call) -> bool:
+        """Wait for a first worker of a service, as after a start; return whether to look.
+
+        It waits no longer than for a slot.
+        """
+        spent = self._runtime.monotonic() - call.started_at
+        left = call.route.objective_ms / 1000 * START_PART - spent
+        return left > 0 and not call.cancelled and self._destinations.wait_for_news(left)
+
     def _attempt(self, call: Call, destination: Destination) -> Reply:
         call.tried.add(destination.node)
         now = self._runtime.monotonic()
--- a/src/cranklane/sidecar/outcome_limiter.py
+++ b/src/cranklane/sidecar/outcome_limiter.py
@@ -4,9 +4,9 @@
 its work was done in vain. What helps the overloaded service is fewer requests at
 the top of the tree, the least important first. Each sidecar sees how the runs of
 its own worker end, so each adapts by itself: the part of a route's requests that it
-admits falls by a factor while too many runs fail, and grows by a smaller factor
-otherwise. It grows by a factor too, so that a part that fell far after a sudden
-fault is back within seconds.
+admits falls by a factor while too many runs fail, and grows with time otherwise: fast
+up to most of what was admitted before it fell, since a sudden fault may be over, and
+slowly from there on.
 
 How many failures are too many depends on the priority, so that the less important
 routes have made room before the others are touched. A route that workers call is
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -35,6 +36,16 @@
 """Further growth in a second, as a part of the admitted part."""
 
 ROUND_SECONDS = 0.25
+LEAST_DECREASE_SECONDS = 0.5
+"""Between two decreases: the runs that were admitted before must have ended."""
+
+FAST_INCREASE = 0.4
+"""Growth in a second up to the known part of what was admitted before the fall."""
+
+KNOWN_PART = 0.75
+CEILING_FADE = 0.95
+"""Factor on what was admitted before, for each decrease before it was reached again."""
+
 LEAST_SAMPLES = 20
 LONGEST_ROUND_SECONDS = 1.0
 LEAST_FAILURES = 2
@@ -52,6 +63,8 @@
 
     :ivar part: admitted part of the requests, 0 to 1.
     :ivar credit: what is left over of the part; a request needs 1.
+    :ivar ceiling: part admitted before it fell.
+    :ivar decreased_at: when it fell last.
     :ivar round: counts the decreases; only runs begun since the last one count.
     :ivar callers: requests of the present sample by the service they began at.
     """
@@ -60,6 +73,8 @@
     begun_at: float
     part: float = 1.0
     credit: float = 1.0
+    ceiling: float = 1.0
+    decreased_at: float = -math.inf
     round: int = 0
     runs: int = 0
     failures: int = 0
@@ -127,13 +142,26 @@
 
     def _change(self, level: _Level) -> None:
         failing = level.failures / level.runs
+        now = self._clock()
         if failing > level.tolerated and level.failures >= LEAST_FAILURES:
-            level.part = max(LEAST_PART, level.part * (1 - DECREASE * failing))
-            level.round += 1
+            if now - level.decreased_at >= LEAST_DECREASE_SECONDS:
+                self._decrease(level, failing)
         else:
-            seconds = min(LONGEST_ROUND_SECONDS, self._clock() - level.begun_at)
-            step = seconds * (INCREASE + INCREASE_FACTOR * level.part)
-            level.part = min(1.0, level.part + step)
-        level.begun_at = self._clock()
+            self._increase(level, min(LONGEST_ROUND_SECONDS, now - level.begun_at))
+        level.begun_at = now
         level.runs = 0
         level.failures = 0
+
+    def _decrease(self, level: _Level, failing: float) -> None:
+        known = level.part >= KNOWN_PART * level.ceiling
+        level.ceiling = level.part if known else level.ceiling * CEILING_FADE
+        level.part = max(LEAST_PART, level.part * (1 - DECREASE * failing))
+        level.decreased_at = self._clock()
+        level.round += 1
+
+    @staticmethod
+    def _increase(level: _Level, seconds: float) -> None:
+        rate = INCREASE + INCREASE_FACTOR * level.part
+        if level.part < KNOWN_PART * level.ceiling:
+            rate = max(rate, FAST_INCREASE)
+        level.part = min(1.0, level.part + seconds * rate)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -509,6 +509,21 @@
     assert play(script) == (False, True)
 
 
+def test_a_request_waits_a_moment_for_the_first_worker_of_its_service():
+    def script(mesh):
+        machine = mesh.machines[0]
+        known = machine.sidecar.destinations
+        known._remove(mesh.machines[2].name)
+        asked = gevent.spawn(mesh.request, machine, "/other/x")
+        gevent.sleep(0.1)
+        mesh.machines[2].sidecar.subscription._records.close()
+        begun = mesh.world.loop.now()
+        status = asked.get().status
+        return status, mesh.world.loop.now() - begun < 0.2
+
+    assert play(script) == (200, True)
+
+
 def test_the_longest_prefix_goes_first():
     def script(mesh):
         routes = {**ROUTES, "deep": {"prefix": "/other/deep/", "service": "s"}}
--- a/tests/test_outcome_limiter.py
+++ b/tests/test_outcome_limiter.py
@@ -74,3 +74,32 @@
     for round_begun in begun:
         limiter.ended("2", round_begun, True)
     assert 0.3 < limiter.part("2") < 0.5
+
+
+def test_after_a_sudden_fault_most_is_admitted_again_within_seconds():
+    clock = Clock()
+    limiter = OutcomeLimiter(clock)
+    play(limiter, clock, 2, lambda: True, 2)
+    assert limiter.part("2") < 0.2
+    play(limiter, clock, 3, lambda: False, 2)
+    assert limiter.part("2") > 0.7
+
+
+def test_a_lasting_want_of_room_costs_few_failed_runs():
+    clock = Clock()
+    limiter = OutcomeLimiter(clock)
+    room = 0.5
+    count = {"runs": 0, "failed": 0}
+
+    def fails():
+        # What is admitted beyond the room there is fails.
+        failed = (count["runs"] * 7919 % 100) / 100 >= room / max(room, limiter.part("2"))
+        count["runs"] += 1
+        count["failed"] += failed
+        return failed
+
+    play(limiter, clock, 10, fails, 2)
+    count["runs"] = count["failed"] = 0
+    admitted = play(limiter, clock, 60, fails, 2)
+    assert admitted * (1 - count["failed"] / count["runs"]) > 0.42
+    assert count["failed"] / count["runs"] < 0.12
