--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -38,6 +38,9 @@
 START_PART = 0.3
 """A request may wait for its start this part of its objective, and no longer."""
 
+MEMBER_PART = 0.2
+"""Part of its objective that a request may wait for a first worker of its service."""
+
 DEFAULT_RETRY_AFTER_MS = 200
 
 PROBE_SECONDS = 0.5
@@ -142,12 +145,9 @@
         return result
 
     def _member_comes(self, call: Call) -> bool:
-        """Wait for a first worker of a service, as after a start; return whether to look.
-
-        It waits no longer than for a slot.
-        """
+        """Wait for a first worker of a service, as after a start; return whether to look."""
         spent = self._runtime.monotonic() - call.started_at
-        left = call.route.objective_ms / 1000 * START_PART - spent
+        left = call.route.objective_ms / 1000 * MEMBER_PART - spent
         return left > 0 and not call.cancelled and self._destinations.wait_for_news(left)
 
     def _attempt(self, call: Call, destination: Destination) -> Reply:
