Tests of sidecars in three modules, their shared part in one of its own

tests/test_mesh.py had grown to 600 lines of three jobs: requests, which workers get them, and overload.

--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -11,6 +11,8 @@
 import test_call_tree
 import test_controllers
 import test_mesh
+import test_mesh_overload
+import test_mesh_workers
 import test_route_rows
 from cranklane.control.route_store import RouteTableStore
 from cranklane.control.row_changes import RowChanges
@@ -76,13 +78,13 @@
         WorkerRegistry,
         "_end",
         no_end,
-        test_mesh.test_a_draining_worker_gets_nothing_once_that_is_acknowledged,
+        test_mesh_workers.test_a_draining_worker_gets_nothing_once_that_is_acknowledged,
     ),
     "retry budget": (
         RetryBudget,
         "take",
         lambda self, service: True,
-        test_mesh.test_requests_sent_to_a_second_worker_stay_within_the_budget,
+        test_mesh_overload.test_requests_sent_to_a_second_worker_stay_within_the_budget,
     ),
     "hang-up watch": (
         HangUpWatch,
@@ -96,7 +98,7 @@
         lambda self, route, priority, caller: (
             OutcomeLimiter_admits(self, route, priority, caller) or True
         ),
-        test_mesh.test_requests_whose_runs_fail_are_refused_early_the_least_important_first,
+        test_mesh_overload.test_requests_whose_runs_fail_are_refused_early_the_least_important_first,
     ),
     "waiting for requests in flight at a stop": (
         Sidecar,
@@ -143,7 +145,7 @@
         Destination,
         "is_forgotten",
         lambda self, now: self.confirmed_at is not None,
-        test_mesh.test_a_machine_that_only_control_cannot_reach_is_used_on,
+        test_mesh_workers.test_a_machine_that_only_control_cannot_reach_is_used_on,
     ),
     "look for a lost leader": (
         Election,
@@ -159,19 +161,19 @@
         Slowness,
         "cost",
         lambda self, now: 1.0,
-        lambda: test_mesh.test_a_worker_much_worse_than_others_gets_little("slow", 15),
+        lambda: test_mesh_workers.test_a_worker_much_worse_than_others_gets_little("slow", 15),
     ),
     "share of faults": (
         FaultShare,
         "sample",
         lambda self, now, failed: None,
-        lambda: test_mesh.test_a_worker_much_worse_than_others_gets_little("failing", 60),
+        lambda: test_mesh_workers.test_a_worker_much_worse_than_others_gets_little("failing", 60),
     ),
     "question to the worker": (
         WorkerProbe,
         "find",
         lambda self, path: None,
-        test_mesh.test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat,
+        test_mesh_workers.test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat,
     ),
     "early vote for the former leader": (
         PeerService,
--- /dev/null
+++ b/tests/test_mesh_workers.py
@@ -0,0 +1,187 @@
+"""Which workers get requests: those that leave, are lost, return, or are worse than others."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from cranklane_lab.standins.routed_worker import NAMES
+from mesh_support import play, runs
+
+
+def test_a_worker_that_refuses_is_passed_over():
+    def script(mesh):
+        mesh.machines[0].worker.state.refuse = 50
+        answers = [mesh.request(mesh.machines[2], "/sign/x", "POST", b"b") for _ in range(3)]
+        return [answer.status for answer in answers]
+
+    assert play(script) == [200, 200, 200]
+
+
+def test_a_draining_worker_gets_nothing_once_that_is_acknowledged():
+    def script(mesh):
+        leaving = mesh.machines[0]
+        assert leaving.worker.drain() == 200
+        before = leaving.worker.state.arrivals
+        answers = [mesh.request(mesh.machines[2], "/sign/x", "POST", b"b") for _ in range(8)]
+        late = leaving.worker
+        late.phase, late._sequence = "ready", 0
+        late.beat()
+        answers += [mesh.request(mesh.machines[0], "/sign/x", "POST", b"b") for _ in range(8)]
+        return leaving.worker.state.arrivals - before, {answer.status for answer in answers}
+
+    assert play(script) == (0, {200})
+
+
+def restart_sidecar(mesh, number):
+    machine = mesh.machines[number]
+    machine.process.kill()
+    machine.process, machine.sidecar = mesh.start_sidecar(
+        machine.name, machine.service, machine.zone, machine.host
+    )
+    return machine
+
+
+def test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat():
+    def script(mesh):
+        mesh.machines[2].worker.beat = lambda: 0
+        machine = restart_sidecar(mesh, 2)
+        gevent.sleep(0.3)
+        served = mesh.request(machine, "/other/x").status
+        return served, machine.sidecar.slots.limit, len(machine.worker.state.runs)
+
+    assert play(script) == (200, 4, 1)
+
+
+def test_a_restarted_sidecar_leaves_a_leaving_worker_alone():
+    def script(mesh):
+        machine = mesh.machines[2]
+        assert machine.worker.drain() == 200
+        machine.worker.beat = lambda: 0
+        machine = restart_sidecar(mesh, 2)
+        gevent.sleep(1.0)
+        return mesh.request(machine, "/other/x").status, len(machine.worker.state.runs)
+
+    assert play(script) == (503, 0)
+
+
+def test_a_deregistered_worker_gets_nothing_and_its_successor_everything():
+    def script(mesh):
+        machine = mesh.machines[2]
+        assert machine.worker.deregister() == 200
+        refused = mesh.request(mesh.machines[0], "/other/x").status
+        machine.worker.instance = "i-new"
+        machine.worker._sequence = 0
+        machine.worker.beat()
+        gevent.sleep(0.3)
+        answer = mesh.request(mesh.machines[0], "/other/x")
+        return refused, answer.status, runs(mesh)[-1].value(NAMES.instance)
+
+    assert play(script) == (503, 200, b"i-new")
+
+
+def test_a_worker_that_says_nothing_any_more_gets_nothing():
+    def script(mesh):
+        mesh.machines[0].worker_process.kill(power_lost=True)
+        gevent.sleep(8.0)
+        begun = mesh.world.loop.now()
+        answers = [mesh.request(mesh.machines[2], "/sign/x", "POST", b"b") for _ in range(6)]
+        return {answer.status for answer in answers}, mesh.world.loop.now() - begun < 1.0
+
+    assert play(script) == ({200}, True)
+
+
+def test_a_machine_that_is_cut_off_holds_up_one_request_only():
+    def script(mesh):
+        for machine in mesh.machines[1:]:
+            mesh.world.network.cut(mesh.machines[0].name, machine.name)
+            mesh.world.network.cut(machine.name, mesh.machines[0].name)
+        mesh.machines[2].sidecar.peers.forget((mesh.machines[0].host, 7000))
+        slow = 0
+        for _ in range(60):
+            begun = mesh.world.loop.now()
+            assert mesh.request(mesh.machines[2], "/sign/x", "POST", b"b").status == 200
+            slow += mesh.world.loop.now() - begun > 0.3
+            gevent.sleep(0.1)
+        for machine in mesh.machines[1:]:
+            mesh.world.network.heal(mesh.machines[0].name, machine.name)
+            mesh.world.network.heal(machine.name, mesh.machines[0].name)
+        gevent.sleep(2.0)
+        before = mesh.machines[0].worker.state.arrivals
+        for _ in range(20):
+            mesh.request(mesh.machines[2], "/sign/x", "POST", b"b")
+        return slow <= 1, mesh.machines[0].worker.state.arrivals > before
+
+    assert play(script) == (True, True)
+
+
+def cut_from_controllers(mesh, machine):
+    for controller in mesh.controllers:
+        mesh.world.network.cut(machine.process.name, controller.process.name)
+        mesh.world.network.cut(controller.process.name, machine.process.name)
+
+
+def test_a_machine_that_only_control_cannot_reach_is_used_on():
+    def script(mesh):
+        cut_from_controllers(mesh, mesh.machines[2])
+        statuses = []
+        for _ in range(60):
+            statuses.append(mesh.request(mesh.machines[0], "/other/x").status)
+            gevent.sleep(0.5)
+        return statuses
+
+    assert play(script) == [200] * 60
+
+
+def test_a_machine_that_nobody_reaches_any_more_is_forgotten():
+    def script(mesh):
+        mesh.machines[2].process.kill(power_lost=True)
+        mesh.request(mesh.machines[0], "/other/x")
+        known = mesh.machines[0].sidecar.destinations
+        before = known.count("t")
+        gevent.sleep(30.0)
+        return before, known.count("t")
+
+    assert play(script) == (1, 0)
+
+
+@pytest.mark.parametrize(("fault", "most"), [("slow", 15), ("failing", 60)])
+def test_a_worker_much_worse_than_others_gets_little(fault, most):
+    def script(mesh):
+        worse = mesh.machines[0].worker.state
+        if fault == "slow":
+            worse.seconds = 0.4
+        else:
+            worse.fail = 10_000
+        for number in range(300):
+            gevent.spawn(mesh.request, mesh.machines[0], "/sign/x", "POST", b"b", name=f"n{number}")
+            gevent.sleep(0.02)
+        gevent.sleep(2.0)
+        return len(worse.runs) < most, len(mesh.machines[1].worker.state.runs) > 200
+
+    assert play(script, slots=40) == (True, True)
+
+
+def test_a_request_waits_a_moment_for_the_first_worker_of_its_service():
+    def script(mesh):
+        machine = mesh.machines[0]
+        known = machine.sidecar.destinations
+        known._remove(mesh.machines[2].name)
+        asked = gevent.spawn(mesh.request, machine, "/other/x")
+        gevent.sleep(0.1)
+        mesh.machines[2].sidecar.subscription._records.close()
+        begun = mesh.world.loop.now()
+        status = asked.get().status
+        return status, mesh.world.loop.now() - begun < 0.2
+
+    assert play(script) == (200, True)
+
+
+def test_leaving_workers_that_are_asked_first_do_not_use_up_the_tries():
+    def script(mesh):
+        for machine in mesh.machines[:5]:
+            assert machine.worker.drain() == 200
+        answers = [mesh.request(mesh.machines[6], "/sign/x", "POST", b"b") for _ in range(6)]
+        return {answer.status for answer in answers}
+
+    assert play(script, services=("s",) * 6 + ("t",)) == {200}
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -13,7 +13,7 @@
 from cranklane.cli.main import application
 from cranklane.common.logs import LineQueue, RateLimit
 from cranklane_lab.simulate import quiet
-from test_mesh import each_worker, play
+from mesh_support import each_worker, play
 
 
 @contextmanager
