Exact count of waiting requests; repeats stay within the budget at any depth

Change: each wait counts once, until it is granted or its own task has left; a record that cannot be packed is logged; a run that failed for want of room is not repeated, what a repeated run calls is charged to the budget and not repeated again.

--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2162,16 +2162,17 @@
 
 @dataclass(slots=True)
 class ForwardRequest:
-    """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``root_priority`` and ``root_age_ms`` are those of the request for whose sake this one is made. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all."""
+    """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``root_priority`` and ``root_age_ms`` are those of the request for whose sake this one is made; ``repeated`` tells that this run, or one on the way to it, is a second one. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all."""
 
     KIND: ClassVar[int] = 80
-    LAYOUT: ClassVar[Struct] = Struct("!IIBBI??B?QHHHHII")
+    LAYOUT: ClassVar[Struct] = Struct("!IIBBI???B?QHHHHII")
 
     deadline_ms: int = 0
     start_ms: int = 0
     priority: int = 0
     root_priority: int = 0
     root_age_ms: int = 0
+    repeated: bool = False
     repeatable: bool = False
     bodiless: bool = False
     framing: int = 0
@@ -2192,7 +2193,7 @@
         lines = self.lines
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.priority, self.root_priority, self.root_age_ms, self.repeatable, self.bodiless, self.framing, self.whole, self.length, len(service), len(route), len(caller), len(request), len(lines), len(body))
+            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.priority, self.root_priority, self.root_age_ms, self.repeated, self.repeatable, self.bodiless, self.framing, self.whole, self.length, len(service), len(route), len(caller), len(request), len(lines), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, route, caller, request, lines, body))
@@ -2200,7 +2201,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardRequest:
         try:
-            deadline_ms, start_ms, priority, root_priority, root_age_ms, repeatable, bodiless, framing, whole, length, service_size, route_size, caller_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            deadline_ms, start_ms, priority, root_priority, root_age_ms, repeated, repeatable, bodiless, framing, whole, length, service_size, route_size, caller_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + service_size
             service = payload[start:end].decode()
@@ -2224,7 +2225,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardRequest of {len(payload)} bytes, not {start}")
-        return cls(deadline_ms, start_ms, priority, root_priority, root_age_ms, repeatable, bodiless, framing, whole, length, service, route, caller, request, lines, body)
+        return cls(deadline_ms, start_ms, priority, root_priority, root_age_ms, repeated, repeatable, bodiless, framing, whole, length, service, route, caller, request, lines, body)
 
 
 @dataclass(slots=True)
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -333,9 +333,10 @@
         "One sidecar asks another to have its worker run a request. Times are what is left, "
         "in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the "
         "request is no longer worth starting. ``root_priority`` and ``root_age_ms`` are those "
-        "of the request for whose sake this one is made. ``lines`` holds the request line and "
+        "of the request for whose sake this one is made; ``repeated`` tells that this run, or "
+        "one on the way to it, is a second one. ``lines`` holds the request line and "
         "the headers, ``body`` what of the body has been read; ``whole`` tells that this is all.",
-        "deadline_ms:u32 start_ms:u32 priority:u8 root_priority:u8 root_age_ms:u32 "
+        "deadline_ms:u32 start_ms:u32 priority:u8 root_priority:u8 root_age_ms:u32 repeated:bool "
         "repeatable:bool bodiless:bool framing:u8 "
         "whole:bool length:u64 service:str route:str caller:str request:str lines:bytes body:bytes",
     ),
--- a/src/cranklane/sidecar/call_tree.py
+++ b/src/cranklane/sidecar/call_tree.py
@@ -21,10 +21,13 @@
 
     :ivar priority: of its route, 0 first.
     :ivar began_at: monotonic second of this process at which it was taken.
+    :ivar repeated: whether a run on the way from it to here was sent a second time:
+        what such a run calls is a repeat at the services called.
     """
 
     priority: int
     began_at: float
+    repeated: bool = False
 
 
 @dataclass(slots=True)
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -119,7 +119,10 @@
 
     def run(self, call: Call) -> Reply:
         """Return the answer of a worker, or why there is none."""
-        self._budget.earned(call.service)
+        if call.root.repeated:
+            self._budget.charge(call.service)
+        else:
+            self._budget.earned(call.service)
         result = refusal(Reason.NO_MEMBERS, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
         may_have_run = False
         answered: Reply | None = None
@@ -181,6 +184,7 @@
             priority=call.route.priority,
             root_priority=call.root.priority,
             root_age_ms=max(0, int((now - call.root.began_at) * 1000)),
+            repeated=call.root.repeated or call.attempts > 0,
             repeatable=call.route.repeatable,
             bodiless=call.bodiless,
             framing=call.framing,
@@ -243,6 +247,9 @@
     @staticmethod
     def _may_improve(call: Call, reply: Reply) -> bool:
         """Return whether another worker may answer better than this one did."""
+        if reply.starved:
+            # The want of room is deeper than this worker, and another run adds to it.
+            return False
         failed = reply.status == _SERVER_ERROR and reply.rest is None
         return failed and call.route.repeatable and call.rest is None
 
@@ -264,6 +271,6 @@
                 # Refused early means that the fault is deeper than this worker.
                 return False
             return call.attempts == 0 or call.attempts < call.route.max_attempts
-        if call.attempts >= call.route.max_attempts:
+        if call.attempts >= call.route.max_attempts or call.root.repeated:
             return False
         return self._budget.take(call.service)
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -113,7 +113,11 @@
             return refusal(reason, retry_after_ms=self._retry_after_ms(reason))
         reply: Reply | None = None
         begun_in = self._limiter.began(request.route)
-        root = Root(request.root_priority, arrived_at - request.root_age_ms / 1000)
+        root = Root(
+            request.root_priority,
+            arrived_at - request.root_age_ms / 1000,
+            request.repeated,
+        )
         run = self._call_tree.begin(request.request, root)
         try:
             if on_admitted is not None:
--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from cranklane.common.http1 import Framing, MalformedMessageError, MessageCutError
 from cranklane.errors import AnswerCutError, ConnectionLostError, MalformedRecordError
@@ -200,8 +201,9 @@
 class PeerServer:
     """Serves requests of other sidecars."""
 
-    def __init__(self, runtime: Runtime, gate: Gate, hang_ups: HangUpWatch) -> None:
+    def __init__(self, runtime: Runtime, gate: Gate, hang_ups: HangUpWatch, log: Any) -> None:
         self._runtime = runtime
+        self._log = log
         self._gate = gate
         self._hang_ups = hang_ups
         self._idle: set[RecordConnection] = set()
@@ -218,8 +220,11 @@
                 self._idle.discard(records)
                 if not self._serve(records, stream, request):
                     break
-        except (ConnectionLostError, MalformedRecordError):
+        except ConnectionLostError:
             pass
+        except MalformedRecordError as error:
+            # Either side has a fault: requests here would fail one after the other.
+            self._log.error("peer_record_malformed", error=str(error))
         finally:
             self._idle.discard(records)
             records.close()
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -122,7 +122,7 @@
         )
         hang_ups = HangUpWatch(runtime)
         self.peers = PeerClient(runtime, self._hello)
-        self.peer_server = PeerServer(runtime, self.gate, hang_ups)
+        self.peer_server = PeerServer(runtime, self.gate, hang_ups, self._log)
         self.dispatcher = Dispatcher(
             runtime,
             self.destinations,
--- a/src/cranklane/sidecar/retry_budget.py
+++ b/src/cranklane/sidecar/retry_budget.py
@@ -1,11 +1,16 @@
 """How many requests may be sent to a second worker.
 
 All sidecars together keep the operator's bound because each keeps its part: a
-ratio of the requests that begin at it, and a small reserve.
+ratio of the requests that begin at it, and a small reserve. Calls that a repeated
+run makes are repeats too; they are charged where they begin, so that the bound holds
+at any depth of a call tree.
 """
 
 from __future__ import annotations
 
+MOST_OWED = 20.0
+"""Repeats that are remembered beyond the tokens there were: older ones are over."""
+
 
 class RetryBudget:
     """Tokens for each service.
@@ -24,6 +29,17 @@
         tokens = self._tokens.get(service, self._reserve)
         self._tokens[service] = min(self._reserve, tokens + self._ratio)
 
+    def charge(self, service: str) -> None:
+        """Count a repeat that nobody asked for: a call of a run that is one.
+
+        >>> budget = RetryBudget(0.5, 1.0)
+        >>> budget.charge("a")
+        >>> budget.take("a")
+        False
+        """
+        tokens = self._tokens.get(service, self._reserve) - 1.0
+        self._tokens[service] = max(-MOST_OWED, tokens)
+
     def take(self, service: str) -> bool:
         """Return whether one more arrival at a service is allowed, and count it.
 
--- a/src/cranklane/sidecar/slots.py
+++ b/src/cranklane/sidecar/slots.py
@@ -30,6 +30,9 @@
 
 FIRST_HOLD_SECONDS = 0.05
 
+SPARE_ENTRIES = 8
+"""Entries of waits that have ended which are kept before they are looked for."""
+
 
 class Waiter:
     """A request that waits for a slot."""
@@ -54,6 +57,8 @@
     :param clock: monotonic seconds.
     :ivar limit: requests that run at once.
     :ivar running: requests that run now.
+    :ivar queued: requests that wait now. Each counts until it is granted a slot or its
+        own task has seen that it is not; entries of the others may stand a while longer.
     :ivar hold: smoothed seconds that a request keeps its slot.
     """
 
@@ -62,16 +67,11 @@
         # Sorted by rank, so that a place in it is found without reading it all.
         self._waiting: list[tuple[float, int, Waiter]] = []
         self._numbers = count()
-        self._abandoned = 0
+        self.queued = 0
         self.limit = 0
         self.running = 0
         self.hold = FIRST_HOLD_SECONDS
 
-    @property
-    def queued(self) -> int:
-        """How many requests wait."""
-        return len(self._waiting) - self._abandoned
-
     def expected_wait(self, rank: float) -> float:
         """Return the seconds until a request of a rank would start."""
         if self.running < self.limit:
@@ -107,6 +107,7 @@
             return Reason.QUEUE_FULL
         waiter = Waiter()
         insort(self._waiting, (rank, next(self._numbers), waiter))
+        self.queued += 1
         on_wait(waiter)
         self._grant()
         waiter.event.wait(wait_seconds)
@@ -114,7 +115,7 @@
             return Reason.NONE
         if waiter.refused is Reason.NONE:
             waiter.refused = Reason.DEADLINE_TOO_NEAR
-        self._abandoned += 1
+        self.queued -= 1
         self._drop_abandoned()
         return waiter.refused
 
@@ -138,14 +139,13 @@
         while self.running < self.limit and self._waiting:
             waiter = self._waiting.pop(0)[2]
             if waiter.refused is not Reason.NONE:
-                self._abandoned = max(0, self._abandoned - 1)
                 continue
             waiter.granted = True
+            self.queued -= 1
             self.running += 1
             waiter.event.set()
 
     def _drop_abandoned(self) -> None:
         """Forget those who wait no more once they are many."""
-        if self._abandoned * 2 > len(self._waiting) and len(self._waiting) > 8:
-            self._waiting = [entry for entry in self._waiting if not entry[2].refused]
-            self._abandoned = 0
+        if len(self._waiting) > 2 * self.queued + SPARE_ENTRIES:
+            self._waiting = [entry for entry in self._waiting if entry[2].refused is Reason.NONE]
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -141,3 +141,61 @@
 
 def test_failed_runs_whose_calls_found_no_room_lower_the_admitted_part():
     assert refused_early_after(deep_slots=0) > 10
+
+
+def arrivals_of_a_failing_call(run_is_repeated):
+    """Return the arrivals at the workers below of one call, whose first run fails.
+
+    :param run_is_repeated: whether the run that makes it is itself a second one.
+    """
+
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(3)
+        first, second = mesh.add_machine("top"), mesh.add_machine("top")
+        deep = [mesh.add_machine("deep") for _ in range(2)]
+        assert mesh.wait_for(lambda: mesh.voters() == 3, 10)
+        table = route_table(1, 0, ROUTES, ("top", "deep"))
+        assert mesh.wait_for(lambda: mesh.operate(table).status == 200, 5)
+        gevent.sleep(2.0)
+        first.worker.state.fail = int(run_is_repeated)
+        second.worker.state.seconds = 1.0
+        first.worker.state.seconds = 0.05 if run_is_repeated else 1.0
+        root = gevent.spawn(mesh.request, first, "/view/", name="run")
+        gevent.sleep(0.2)
+        for machine in deep:
+            machine.worker.state.fail = 1
+        running = second if run_is_repeated else first
+        status = mesh.request(running, "/look/", name="run.1").status
+        assert root.get().status == 200
+        return status, sum(machine.worker.state.arrivals for machine in deep)
+
+    return simulate(1, delay, scenario)
+
+
+def test_what_a_repeated_run_calls_is_not_repeated_again():
+    assert arrivals_of_a_failing_call(run_is_repeated=True) == (500, 1)
+    assert arrivals_of_a_failing_call(run_is_repeated=False) == (500, 2)
+
+
+def test_a_run_that_failed_for_want_of_room_is_not_repeated():
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(3)
+        tops = [mesh.add_machine("top") for _ in range(2)]
+        mesh.add_machine("deep", 0)
+        assert mesh.wait_for(lambda: mesh.voters() == 3, 10)
+        table = route_table(1, 0, ROUTES, ("top", "deep"))
+        assert mesh.wait_for(lambda: mesh.operate(table).status == 200, 5)
+        gevent.sleep(2.0)
+        for top in tops:
+            top.worker.state.seconds = 1.0
+            top.worker.state.status = 500
+        root = gevent.spawn(mesh.request, tops[0], "/view/", name="run")
+        gevent.sleep(0.1)
+        for top in tops:
+            mesh.request(top, "/look/", name="run.1")
+        assert root.get().status == 500
+        return sum(top.worker.state.arrivals for top in tops)
+
+    assert simulate(1, delay, scenario) == 1
--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 import test_call_tree
@@ -44,6 +46,14 @@
     return reply.outcome is Outcome.UNKNOWN and call.attempts < 2
 
 
+def goes_on_within_a_repeated_run(self, call, reply):
+    call.root = replace(call.root, repeated=False)
+    return Dispatcher_goes_on(self, call, reply)
+
+
+Dispatcher_goes_on = Dispatcher._goes_on
+
+
 def no_end(self, instance, state):
     pass
 
@@ -175,6 +185,12 @@
         lambda self, path: None,
         test_mesh_workers.test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat,
     ),
+    "charge for calls of repeated runs": (
+        Dispatcher,
+        "_goes_on",
+        goes_on_within_a_repeated_run,
+        test_call_tree.test_what_a_repeated_run_calls_is_not_repeated_again,
+    ),
     "early vote for the former leader": (
         PeerService,
         "_gave_up_its_lease",
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -89,3 +89,30 @@
         return running, sorted(order)
 
     assert play(script) == (3, ["a", "b", "c"])
+
+
+def test_a_wait_ended_just_before_its_slot_is_granted_counts_once():
+    def script(slots):
+        waiters = []
+        assert slots.acquire(0, 1.0, waiters.append) is Reason.NONE
+        waiting = gevent.spawn(slots.acquire, 0, 1.0, waiters.append)
+        gevent.sleep(0.01)
+        assert slots.queued == 1
+        waiters[0].refuse(Reason.CANCELLED)
+        # The slot is free before the task that waited has run again.
+        slots.release(0.1)
+        reason = waiting.get()
+        return reason, slots.queued, slots.running
+
+    assert play(script) == (Reason.CANCELLED, 0, 0)
+
+
+def test_a_wait_that_times_out_counts_once():
+    def script(slots):
+        slots.acquire(0, 1.0, lambda _waiter: None)
+        slots.hold = 0.01
+        reason = slots.acquire(0, 0.05, lambda _waiter: None)
+        slots.release(0.1)
+        return reason, slots.queued, slots.running
+
+    assert play(script) == (Reason.DEADLINE_TOO_NEAR, 0, 0)
