A large answer that nobody reads gives its slot back

Cause: the slot was given back by a generator's finally, which does not run when the generator was never started (caller left before the first piece), nor when sending the first record failed. Proof: test_an_answer_that_nobody_reads_gives_its_slot_back.

--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any
 
 from cranklane.common.request_names import HeaderNames
@@ -34,6 +35,38 @@
 """Told of a decision: request, reason, running, queued, slots, seconds waited."""
 
 
+class HeldAnswer:
+    """The further pieces of an answer, which keep their slot until they have ended.
+
+    Not a generator: one that was never started would give nothing back when closed.
+
+    :param on_end: called once, at the end, at a failure or by :meth:`close`.
+    """
+
+    def __init__(self, pieces: Iterator[bytes], on_end: Callable[[], None]) -> None:
+        self._pieces = pieces
+        self._on_end: Callable[[], None] | None = on_end
+
+    def __iter__(self) -> HeldAnswer:
+        """Return itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next piece."""
+        try:
+            return next(self._pieces)
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Give the slot back, however much was read."""
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            self._pieces.close()  # type: ignore[attr-defined]
+            on_end()
+
+
 class Gate:
     """Admits requests to the worker.
 
@@ -139,7 +172,7 @@
         if reply.reason is Reason.WORKER_UNREACHABLE:
             self._worker.unreachable()
         if reply.rest is not None:
-            reply.rest = self._until_end(reply.rest, request.request, started_at)
+            reply.rest = HeldAnswer(reply.rest, partial(self._release, request.request, started_at))
         return reply
 
     def _closed_to(self, service: str) -> Reason:
@@ -164,12 +197,6 @@
         self._call_tree.end(request)
         self._slots.release(self._runtime.monotonic() - started_at)
 
-    def _until_end(self, rest: Iterator[bytes], request: str, started_at: float) -> Iterator[bytes]:
-        try:
-            yield from rest
-        finally:
-            self._release(request, started_at)
-
     def _retry_after_ms(self, reason: Reason) -> int:
         if reason is Reason.REFUSED_EARLY:
             return EARLY_RETRY_AFTER_MS
--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -253,11 +253,12 @@
         return sent and (request.whole or reply.outcome is Outcome.ANSWERED)
 
     def _send(self, records: RecordConnection, reply: Reply) -> bool:
-        records.send(_answer(reply))
         if reply.rest is None:
+            records.send(_answer(reply))
             return True
         message: Message
         try:
+            records.send(_answer(reply))
             for piece in reply.rest:
                 records.send(ForwardBody(False, piece))
             message = ForwardBody(True, b"")
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -3,6 +3,7 @@
 import gevent
 
 from cranklane.outcome import Reason
+from cranklane.sidecar.gate import HeldAnswer
 from cranklane.sidecar.slots import Slots
 from cranklane_lab.simulation.loop import run_virtual
 
@@ -116,3 +117,16 @@
         return reason, slots.queued, slots.running
 
     assert play(script) == (Reason.DEADLINE_TOO_NEAR, 0, 0)
+
+
+def test_an_answer_that_nobody_reads_gives_its_slot_back():
+    def pieces():
+        yield b"piece"
+
+    ended = []
+    unread = HeldAnswer(pieces(), lambda: ended.append("unread"))
+    unread.close()
+    unread.close()
+    assert ended == ["unread"]
+    assert list(HeldAnswer(pieces(), lambda: ended.append("read"))) == [b"piece"]
+    assert ended == ["unread", "read"]
