--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -185,7 +185,7 @@
         lambda self, path: None,
         test_mesh_workers.test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat,
     ),
-    "charge for calls of repeated runs": (
+    "no repeat below a repeated run": (
         Dispatcher,
         "_goes_on",
         goes_on_within_a_repeated_run,
