Repeats keep the operator's bound at any number of sidecars

Cause: each sidecar kept a reserve of two repeats for each service, whatever the size of the fleet: 195 may send 390 at once where 213 are allowed, and after a restart of all again. Ruled out: a smaller fixed reserve (useless at 17); a reserve asked of control (a round trip, and nothing while control is away). Change: a request earns 0.4 of the ratio, for at most a window; the slack (0.2 of it) is divided by the number of sidecars known, none while that grows after a start; parts of tokens are spent by lot. Settings retry_slack and retry_seconds, by the template.

--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -13,6 +13,7 @@
 from cranklane.records.messages import Member, MemberDelta
 from cranklane.runtime.interface import Address, parse_address
 from cranklane.sidecar.attempt import Load
+from cranklane.sidecar.retry_budget import FleetSize
 from cranklane.sidecar.slowness import TOLERATED, Slowness
 from cranklane.sidecar.worker_condition import WELL, Condition
 
@@ -192,6 +193,8 @@
         self._by_node: dict[str, Destination] = {}
         self._by_service: dict[str, list[Destination]] = {}
         self._news = Event()
+        self._most_known = 0
+        self._grown_at = clock()
 
     def apply(self, delta: MemberDelta) -> None:
         """Take what control says of members."""
@@ -284,6 +287,9 @@
         self._take_told(added, member)
         self._by_node[member.node] = added
         self._by_service.setdefault(member.service, []).append(added)
+        if len(self._by_node) > self._most_known:
+            self._most_known = len(self._by_node)
+            self._grown_at = self._clock()
 
     def _remove(self, node: str) -> None:
         known = self._by_node.pop(node, None)
@@ -291,6 +297,11 @@
             known.removed = True
             self._by_service[known.service].remove(known)
 
+    def fleet_size(self) -> FleetSize:
+        """Return how many sidecars are known, this one included."""
+        own_missing = self._own not in self._by_node
+        return FleetSize(len(self._by_node) + own_missing, self._grown_at)
+
     def count(self, service: str) -> int:
         """Return how many live workers a service has."""
         return sum(item.state is MemberState.LIVE for item in self._by_service.get(service, ()))
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -35,7 +35,7 @@
 from cranklane.sidecar.ingress import Ingress
 from cranklane.sidecar.metrics import SidecarMetrics
 from cranklane.sidecar.peers import PeerClient, PeerServer
-from cranklane.sidecar.retry_budget import RetryBudget
+from cranklane.sidecar.retry_budget import RetryBound, RetryBudget
 from cranklane.sidecar.slots import Slots
 from cranklane.sidecar.worker_api import ReadinessApi, WorkerApi
 from cranklane.sidecar.worker_condition import Condition, WorkerCondition
@@ -45,11 +45,6 @@
 TIMING = FollowTiming(heartbeat=1.0, silent=1.6, max_backoff=0.8, raises_incarnation=True)
 """Control pings each 0.5 s, so this much silence means that it is lost."""
 
-BUDGET_PART = 0.4
-"""Part of the retry ratio that is used: calls that a repeated run makes count too."""
-
-BUDGET_RESERVE = 2.0
-
 WITHDRAWAL_SECONDS = 2.2
 """After a planned stop began, callers may need this long to notice it."""
 
@@ -83,6 +78,12 @@
     retry_ratio: float = setting(
         seconds(0, 10), 0.2, help="requests sent again for each request, over the whole fleet"
     )
+    retry_slack: float = setting(
+        seconds(0, 1_000_000), 60.0, help="requests sent again beyond that ratio in each window"
+    )
+    retry_seconds: float = setting(
+        seconds(0.1, 3600), 10.0, help="seconds of a window of the two retry settings"
+    )
     stop_seconds: float = setting(seconds(0, 3600), 6.0, help="most seconds of a planned stop")
 
 
@@ -136,7 +137,12 @@
             self.destinations,
             self.gate,
             self.peers,
-            RetryBudget(settings.retry_ratio * BUDGET_PART, BUDGET_RESERVE),
+            RetryBudget(
+                RetryBound(settings.retry_ratio, settings.retry_slack, settings.retry_seconds),
+                runtime.monotonic,
+                runtime.random,
+                self.destinations.fleet_size,
+            ),
             settings.name,
             settings.service,
             self.decisions.attempted,
--- a/src/cranklane/sidecar/retry_budget.py
+++ b/src/cranklane/sidecar/retry_budget.py
@@ -1,54 +1,180 @@
 """How many requests may be sent to a second worker.
 
-All sidecars together keep the operator's bound because each keeps its part: a
-ratio of the requests that begin at it, and a small reserve. Calls that a repeated
-run makes are repeats too; they are charged where they begin, so that the bound holds
-at any depth of a call tree.
+The operator bounds the repeats at a service, summed over the whole fleet, in every window
+of time: a ratio of the requests for it, and a slack. Each sidecar keeps its part of that
+bound without asking anybody:
+
+- Each request that begins at it earns a part of a token, which lapses after at most a
+  window. So what is spent in a window was earned in that window or the one before it, and
+  half of the ratio, less a margin, may be earned. Where all load comes through a few
+  sidecars, they earn all of it.
+- The slack is divided by the number of sidecars. Its share comes anew with each window, so
+  that at most two shares are spent within any. There is none while the number still grows
+  after a start: a fleet that was restarted as a whole does not know yet how large it is.
+
+Parts of tokens count: of less than one token, a repeat is allowed by lot with just that
+probability, so that a fleet of many sidecars with little to do each uses what it may.
+
+Calls that a repeated run makes are repeats too; they are charged where they begin, so
+that the bound holds at any depth of a call tree.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from random import Random
+
+RATIO_PART = 0.4
+"""Part of the ratio that is earned: a window may see two windows' tokens spent."""
+
+SLACK_PART = 0.2
+"""Part of the slack that is divided among the sidecars: two shares may fall into one
+window, and calls made by repeats add to it further down."""
+
 MOST_OWED = 20.0
 """Repeats that are remembered beyond the tokens there were: older ones are over."""
 
+KNOWN_SIZE_HALF_LIFE = 6.0
+"""Windows in which the number of sidecars that is reckoned with halves at most: a part
+of the fleet that is cut off, or has just been restarted, sees few others."""
+
+
+SETTLED_SECONDS = 1.0
+"""The number of sidecars is believed once it has not grown for this long."""
+
+
+@dataclass(frozen=True)
+class RetryBound:
+    """The operator's bound on repeats at each service, over the whole fleet.
+
+    :ivar ratio: repeats for each request.
+    :ivar slack: repeats beyond the ratio within any window.
+    :ivar window: seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How many sidecars there are, as one of them knows.
+
+    :ivar sidecars: known now, this one included.
+    :ivar grown_at: monotonic second at which more were known than ever before.
+    """
+
+    sidecars: int
+    grown_at: float
+
+
+@dataclass(slots=True)
+class _Account:
+    """Tokens of one service.
+
+    :ivar current: earned, less spent, in the present half of a window.
+    :ivar former: what is left of the half before it.
+    :ivar half_began: when the present half began.
+    :ivar share: what is left of the share of the slack.
+    :ivar share_began: when that share came.
+    """
+
+    current: float
+    former: float
+    half_began: float
+    share: float
+    share_began: float
+
+    @property
+    def tokens(self) -> float:
+        """All that may be spent."""
+        return self.current + self.former + self.share
+
+    def spend(self, tokens: float) -> None:
+        """Spend tokens, those that lapse first at first; a debt stands in ``current``."""
+        from_former = min(tokens, max(0.0, self.former))
+        self.former -= from_former
+        tokens -= from_former
+        from_share = min(tokens, max(0.0, self.share))
+        self.share -= from_share
+        self.current = max(-MOST_OWED, self.current - (tokens - from_share))
+
 
 class RetryBudget:
-    """Tokens for each service.
+    """Repeats that this sidecar may send, by service.
 
-    :param ratio: tokens that one request earns.
-    :param reserve: most tokens that are kept, and what there is at the start.
+    :param bound: of the whole fleet.
+    :param clock: monotonic seconds.
+    :param fleet: returns what is known of the fleet now.
     """
 
-    def __init__(self, ratio: float, reserve: float) -> None:
-        self._ratio = ratio
-        self._reserve = reserve
-        self._tokens: dict[str, float] = {}
+    def __init__(
+        self,
+        bound: RetryBound,
+        clock: Callable[[], float],
+        random: Random,
+        fleet: Callable[[], FleetSize],
+    ) -> None:
+        self._bound = bound
+        self._clock = clock
+        self._random = random
+        self._fleet = fleet
+        self._accounts: dict[str, _Account] = {}
+        self._size = 0.0
+        self._size_at = clock()
 
     def earned(self, service: str) -> None:
         """Count a request that begins here."""
-        tokens = self._tokens.get(service, self._reserve)
-        self._tokens[service] = min(self._reserve, tokens + self._ratio)
+        self._account(service).current += RATIO_PART * self._bound.ratio
 
     def charge(self, service: str) -> None:
-        """Count a repeat that nobody asked for: a call of a run that is one.
-
-        >>> budget = RetryBudget(0.5, 1.0)
-        >>> budget.charge("a")
-        >>> budget.take("a")
-        False
-        """
-        tokens = self._tokens.get(service, self._reserve) - 1.0
-        self._tokens[service] = max(-MOST_OWED, tokens)
+        """Count a repeat that nobody asked for: a call of a run that is one."""
+        self._account(service).spend(1.0)
 
     def take(self, service: str) -> bool:
-        """Return whether one more arrival at a service is allowed, and count it.
-
-        >>> budget = RetryBudget(0.5, 1.0)
-        >>> budget.take("a"), budget.take("a")
-        (True, False)
-        """
-        tokens = self._tokens.get(service, self._reserve)
-        if tokens < 1.0:
+        """Return whether one more arrival at a service is allowed, and count it."""
+        account = self._account(service)
+        tokens = account.tokens
+        if tokens >= 1.0:
+            account.spend(1.0)
+            return True
+        if tokens <= 0.0:
             return False
-        self._tokens[service] = tokens - 1.0
-        return True
+        # Spent either way, so that on average just these parts are spent.
+        account.spend(tokens)
+        return self._random.random() < tokens
+
+    def _account(self, service: str) -> _Account:
+        now = self._clock()
+        account = self._accounts.get(service)
+        if account is None:
+            account = _Account(0.0, 0.0, now, 0.0, -inf)
+            self._accounts[service] = account
+        half = self._bound.window / 2
+        halves = int((now - account.half_began) / half)
+        if halves > 0:
+            account.former = account.current if halves == 1 else 0.0
+            account.current = 0.0
+            account.half_began += halves * half
+        if now - account.share_began >= self._bound.window:
+            self._renew_share(account, now)
+        return account
+
+    def _renew_share(self, account: _Account, now: float) -> None:
+        fleet = self._fleet()
+        if fleet.sidecars < 2 or now - fleet.grown_at < SETTLED_SECONDS:
+            # It knows nobody yet, or not all.
+            return
+        account.share = SLACK_PART * self._bound.slack / self._known_size(fleet, now)
+        account.share_began = now
+
+    def _known_size(self, fleet: FleetSize, now: float) -> float:
+        """Return how many sidecars are reckoned with: fewer than before only by and by."""
+        windows = (now - self._size_at) / self._bound.window
+        faded = self._size * 0.5 ** (windows / KNOWN_SIZE_HALF_LIFE)
+        self._size = max(1.0, float(fleet.sidecars), faded)
+        self._size_at = now
+        return self._size
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -33,6 +33,8 @@
     "bootstrap": "true",
     "heartbeat-ms": "1500",
     "bounds.retry-budget-ratio": "0.2",
+    "bounds.retry-window-s": "10",
+    "bounds.budget-slack": "57",
     "bounds.grace-s": "6",
     "fault-tolerance.machines": "2",
 }
