--- a/src/cranklane/common/logs.py
+++ b/src/cranklane/common/logs.py
@@ -2,19 +2,23 @@
 
 Lines go to standard output through a bounded queue, so that a reader that is
 slow or gone never holds up a request: lines are left out and counted instead.
+
+The lines have the form that ``structlog`` gives them. The library itself is not used:
+its import was a quarter of the processor time of a sidecar's start.
 """
 
 from __future__ import annotations
 
-import logging
+import json
 import os
 import sys
+import time
 from collections import deque
 from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import Any
 
 import gevent
-import structlog
 
 QUEUE_LINES = 4000
 """Lines that wait to be written; the oldest are left out beyond that."""
@@ -80,36 +84,78 @@
         return ("\n".join(block) + "\n").encode()
 
 
-class _QueueLogger:
-    """What structlog writes finished lines to."""
+LineSink = Callable[[str], None]
+"""Takes one finished line."""
+
+
+def _nowhere(_line: str) -> None:
+    """Take a line of a process that writes no logs."""
+
+
+def _print_line(line: str) -> None:
+    print(line, flush=True)
+
 
-    def __init__(self, queue: LineQueue) -> None:
-        self.debug = self.info = self.warning = self.error = self.critical = queue.put
+class _Output:
+    """Where the lines of this process go."""
+
+    sink: LineSink = staticmethod(_print_line)
 
 
 def configure_logs() -> LineQueue:
-    """Write JSON lines to standard output; return the queue that they go through."""
+    """Write lines to standard output through a queue, and return it."""
     sys.stdout.flush()
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
     queue = LineQueue(descriptor)
-    sink = _QueueLogger(queue)
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=lambda *_: sink,
-        cache_logger_on_first_use=True,
-    )
+    write_lines_to(queue.put)
     return queue
 
 
-def logger(**fields: Any) -> Any:
-    """Return a logger with fields bound to it."""
-    return structlog.get_logger(**fields)
+def write_lines_to(sink: LineSink | None) -> None:
+    """Give every line of this process to a function; None: to none."""
+    _Output.sink = staticmethod(sink or _nowhere)
+
+
+class Logger:
+    """Writes events with fields that stand in each of them.
+
+    :param fields: those fields.
+    """
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        self._fields = fields
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Write what was decided or has changed."""
+        self._write("info", event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Write what an operator may want to know of."""
+        self._write("warning", event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Write what is broken."""
+        self._write("error", event, fields)
+
+    def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
+        sink = _Output.sink
+        if sink is _nowhere:
+            return
+        now = datetime.fromtimestamp(time.time(), UTC)
+        line = {
+            **self._fields,
+            **fields,
+            "event": event,
+            "level": level,
+            "timestamp": now.isoformat().replace("+00:00", "Z"),
+        }
+        sink(json.dumps(line, default=repr))
+
+
+def logger(**fields: Any) -> Logger:
+    """Return a logger whose lines all have these fields."""
+    return Logger(fields)
 
 
 class RateLimit:
--- a/src/cranklane/common/metrics_server.py
+++ b/src/cranklane/common/metrics_server.py
@@ -1,10 +1,13 @@
-"""Serves counters in the Prometheus text format at ``/metrics``."""
+"""Serves counters in the Prometheus text format at ``/metrics``.
 
-from __future__ import annotations
+The library that writes the format is imported when figures are first asked for: at the
+start of a process, callers wait.
+"""
 
-from collections.abc import Callable
+from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Gauge, generate_latest
+from collections.abc import Callable, Iterable
+from typing import Any
 
 from cranklane.common.small_http import SmallAnswer
 
@@ -32,12 +35,22 @@
     """Gauges of one process that are read when they are asked for."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
 
     def add(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge."""
-        Gauge(name, text, registry=self._registry).set_function(read)
+        self._gauges.append((name, text, read))
+
+    def text(self, collectors: Iterable[Any] = ()) -> bytes:
+        """Return everything in the text format.
+
+        :param collectors: further sources of the library's metric families.
+        """
+        from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
-    def text(self) -> bytes:
-        """Return everything in the text format."""
-        return generate_latest(self._registry)
+        registry = CollectorRegistry()
+        for collector in collectors:
+            registry.register(collector)
+        for name, text, read in self._gauges:
+            Gauge(name, text, registry=registry).set_function(read)
+        return generate_latest(registry)
--- a/src/cranklane/control/membership.py
+++ b/src/cranklane/control/membership.py
@@ -9,7 +9,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from cranklane.node.members import MemberState
 from cranklane.records.messages import Heartbeat, Member, MemberReport, NodeVersion, Subscribe
@@ -124,8 +124,7 @@
             heartbeat.slowness,
         )
         if (member.state, member.slots, member.instance, member.faults, member.slowness) != told:
-            changed = replace(
-                member,
+            changed = member.replaced(
                 sequence=member.sequence + 1,
                 state=heartbeat.state,
                 slots=heartbeat.slots,
@@ -201,7 +200,7 @@
         return self._owner_heard.get(known.owner, known.heard_at)
 
     def _set_state(self, known: _Known, state: MemberState, presumed: bool = False) -> None:
-        changed = replace(known.member, sequence=known.member.sequence + 1, state=state)
+        changed = known.member.replaced(sequence=known.member.sequence + 1, state=state)
         self._put(changed, known.owner, presumed)
 
     def _put(self, member: Member, owner: str, presumed: bool = False) -> None:
--- a/src/cranklane/records/generate.py
+++ b/src/cranklane/records/generate.py
@@ -32,10 +32,9 @@
 # ruff: noqa
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from struct import Struct
 from struct import error as StructError
-from typing import ClassVar, Protocol
+from typing import ClassVar
 
 from cranklane.errors import MalformedRecordError
 from cranklane.records.lists import (
@@ -46,15 +45,10 @@
     unpack_records,
     unpack_strings,
 )
+from cranklane.records.record import Record
 
-
-class Message(Protocol):
-    """Any record."""
-
-    KIND: ClassVar[int]
-
-    def pack(self) -> bytes: ...
-
+Message = Record
+"""Any record."""
 '''
 
 
@@ -67,7 +61,7 @@
 def _default(kind: str) -> str:
     python = _python_type(kind)
     if python.startswith("list"):
-        return "field(default_factory=list)"
+        return "None"
     return {"int": "0", "float": "0.0", "bool": "False", "str": '""', "bytes": 'b""'}[python]
 
 
@@ -91,16 +85,31 @@
     return f"unpack_{kind}({part})"
 
 
+def _init_lines(fields: list[tuple[str, str]]) -> list[str]:
+    lines = ["    def __init__(", "        self,"]
+    for name, kind in fields:
+        python = _python_type(kind)
+        optional = f"{python} | None" if python.startswith("list") else python
+        lines.append(f"        {name}: {optional} = {_default(kind)},")
+    lines.append("    ) -> None:")
+    for name, kind in fields:
+        python = _python_type(kind)
+        value = f"{name} if {name} is not None else []" if python.startswith("list") else name
+        lines.append(f"        self.{name}: {python} = {value}")
+    return lines
+
+
 def _class_text(record: Record) -> str:
     fields = [tuple(part.split(":")) for part in record.fields.split()]
     numbers = [(name, kind) for name, kind in fields if kind in _NUMBERS]
     variable = [(name, kind) for name, kind in fields if kind not in _NUMBERS]
     layout = "!" + "".join(_NUMBERS[kind] for _, kind in numbers)
     layout += "".join(_LENGTH.get(kind, "I") for _, kind in variable)
-    lines = ["", "@dataclass(slots=True)", f"class {record.name}:"]
+    lines = ["", f"class {record.name}(Record):"]
     lines += [f'    """{record.purpose}"""', "", f"    KIND: ClassVar[int] = {record.kind}"]
-    lines += [f'    LAYOUT: ClassVar[Struct] = Struct("{layout}")', ""]
-    lines += [f"    {name}: {_python_type(kind)} = {_default(kind)}" for name, kind in fields]
+    lines += [f'    LAYOUT: ClassVar[Struct] = Struct("{layout}")']
+    lines += [f"    __slots__ = ({', '.join(repr(name) for name, _ in fields)},)", ""]
+    lines += _init_lines([(name, kind) for name, kind in fields])
     lines += ["", "    def pack(self) -> bytes:"]
     lines += [f"        {name} = {_encode(name, kind)}" for name, kind in variable]
     values = [f"self.{name}" for name, _ in numbers] + [f"len({name})" for name, _ in variable]
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -3,10 +3,9 @@
 # ruff: noqa
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from struct import Struct
 from struct import error as StructError
-from typing import ClassVar, Protocol
+from typing import ClassVar
 
 from cranklane.errors import MalformedRecordError
 from cranklane.records.lists import (
@@ -17,30 +16,35 @@
     unpack_records,
     unpack_strings,
 )
+from cranklane.records.record import Record
 
+Message = Record
+"""Any record."""
 
-class Message(Protocol):
-    """Any record."""
-
-    KIND: ClassVar[int]
-
-    def pack(self) -> bytes: ...
-
-
-@dataclass(slots=True)
-class Hello:
+class Hello(Record):
     """First record each way on a connection: who is there."""
 
     KIND: ClassVar[int] = 1
     LAYOUT: ClassVar[Struct] = Struct("!HQQHHHH")
-
-    protocol: int = 0
-    incarnation: int = 0
-    version: int = 0
-    node: str = ""
-    tenant: str = ""
-    service: str = ""
-    zone: str = ""
+    __slots__ = ('protocol', 'incarnation', 'version', 'node', 'tenant', 'service', 'zone',)
+
+    def __init__(
+        self,
+        protocol: int = 0,
+        incarnation: int = 0,
+        version: int = 0,
+        node: str = "",
+        tenant: str = "",
+        service: str = "",
+        zone: str = "",
+    ) -> None:
+        self.protocol: int = protocol
+        self.incarnation: int = incarnation
+        self.version: int = version
+        self.node: str = node
+        self.tenant: str = tenant
+        self.service: str = service
+        self.zone: str = zone
 
     def pack(self) -> bytes:
         node = self.node.encode()
@@ -77,14 +81,18 @@
         return cls(protocol, incarnation, version, node, tenant, service, zone)
 
 
-@dataclass(slots=True)
-class Ping:
+class Ping(Record):
     """Keeps an idle connection known to be alive and asks for a LoadReport."""
 
     KIND: ClassVar[int] = 2
     LAYOUT: ClassVar[Struct] = Struct("!Q")
+    __slots__ = ('version',)
 
-    version: int = 0
+    def __init__(
+        self,
+        version: int = 0,
+    ) -> None:
+        self.version: int = version
 
     def pack(self) -> bytes:
         try:
@@ -105,19 +113,28 @@
         return cls(version)
 
 
-@dataclass(slots=True)
-class LoadReport:
+class LoadReport(Record):
     """A node's own view of its worker; ``wait_us`` is the expected queue wait."""
 
     KIND: ClassVar[int] = 3
     LAYOUT: ClassVar[Struct] = Struct("!IIII?Q")
-
-    in_flight: int = 0
-    queued: int = 0
-    limit: int = 0
-    wait_us: int = 0
-    draining: bool = False
-    version: int = 0
+    __slots__ = ('in_flight', 'queued', 'limit', 'wait_us', 'draining', 'version',)
+
+    def __init__(
+        self,
+        in_flight: int = 0,
+        queued: int = 0,
+        limit: int = 0,
+        wait_us: int = 0,
+        draining: bool = False,
+        version: int = 0,
+    ) -> None:
+        self.in_flight: int = in_flight
+        self.queued: int = queued
+        self.limit: int = limit
+        self.wait_us: int = wait_us
+        self.draining: bool = draining
+        self.version: int = version
 
     def pack(self) -> bytes:
         try:
@@ -138,14 +155,18 @@
         return cls(in_flight, queued, limit, wait_us, draining, version)
 
 
-@dataclass(slots=True)
-class GoingAway:
+class GoingAway(Record):
     """The sender takes no new calls on this connection."""
 
     KIND: ClassVar[int] = 4
     LAYOUT: ClassVar[Struct] = Struct("!B")
+    __slots__ = ('reason',)
 
-    reason: int = 0
+    def __init__(
+        self,
+        reason: int = 0,
+    ) -> None:
+        self.reason: int = reason
 
     def pack(self) -> bytes:
         try:
@@ -166,28 +187,46 @@
         return cls(reason)
 
 
-@dataclass(slots=True)
-class CallOpen:
+class CallOpen(Record):
     """Opens a call. ``deadline_ms`` is what is left of the root request's time; ``allowance`` is the share of retries this call may spend."""
 
     KIND: ClassVar[int] = 10
     LAYOUT: ClassVar[Struct] = Struct("!IHBBBQIHHHHHHII")
-
-    deadline_ms: int = 0
-    allowance: int = 0
-    criticality: int = 0
-    depth: int = 0
-    attempt: int = 0
-    root: int = 0
-    window: int = 0
-    tenant: str = ""
-    caller: str = ""
-    service: str = ""
-    method: str = ""
-    path: str = ""
-    key: str = ""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
+    __slots__ = ('deadline_ms', 'allowance', 'criticality', 'depth', 'attempt', 'root', 'window', 'tenant', 'caller', 'service', 'method', 'path', 'key', 'headers', 'body',)
+
+    def __init__(
+        self,
+        deadline_ms: int = 0,
+        allowance: int = 0,
+        criticality: int = 0,
+        depth: int = 0,
+        attempt: int = 0,
+        root: int = 0,
+        window: int = 0,
+        tenant: str = "",
+        caller: str = "",
+        service: str = "",
+        method: str = "",
+        path: str = "",
+        key: str = "",
+        headers: list[tuple[str, str]] | None = None,
+        body: bytes = b"",
+    ) -> None:
+        self.deadline_ms: int = deadline_ms
+        self.allowance: int = allowance
+        self.criticality: int = criticality
+        self.depth: int = depth
+        self.attempt: int = attempt
+        self.root: int = root
+        self.window: int = window
+        self.tenant: str = tenant
+        self.caller: str = caller
+        self.service: str = service
+        self.method: str = method
+        self.path: str = path
+        self.key: str = key
+        self.headers: list[tuple[str, str]] = headers if headers is not None else []
+        self.body: bytes = body
 
     def pack(self) -> bytes:
         tenant = self.tenant.encode()
@@ -240,14 +279,18 @@
         return cls(deadline_ms, allowance, criticality, depth, attempt, root, window, tenant, caller, service, method, path, key, headers, body)
 
 
-@dataclass(slots=True)
-class CallCancel:
+class CallCancel(Record):
     """Nobody waits for this call any more."""
 
     KIND: ClassVar[int] = 11
     LAYOUT: ClassVar[Struct] = Struct("!B")
+    __slots__ = ('reason',)
 
-    reason: int = 0
+    def __init__(
+        self,
+        reason: int = 0,
+    ) -> None:
+        self.reason: int = reason
 
     def pack(self) -> bytes:
         try:
@@ -268,25 +311,40 @@
         return cls(reason)
 
 
-@dataclass(slots=True)
-class AnswerHead:
+class AnswerHead(Record):
     """First record of an answer. ``refused_below`` is one more than the highest criticality refused lately for the call's tenant, 0 for none."""
 
     KIND: ClassVar[int] = 12
     LAYOUT: ClassVar[Struct] = Struct("!BBHIHIIIB??I")
-
-    outcome: int = 0
-    reason: int = 0
-    status: int = 0
-    retry_after_ms: int = 0
-    allowance: int = 0
-    in_flight: int = 0
-    limit: int = 0
-    wait_us: int = 0
-    refused_below: int = 0
-    draining: bool = False
-    final: bool = False
-    headers: list[tuple[str, str]] = field(default_factory=list)
+    __slots__ = ('outcome', 'reason', 'status', 'retry_after_ms', 'allowance', 'in_flight', 'limit', 'wait_us', 'refused_below', 'draining', 'final', 'headers',)
+
+    def __init__(
+        self,
+        outcome: int = 0,
+        reason: int = 0,
+        status: int = 0,
+        retry_after_ms: int = 0,
+        allowance: int = 0,
+        in_flight: int = 0,
+        limit: int = 0,
+        wait_us: int = 0,
+        refused_below: int = 0,
+        draining: bool = False,
+        final: bool = False,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        self.outcome: int = outcome
+        self.reason: int = reason
+        self.status: int = status
+        self.retry_after_ms: int = retry_after_ms
+        self.allowance: int = allowance
+        self.in_flight: int = in_flight
+        self.limit: int = limit
+        self.wait_us: int = wait_us
+        self.refused_below: int = refused_below
+        self.draining: bool = draining
+        self.final: bool = final
+        self.headers: list[tuple[str, str]] = headers if headers is not None else []
 
     def pack(self) -> bytes:
         headers = pack_pairs(self.headers)
@@ -311,15 +369,20 @@
         return cls(outcome, reason, status, retry_after_ms, allowance, in_flight, limit, wait_us, refused_below, draining, final, headers)
 
 
-@dataclass(slots=True)
-class AnswerBody:
+class AnswerBody(Record):
     """One piece of an answer's body."""
 
     KIND: ClassVar[int] = 13
     LAYOUT: ClassVar[Struct] = Struct("!II")
+    __slots__ = ('sequence', 'data',)
 
-    sequence: int = 0
-    data: bytes = b""
+    def __init__(
+        self,
+        sequence: int = 0,
+        data: bytes = b"",
+    ) -> None:
+        self.sequence: int = sequence
+        self.data: bytes = data
 
     def pack(self) -> bytes:
         data = self.data
@@ -344,16 +407,22 @@
         return cls(sequence, data)
 
 
-@dataclass(slots=True)
-class AnswerEnd:
+class AnswerEnd(Record):
     """The answer is whole: its body's length, CRC-32 and the unspent allowance."""
 
     KIND: ClassVar[int] = 14
     LAYOUT: ClassVar[Struct] = Struct("!QIH")
-
-    length: int = 0
-    checksum: int = 0
-    allowance: int = 0
+    __slots__ = ('length', 'checksum', 'allowance',)
+
+    def __init__(
+        self,
+        length: int = 0,
+        checksum: int = 0,
+        allowance: int = 0,
+    ) -> None:
+        self.length: int = length
+        self.checksum: int = checksum
+        self.allowance: int = allowance
 
     def pack(self) -> bytes:
         try:
@@ -374,15 +443,20 @@
         return cls(length, checksum, allowance)
 
 
-@dataclass(slots=True)
-class AnswerAbort:
+class AnswerAbort(Record):
     """The answer ends here, cut."""
 
     KIND: ClassVar[int] = 15
     LAYOUT: ClassVar[Struct] = Struct("!BH")
+    __slots__ = ('reason', 'allowance',)
 
-    reason: int = 0
-    allowance: int = 0
+    def __init__(
+        self,
+        reason: int = 0,
+        allowance: int = 0,
+    ) -> None:
+        self.reason: int = reason
+        self.allowance: int = allowance
 
     def pack(self) -> bytes:
         try:
@@ -403,14 +477,18 @@
         return cls(reason, allowance)
 
 
-@dataclass(slots=True)
-class Credit:
+class Credit(Record):
     """The receiver can take this many more body bytes."""
 
     KIND: ClassVar[int] = 16
     LAYOUT: ClassVar[Struct] = Struct("!I")
+    __slots__ = ('size',)
 
-    size: int = 0
+    def __init__(
+        self,
+        size: int = 0,
+    ) -> None:
+        self.size: int = size
 
     def pack(self) -> bytes:
         try:
@@ -431,26 +509,42 @@
         return cls(size)
 
 
-@dataclass(slots=True)
-class Subscribe:
+class Subscribe(Record):
     """A node asks a control process for configuration and members: those of its own service and of those it calls, or everything. ``session`` counts its connections; ``last_resort`` takes a control process that has lost touch with the others too."""
 
     KIND: ClassVar[int] = 20
     LAYOUT: ClassVar[Struct] = Struct("!QQI??IBHHHHHH")
-
-    incarnation: int = 0
-    version: int = 0
-    session: int = 0
-    everything: bool = False
-    last_resort: bool = False
-    node: str = ""
-    tenant: str = ""
-    service: str = ""
-    zone: str = ""
-    address: str = ""
-    instance: str = ""
-    slots: int = 0
-    state: int = 0
+    __slots__ = ('incarnation', 'version', 'session', 'everything', 'last_resort', 'node', 'tenant', 'service', 'zone', 'address', 'instance', 'slots', 'state',)
+
+    def __init__(
+        self,
+        incarnation: int = 0,
+        version: int = 0,
+        session: int = 0,
+        everything: bool = False,
+        last_resort: bool = False,
+        node: str = "",
+        tenant: str = "",
+        service: str = "",
+        zone: str = "",
+        address: str = "",
+        instance: str = "",
+        slots: int = 0,
+        state: int = 0,
+    ) -> None:
+        self.incarnation: int = incarnation
+        self.version: int = version
+        self.session: int = session
+        self.everything: bool = everything
+        self.last_resort: bool = last_resort
+        self.node: str = node
+        self.tenant: str = tenant
+        self.service: str = service
+        self.zone: str = zone
+        self.address: str = address
+        self.instance: str = instance
+        self.slots: int = slots
+        self.state: int = state
 
     def pack(self) -> bytes:
         node = self.node.encode()
@@ -495,16 +589,22 @@
         return cls(incarnation, version, session, everything, last_resort, node, tenant, service, zone, address, instance, slots, state)
 
 
-@dataclass(slots=True)
-class ConfigRow:
+class ConfigRow(Record):
     """One row of compiled configuration; an empty value deletes the key."""
 
     KIND: ClassVar[int] = 21
     LAYOUT: ClassVar[Struct] = Struct("!QHI")
-
-    revision: int = 0
-    key: str = ""
-    value: bytes = b""
+    __slots__ = ('revision', 'key', 'value',)
+
+    def __init__(
+        self,
+        revision: int = 0,
+        key: str = "",
+        value: bytes = b"",
+    ) -> None:
+        self.revision: int = revision
+        self.key: str = key
+        self.value: bytes = value
 
     def pack(self) -> bytes:
         key = self.key.encode()
@@ -533,17 +633,24 @@
         return cls(revision, key, value)
 
 
-@dataclass(slots=True)
-class ConfigDelta:
+class ConfigDelta(Record):
     """Rows changed after ``base`` up to ``version``; ``whole`` replaces everything."""
 
     KIND: ClassVar[int] = 22
     LAYOUT: ClassVar[Struct] = Struct("!QQ?I")
-
-    base: int = 0
-    version: int = 0
-    whole: bool = False
-    rows: list[ConfigRow] = field(default_factory=list)
+    __slots__ = ('base', 'version', 'whole', 'rows',)
+
+    def __init__(
+        self,
+        base: int = 0,
+        version: int = 0,
+        whole: bool = False,
+        rows: list[ConfigRow] | None = None,
+    ) -> None:
+        self.base: int = base
+        self.version: int = version
+        self.whole: bool = whole
+        self.rows: list[ConfigRow] = rows if rows is not None else []
 
     def pack(self) -> bytes:
         rows = pack_records(self.rows)
@@ -568,25 +675,40 @@
         return cls(base, version, whole, rows)
 
 
-@dataclass(slots=True)
-class Member:
+class Member(Record):
     """One node of a service. ``sequence`` orders the states of one incarnation; ``instance`` is the start of the worker beside it and ``slots`` how many calls that runs at once, where the worker has told them. ``faults`` and ``slowness`` are how the worker's own sidecar sees it: percent of failed runs, and tenths of the typical time."""
 
     KIND: ClassVar[int] = 23
     LAYOUT: ClassVar[Struct] = Struct("!QIBIBBHHHHHH")
-
-    incarnation: int = 0
-    sequence: int = 0
-    state: int = 0
-    node: str = ""
-    tenant: str = ""
-    service: str = ""
-    zone: str = ""
-    address: str = ""
-    slots: int = 0
-    instance: str = ""
-    faults: int = 0
-    slowness: int = 0
+    __slots__ = ('incarnation', 'sequence', 'state', 'node', 'tenant', 'service', 'zone', 'address', 'slots', 'instance', 'faults', 'slowness',)
+
+    def __init__(
+        self,
+        incarnation: int = 0,
+        sequence: int = 0,
+        state: int = 0,
+        node: str = "",
+        tenant: str = "",
+        service: str = "",
+        zone: str = "",
+        address: str = "",
+        slots: int = 0,
+        instance: str = "",
+        faults: int = 0,
+        slowness: int = 0,
+    ) -> None:
+        self.incarnation: int = incarnation
+        self.sequence: int = sequence
+        self.state: int = state
+        self.node: str = node
+        self.tenant: str = tenant
+        self.service: str = service
+        self.zone: str = zone
+        self.address: str = address
+        self.slots: int = slots
+        self.instance: str = instance
+        self.faults: int = faults
+        self.slowness: int = slowness
 
     def pack(self) -> bytes:
         node = self.node.encode()
@@ -631,15 +753,20 @@
         return cls(incarnation, sequence, state, node, tenant, service, zone, address, slots, instance, faults, slowness)
 
 
-@dataclass(slots=True)
-class MemberDelta:
+class MemberDelta(Record):
     """Members that changed, or all for a new subscriber."""
 
     KIND: ClassVar[int] = 24
     LAYOUT: ClassVar[Struct] = Struct("!?I")
+    __slots__ = ('whole', 'members',)
 
-    whole: bool = False
-    members: list[Member] = field(default_factory=list)
+    def __init__(
+        self,
+        whole: bool = False,
+        members: list[Member] | None = None,
+    ) -> None:
+        self.whole: bool = whole
+        self.members: list[Member] = members if members is not None else []
 
     def pack(self) -> bytes:
         members = pack_records(self.members)
@@ -664,21 +791,32 @@
         return cls(whole, members)
 
 
-@dataclass(slots=True)
-class Heartbeat:
+class Heartbeat(Record):
     """Renews a node's lease and reports the version in force there and its worker; ``faults`` and ``slowness`` as in Member."""
 
     KIND: ClassVar[int] = 25
     LAYOUT: ClassVar[Struct] = Struct("!QQBIBBHH")
-
-    incarnation: int = 0
-    version: int = 0
-    state: int = 0
-    slots: int = 0
-    service: str = ""
-    instance: str = ""
-    faults: int = 0
-    slowness: int = 0
+    __slots__ = ('incarnation', 'version', 'state', 'slots', 'service', 'instance', 'faults', 'slowness',)
+
+    def __init__(
+        self,
+        incarnation: int = 0,
+        version: int = 0,
+        state: int = 0,
+        slots: int = 0,
+        service: str = "",
+        instance: str = "",
+        faults: int = 0,
+        slowness: int = 0,
+    ) -> None:
+        self.incarnation: int = incarnation
+        self.version: int = version
+        self.state: int = state
+        self.slots: int = slots
+        self.service: str = service
+        self.instance: str = instance
+        self.faults: int = faults
+        self.slowness: int = slowness
 
     def pack(self) -> bytes:
         service = self.service.encode()
@@ -707,14 +845,18 @@
         return cls(incarnation, version, state, slots, service, instance, faults, slowness)
 
 
-@dataclass(slots=True)
-class ControlReplicas:
+class ControlReplicas(Record):
     """Addresses at which nodes may subscribe to control, as its group states them now."""
 
     KIND: ClassVar[int] = 26
     LAYOUT: ClassVar[Struct] = Struct("!I")
+    __slots__ = ('addresses',)
 
-    addresses: list[str] = field(default_factory=list)
+    def __init__(
+        self,
+        addresses: list[str] | None = None,
+    ) -> None:
+        self.addresses: list[str] = addresses if addresses is not None else []
 
     def pack(self) -> bytes:
         addresses = pack_strings(self.addresses)
@@ -739,14 +881,18 @@
         return cls(addresses)
 
 
-@dataclass(slots=True)
-class IncarnationKnown:
+class IncarnationKnown(Record):
     """A node of this name was known with a newer incarnation: its clock was ahead, or that of the node that subscribes now is behind."""
 
     KIND: ClassVar[int] = 27
     LAYOUT: ClassVar[Struct] = Struct("!Q")
+    __slots__ = ('incarnation',)
 
-    incarnation: int = 0
+    def __init__(
+        self,
+        incarnation: int = 0,
+    ) -> None:
+        self.incarnation: int = incarnation
 
     def pack(self) -> bytes:
         try:
@@ -767,20 +913,30 @@
         return cls(incarnation)
 
 
-@dataclass(slots=True)
-class LedgerBegin:
+class LedgerBegin(Record):
     """Asks to create the started entry of a once-call. ``lease_ms`` is the longest time from this request until the first byte goes to the worker, ``run_ms`` the longest that the call may then run."""
 
     KIND: ClassVar[int] = 30
     LAYOUT: ClassVar[Struct] = Struct("!QIIIHHH")
-
-    attempt: int = 0
-    lease_ms: int = 0
-    run_ms: int = 0
-    digest: bytes = b""
-    tenant: str = ""
-    service: str = ""
-    key: str = ""
+    __slots__ = ('attempt', 'lease_ms', 'run_ms', 'digest', 'tenant', 'service', 'key',)
+
+    def __init__(
+        self,
+        attempt: int = 0,
+        lease_ms: int = 0,
+        run_ms: int = 0,
+        digest: bytes = b"",
+        tenant: str = "",
+        service: str = "",
+        key: str = "",
+    ) -> None:
+        self.attempt: int = attempt
+        self.lease_ms: int = lease_ms
+        self.run_ms: int = run_ms
+        self.digest: bytes = digest
+        self.tenant: str = tenant
+        self.service: str = service
+        self.key: str = key
 
     def pack(self) -> bytes:
         digest = self.digest
@@ -817,17 +973,24 @@
         return cls(attempt, lease_ms, run_ms, digest, tenant, service, key)
 
 
-@dataclass(slots=True)
-class LedgerGrant:
+class LedgerGrant(Record):
     """Answer to LedgerBegin. ``decision`` is a LedgerDecision; a stored answer follows it."""
 
     KIND: ClassVar[int] = 31
     LAYOUT: ClassVar[Struct] = Struct("!BHII")
-
-    decision: int = 0
-    status: int = 0
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
+    __slots__ = ('decision', 'status', 'headers', 'body',)
+
+    def __init__(
+        self,
+        decision: int = 0,
+        status: int = 0,
+        headers: list[tuple[str, str]] | None = None,
+        body: bytes = b"",
+    ) -> None:
+        self.decision: int = decision
+        self.status: int = status
+        self.headers: list[tuple[str, str]] = headers if headers is not None else []
+        self.body: bytes = body
 
     def pack(self) -> bytes:
         headers = pack_pairs(self.headers)
@@ -856,21 +1019,32 @@
         return cls(decision, status, headers, body)
 
 
-@dataclass(slots=True)
-class LedgerFinish:
+class LedgerFinish(Record):
     """Stores how a started entry ended. ``outcome`` is an Outcome."""
 
     KIND: ClassVar[int] = 32
     LAYOUT: ClassVar[Struct] = Struct("!QBHHHHII")
-
-    attempt: int = 0
-    outcome: int = 0
-    status: int = 0
-    tenant: str = ""
-    service: str = ""
-    key: str = ""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
+    __slots__ = ('attempt', 'outcome', 'status', 'tenant', 'service', 'key', 'headers', 'body',)
+
+    def __init__(
+        self,
+        attempt: int = 0,
+        outcome: int = 0,
+        status: int = 0,
+        tenant: str = "",
+        service: str = "",
+        key: str = "",
+        headers: list[tuple[str, str]] | None = None,
+        body: bytes = b"",
+    ) -> None:
+        self.attempt: int = attempt
+        self.outcome: int = outcome
+        self.status: int = status
+        self.tenant: str = tenant
+        self.service: str = service
+        self.key: str = key
+        self.headers: list[tuple[str, str]] = headers if headers is not None else []
+        self.body: bytes = body
 
     def pack(self) -> bytes:
         tenant = self.tenant.encode()
@@ -911,14 +1085,18 @@
         return cls(attempt, outcome, status, tenant, service, key, headers, body)
 
 
-@dataclass(slots=True)
-class LedgerDone:
+class LedgerDone(Record):
     """Answer to LedgerFinish."""
 
     KIND: ClassVar[int] = 33
     LAYOUT: ClassVar[Struct] = Struct("!?")
+    __slots__ = ('stored',)
 
-    stored: bool = False
+    def __init__(
+        self,
+        stored: bool = False,
+    ) -> None:
+        self.stored: bool = stored
 
     def pack(self) -> bytes:
         try:
@@ -939,15 +1117,20 @@
         return cls(stored)
 
 
-@dataclass(slots=True)
-class LedgerUnavailable:
+class LedgerUnavailable(Record):
     """This process cannot answer. ``not_run`` is whether the request certainly changed nothing; ``leader`` is who may answer, or empty."""
 
     KIND: ClassVar[int] = 34
     LAYOUT: ClassVar[Struct] = Struct("!?H")
+    __slots__ = ('not_run', 'leader',)
 
-    not_run: bool = False
-    leader: str = ""
+    def __init__(
+        self,
+        not_run: bool = False,
+        leader: str = "",
+    ) -> None:
+        self.not_run: bool = not_run
+        self.leader: str = leader
 
     def pack(self) -> bytes:
         leader = self.leader.encode()
@@ -972,26 +1155,42 @@
         return cls(not_run, leader)
 
 
-@dataclass(slots=True)
-class LedgerEntry:
+class LedgerEntry(Record):
     """One entry of the ledger. ``started``, ``running_until`` and ``expires`` are seconds since 1970; ``outcome`` counts once it is finished."""
 
     KIND: ClassVar[int] = 35
     LAYOUT: ClassVar[Struct] = Struct("!QB?dddHIHHHII")
-
-    attempt: int = 0
-    outcome: int = 0
-    finished: bool = False
-    started: float = 0.0
-    running_until: float = 0.0
-    expires: float = 0.0
-    status: int = 0
-    digest: bytes = b""
-    tenant: str = ""
-    service: str = ""
-    key: str = ""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
+    __slots__ = ('attempt', 'outcome', 'finished', 'started', 'running_until', 'expires', 'status', 'digest', 'tenant', 'service', 'key', 'headers', 'body',)
+
+    def __init__(
+        self,
+        attempt: int = 0,
+        outcome: int = 0,
+        finished: bool = False,
+        started: float = 0.0,
+        running_until: float = 0.0,
+        expires: float = 0.0,
+        status: int = 0,
+        digest: bytes = b"",
+        tenant: str = "",
+        service: str = "",
+        key: str = "",
+        headers: list[tuple[str, str]] | None = None,
+        body: bytes = b"",
+    ) -> None:
+        self.attempt: int = attempt
+        self.outcome: int = outcome
+        self.finished: bool = finished
+        self.started: float = started
+        self.running_until: float = running_until
+        self.expires: float = expires
+        self.status: int = status
+        self.digest: bytes = digest
+        self.tenant: str = tenant
+        self.service: str = service
+        self.key: str = key
+        self.headers: list[tuple[str, str]] = headers if headers is not None else []
+        self.body: bytes = body
 
     def pack(self) -> bytes:
         digest = self.digest
@@ -1036,16 +1235,22 @@
         return cls(attempt, outcome, finished, started, running_until, expires, status, digest, tenant, service, key, headers, body)
 
 
-@dataclass(slots=True)
-class LedgerBatch:
+class LedgerBatch(Record):
     """One command of the ledger's log: many requests, applied in order. ``when`` is the leader's clock, seconds since 1970."""
 
     KIND: ClassVar[int] = 36
     LAYOUT: ClassVar[Struct] = Struct("!dII")
-
-    when: float = 0.0
-    begins: list[LedgerBegin] = field(default_factory=list)
-    finishes: list[LedgerFinish] = field(default_factory=list)
+    __slots__ = ('when', 'begins', 'finishes',)
+
+    def __init__(
+        self,
+        when: float = 0.0,
+        begins: list[LedgerBegin] | None = None,
+        finishes: list[LedgerFinish] | None = None,
+    ) -> None:
+        self.when: float = when
+        self.begins: list[LedgerBegin] = begins if begins is not None else []
+        self.finishes: list[LedgerFinish] = finishes if finishes is not None else []
 
     def pack(self) -> bytes:
         begins = pack_records(self.begins)
@@ -1074,15 +1279,20 @@
         return cls(when, begins, finishes)
 
 
-@dataclass(slots=True)
-class LedgerState:
+class LedgerState(Record):
     """The whole state of a ledger group; ``entries`` are packed LedgerEntry records, each after its name and length."""
 
     KIND: ClassVar[int] = 37
     LAYOUT: ClassVar[Struct] = Struct("!dI")
+    __slots__ = ('now', 'entries',)
 
-    now: float = 0.0
-    entries: bytes = b""
+    def __init__(
+        self,
+        now: float = 0.0,
+        entries: bytes = b"",
+    ) -> None:
+        self.now: float = now
+        self.entries: bytes = entries
 
     def pack(self) -> bytes:
         entries = self.entries
@@ -1107,16 +1317,22 @@
         return cls(now, entries)
 
 
-@dataclass(slots=True)
-class TenantRow:
+class TenantRow(Record):
     """Compiled tenant: its share and its hashed tokens."""
 
     KIND: ClassVar[int] = 40
     LAYOUT: ClassVar[Struct] = Struct("!IHI")
-
-    share: int = 0
-    name: str = ""
-    tokens: list[str] = field(default_factory=list)
+    __slots__ = ('share', 'name', 'tokens',)
+
+    def __init__(
+        self,
+        share: int = 0,
+        name: str = "",
+        tokens: list[str] | None = None,
+    ) -> None:
+        self.share: int = share
+        self.name: str = name
+        self.tokens: list[str] = tokens if tokens is not None else []
 
     def pack(self) -> bytes:
         name = self.name.encode()
@@ -1145,21 +1361,32 @@
         return cls(share, name, tokens)
 
 
-@dataclass(slots=True)
-class RouteRow:
+class RouteRow(Record):
     """Compiled route, flat: no inheritance is left to work out. ``caps`` is whether ``criticality`` was stated, and so bounds calls made for a more critical request."""
 
     KIND: ClassVar[int] = 41
     LAYOUT: ClassVar[Struct] = Struct("!B?BIHHHH")
-
-    criticality: int = 0
-    caps: bool = False
-    repeat: int = 0
-    deadline_ms: int = 0
-    allowance: int = 0
-    name: str = ""
-    method: str = ""
-    pattern: str = ""
+    __slots__ = ('criticality', 'caps', 'repeat', 'deadline_ms', 'allowance', 'name', 'method', 'pattern',)
+
+    def __init__(
+        self,
+        criticality: int = 0,
+        caps: bool = False,
+        repeat: int = 0,
+        deadline_ms: int = 0,
+        allowance: int = 0,
+        name: str = "",
+        method: str = "",
+        pattern: str = "",
+    ) -> None:
+        self.criticality: int = criticality
+        self.caps: bool = caps
+        self.repeat: int = repeat
+        self.deadline_ms: int = deadline_ms
+        self.allowance: int = allowance
+        self.name: str = name
+        self.method: str = method
+        self.pattern: str = pattern
 
     def pack(self) -> bytes:
         name = self.name.encode()
@@ -1192,23 +1419,36 @@
         return cls(criticality, caps, repeat, deadline_ms, allowance, name, method, pattern)
 
 
-@dataclass(slots=True)
-class ServiceRow:
+class ServiceRow(Record):
     """Compiled service. ``slots`` is the worker's stated concurrency; ``depth_below`` is 0 for a service that calls nobody; ``ledgers`` are the groups its once-calls are spread over."""
 
     KIND: ClassVar[int] = 42
     LAYOUT: ClassVar[Struct] = Struct("!IIBHHHIIII")
-
-    slots: int = 0
-    queue: int = 0
-    depth_below: int = 0
-    retry_ratio_permille: int = 0
-    tenant: str = ""
-    name: str = ""
-    calls: list[str] = field(default_factory=list)
-    callers: list[str] = field(default_factory=list)
-    ledgers: list[str] = field(default_factory=list)
-    routes: list[RouteRow] = field(default_factory=list)
+    __slots__ = ('slots', 'queue', 'depth_below', 'retry_ratio_permille', 'tenant', 'name', 'calls', 'callers', 'ledgers', 'routes',)
+
+    def __init__(
+        self,
+        slots: int = 0,
+        queue: int = 0,
+        depth_below: int = 0,
+        retry_ratio_permille: int = 0,
+        tenant: str = "",
+        name: str = "",
+        calls: list[str] | None = None,
+        callers: list[str] | None = None,
+        ledgers: list[str] | None = None,
+        routes: list[RouteRow] | None = None,
+    ) -> None:
+        self.slots: int = slots
+        self.queue: int = queue
+        self.depth_below: int = depth_below
+        self.retry_ratio_permille: int = retry_ratio_permille
+        self.tenant: str = tenant
+        self.name: str = name
+        self.calls: list[str] = calls if calls is not None else []
+        self.callers: list[str] = callers if callers is not None else []
+        self.ledgers: list[str] = ledgers if ledgers is not None else []
+        self.routes: list[RouteRow] = routes if routes is not None else []
 
     def pack(self) -> bytes:
         tenant = self.tenant.encode()
@@ -1253,17 +1493,24 @@
         return cls(slots, queue, depth_below, retry_ratio_permille, tenant, name, calls, callers, ledgers, routes)
 
 
-@dataclass(slots=True)
-class LogEntry:
+class LogEntry(Record):
     """One entry of a replicated log."""
 
     KIND: ClassVar[int] = 50
     LAYOUT: ClassVar[Struct] = Struct("!QQBI")
-
-    term: int = 0
-    index: int = 0
-    kind: int = 0
-    data: bytes = b""
+    __slots__ = ('term', 'index', 'kind', 'data',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        index: int = 0,
+        kind: int = 0,
+        data: bytes = b"",
+    ) -> None:
+        self.term: int = term
+        self.index: int = index
+        self.kind: int = kind
+        self.data: bytes = data
 
     def pack(self) -> bytes:
         data = self.data
@@ -1288,19 +1535,28 @@
         return cls(term, index, kind, data)
 
 
-@dataclass(slots=True)
-class ReplicaMember:
+class ReplicaMember(Record):
     """One replica of a group. ``identity`` belongs to its data folder: an emptied folder is another replica. ``promote``: a learner that is to vote once it has caught up."""
 
     KIND: ClassVar[int] = 51
     LAYOUT: ClassVar[Struct] = Struct("!Q??HHH")
-
-    identity: int = 0
-    voter: bool = False
-    promote: bool = False
-    name: str = ""
-    address: str = ""
-    http: str = ""
+    __slots__ = ('identity', 'voter', 'promote', 'name', 'address', 'http',)
+
+    def __init__(
+        self,
+        identity: int = 0,
+        voter: bool = False,
+        promote: bool = False,
+        name: str = "",
+        address: str = "",
+        http: str = "",
+    ) -> None:
+        self.identity: int = identity
+        self.voter: bool = voter
+        self.promote: bool = promote
+        self.name: str = name
+        self.address: str = address
+        self.http: str = http
 
     def pack(self) -> bytes:
         name = self.name.encode()
@@ -1333,14 +1589,18 @@
         return cls(identity, voter, promote, name, address, http)
 
 
-@dataclass(slots=True)
-class ReplicaSet:
+class ReplicaSet(Record):
     """The replicas of a group."""
 
     KIND: ClassVar[int] = 52
     LAYOUT: ClassVar[Struct] = Struct("!I")
+    __slots__ = ('members',)
 
-    members: list[ReplicaMember] = field(default_factory=list)
+    def __init__(
+        self,
+        members: list[ReplicaMember] | None = None,
+    ) -> None:
+        self.members: list[ReplicaMember] = members if members is not None else []
 
     def pack(self) -> bytes:
         members = pack_records(self.members)
@@ -1365,17 +1625,24 @@
         return cls(members)
 
 
-@dataclass(slots=True)
-class LogSnapshot:
+class LogSnapshot(Record):
     """State after the entry ``index``; replaces all entries up to it."""
 
     KIND: ClassVar[int] = 53
     LAYOUT: ClassVar[Struct] = Struct("!QQII")
-
-    term: int = 0
-    index: int = 0
-    members: list[ReplicaMember] = field(default_factory=list)
-    state: bytes = b""
+    __slots__ = ('term', 'index', 'members', 'state',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        index: int = 0,
+        members: list[ReplicaMember] | None = None,
+        state: bytes = b"",
+    ) -> None:
+        self.term: int = term
+        self.index: int = index
+        self.members: list[ReplicaMember] = members if members is not None else []
+        self.state: bytes = state
 
     def pack(self) -> bytes:
         members = pack_records(self.members)
@@ -1404,16 +1671,22 @@
         return cls(term, index, members, state)
 
 
-@dataclass(slots=True)
-class VoteState:
+class VoteState(Record):
     """What a replica must never forget, beside its log."""
 
     KIND: ClassVar[int] = 54
     LAYOUT: ClassVar[Struct] = Struct("!QQQ")
-
-    term: int = 0
-    identity: int = 0
-    voted_for: int = 0
+    __slots__ = ('term', 'identity', 'voted_for',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        identity: int = 0,
+        voted_for: int = 0,
+    ) -> None:
+        self.term: int = term
+        self.identity: int = identity
+        self.voted_for: int = voted_for
 
     def pack(self) -> bytes:
         try:
@@ -1434,16 +1707,22 @@
         return cls(term, identity, voted_for)
 
 
-@dataclass(slots=True)
-class ReplicaHello:
+class ReplicaHello(Record):
     """First record each way between replicas: whose group, and who is there."""
 
     KIND: ClassVar[int] = 55
     LAYOUT: ClassVar[Struct] = Struct("!QHH")
-
-    identity: int = 0
-    group: str = ""
-    name: str = ""
+    __slots__ = ('identity', 'group', 'name',)
+
+    def __init__(
+        self,
+        identity: int = 0,
+        group: str = "",
+        name: str = "",
+    ) -> None:
+        self.identity: int = identity
+        self.group: str = group
+        self.name: str = name
 
     def pack(self) -> bytes:
         group = self.group.encode()
@@ -1472,19 +1751,28 @@
         return cls(identity, group, name)
 
 
-@dataclass(slots=True)
-class VoteRequest:
+class VoteRequest(Record):
     """Asks for a vote; ``trial`` only asks whether it would be given. ``lost`` is a former leader that has lost its disk, 0 for none: another replica answers at its address."""
 
     KIND: ClassVar[int] = 56
     LAYOUT: ClassVar[Struct] = Struct("!QQQQ?Q")
-
-    term: int = 0
-    candidate: int = 0
-    last_index: int = 0
-    last_term: int = 0
-    trial: bool = False
-    lost: int = 0
+    __slots__ = ('term', 'candidate', 'last_index', 'last_term', 'trial', 'lost',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        candidate: int = 0,
+        last_index: int = 0,
+        last_term: int = 0,
+        trial: bool = False,
+        lost: int = 0,
+    ) -> None:
+        self.term: int = term
+        self.candidate: int = candidate
+        self.last_index: int = last_index
+        self.last_term: int = last_term
+        self.trial: bool = trial
+        self.lost: int = lost
 
     def pack(self) -> bytes:
         try:
@@ -1505,15 +1793,20 @@
         return cls(term, candidate, last_index, last_term, trial, lost)
 
 
-@dataclass(slots=True)
-class VoteReply:
+class VoteReply(Record):
     """Answer to VoteRequest."""
 
     KIND: ClassVar[int] = 57
     LAYOUT: ClassVar[Struct] = Struct("!Q?")
+    __slots__ = ('term', 'granted',)
 
-    term: int = 0
-    granted: bool = False
+    def __init__(
+        self,
+        term: int = 0,
+        granted: bool = False,
+    ) -> None:
+        self.term: int = term
+        self.granted: bool = granted
 
     def pack(self) -> bytes:
         try:
@@ -1534,20 +1827,30 @@
         return cls(term, granted)
 
 
-@dataclass(slots=True)
-class AppendRequest:
+class AppendRequest(Record):
     """The leader's entries after ``previous_index``, and what is committed. ``leased``: a quorum has answered it lately, so that it leads for certain."""
 
     KIND: ClassVar[int] = 58
     LAYOUT: ClassVar[Struct] = Struct("!QQQQQ?I")
-
-    term: int = 0
-    leader: int = 0
-    previous_index: int = 0
-    previous_term: int = 0
-    commit: int = 0
-    entries: list[LogEntry] = field(default_factory=list)
-    leased: bool = False
+    __slots__ = ('term', 'leader', 'previous_index', 'previous_term', 'commit', 'entries', 'leased',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        leader: int = 0,
+        previous_index: int = 0,
+        previous_term: int = 0,
+        commit: int = 0,
+        entries: list[LogEntry] | None = None,
+        leased: bool = False,
+    ) -> None:
+        self.term: int = term
+        self.leader: int = leader
+        self.previous_index: int = previous_index
+        self.previous_term: int = previous_term
+        self.commit: int = commit
+        self.entries: list[LogEntry] = entries if entries is not None else []
+        self.leased: bool = leased
 
     def pack(self) -> bytes:
         entries = pack_records(self.entries)
@@ -1572,17 +1875,24 @@
         return cls(term, leader, previous_index, previous_term, commit, entries, leased)
 
 
-@dataclass(slots=True)
-class AppendReply:
+class AppendReply(Record):
     """Answer to AppendRequest. ``match`` is durable; on failure ``last`` is the newest entry held."""
 
     KIND: ClassVar[int] = 59
     LAYOUT: ClassVar[Struct] = Struct("!Q?QQ")
-
-    term: int = 0
-    success: bool = False
-    match: int = 0
-    last: int = 0
+    __slots__ = ('term', 'success', 'match', 'last',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        success: bool = False,
+        match: int = 0,
+        last: int = 0,
+    ) -> None:
+        self.term: int = term
+        self.success: bool = success
+        self.match: int = match
+        self.last: int = last
 
     def pack(self) -> bytes:
         try:
@@ -1603,19 +1913,28 @@
         return cls(term, success, match, last)
 
 
-@dataclass(slots=True)
-class SnapshotChunk:
+class SnapshotChunk(Record):
     """A piece of the leader's snapshot for a replica that lags behind its log."""
 
     KIND: ClassVar[int] = 70
     LAYOUT: ClassVar[Struct] = Struct("!QQQQQI")
-
-    term: int = 0
-    leader: int = 0
-    index: int = 0
-    offset: int = 0
-    total: int = 0
-    data: bytes = b""
+    __slots__ = ('term', 'leader', 'index', 'offset', 'total', 'data',)
+
+    def __init__(
+        self,
+        term: int = 0,
+        leader: int = 0,
+        index: int = 0,
+        offset: int = 0,
+        total: int = 0,
+        data: bytes = b"",
+    ) -> None:
+        self.term: int = term
+        self.leader: int = leader
+        self.index: int = index
+        self.offset: int = offset
+        self.total: int = total
+        self.data: bytes = data
 
     def pack(self) -> bytes:
         data = self.data
@@ -1640,15 +1959,20 @@
         return cls(term, leader, index, offset, total, data)
 
 
-@dataclass(slots=True)
-class SnapshotReply:
+class SnapshotReply(Record):
     """Answer to SnapshotChunk."""
 
     KIND: ClassVar[int] = 71
     LAYOUT: ClassVar[Struct] = Struct("!QQ")
+    __slots__ = ('term', 'received',)
 
-    term: int = 0
-    received: int = 0
+    def __init__(
+        self,
+        term: int = 0,
+        received: int = 0,
+    ) -> None:
+        self.term: int = term
+        self.received: int = received
 
     def pack(self) -> bytes:
         try:
@@ -1669,17 +1993,24 @@
         return cls(term, received)
 
 
-@dataclass(slots=True)
-class MemberReport:
+class MemberReport(Record):
     """One control process tells another of the nodes subscribed to it: changed members, and (node, version in force) of those that changed."""
 
     KIND: ClassVar[int] = 72
     LAYOUT: ClassVar[Struct] = Struct("!?HII")
-
-    whole: bool = False
-    owner: str = ""
-    members: list[Member] = field(default_factory=list)
-    versions: list[NodeVersion] = field(default_factory=list)
+    __slots__ = ('whole', 'owner', 'members', 'versions',)
+
+    def __init__(
+        self,
+        whole: bool = False,
+        owner: str = "",
+        members: list[Member] | None = None,
+        versions: list[NodeVersion] | None = None,
+    ) -> None:
+        self.whole: bool = whole
+        self.owner: str = owner
+        self.members: list[Member] = members if members is not None else []
+        self.versions: list[NodeVersion] = versions if versions is not None else []
 
     def pack(self) -> bytes:
         owner = self.owner.encode()
@@ -1712,18 +2043,26 @@
         return cls(whole, owner, members, versions)
 
 
-@dataclass(slots=True)
-class JoinRequest:
+class JoinRequest(Record):
     """A replica with an empty data folder asks to become part of its group."""
 
     KIND: ClassVar[int] = 74
     LAYOUT: ClassVar[Struct] = Struct("!Q?HHH")
-
-    identity: int = 0
-    voter: bool = False
-    name: str = ""
-    address: str = ""
-    http: str = ""
+    __slots__ = ('identity', 'voter', 'name', 'address', 'http',)
+
+    def __init__(
+        self,
+        identity: int = 0,
+        voter: bool = False,
+        name: str = "",
+        address: str = "",
+        http: str = "",
+    ) -> None:
+        self.identity: int = identity
+        self.voter: bool = voter
+        self.name: str = name
+        self.address: str = address
+        self.http: str = http
 
     def pack(self) -> bytes:
         name = self.name.encode()
@@ -1756,15 +2095,20 @@
         return cls(identity, voter, name, address, http)
 
 
-@dataclass(slots=True)
-class JoinReply:
+class JoinReply(Record):
     """Answer to JoinRequest. ``status`` is a JoinStatus; ``leader`` is whom to ask."""
 
     KIND: ClassVar[int] = 75
     LAYOUT: ClassVar[Struct] = Struct("!BH")
+    __slots__ = ('status', 'leader',)
 
-    status: int = 0
-    leader: str = ""
+    def __init__(
+        self,
+        status: int = 0,
+        leader: str = "",
+    ) -> None:
+        self.status: int = status
+        self.leader: str = leader
 
     def pack(self) -> bytes:
         leader = self.leader.encode()
@@ -1789,15 +2133,20 @@
         return cls(status, leader)
 
 
-@dataclass(slots=True)
-class NodeVersion:
+class NodeVersion(Record):
     """A node and the version in force there."""
 
     KIND: ClassVar[int] = 73
     LAYOUT: ClassVar[Struct] = Struct("!QH")
+    __slots__ = ('version', 'node',)
 
-    version: int = 0
-    node: str = ""
+    def __init__(
+        self,
+        version: int = 0,
+        node: str = "",
+    ) -> None:
+        self.version: int = version
+        self.node: str = node
 
     def pack(self) -> bytes:
         node = self.node.encode()
@@ -1822,21 +2171,32 @@
         return cls(version, node)
 
 
-@dataclass(slots=True)
-class EditCommand:
+class EditCommand(Record):
     """A checked edit of one document. ``base`` is the document's version it started from; ``compiled_at`` is the store's revision that ``rows`` were compiled at."""
 
     KIND: ClassVar[int] = 60
     LAYOUT: ClassVar[Struct] = Struct("!QQdHHHII")
-
-    base: int = 0
-    compiled_at: int = 0
-    when: float = 0.0
-    document: str = ""
-    operator: str = ""
-    request: str = ""
-    text: str = ""
-    rows: list[ConfigRow] = field(default_factory=list)
+    __slots__ = ('base', 'compiled_at', 'when', 'document', 'operator', 'request', 'text', 'rows',)
+
+    def __init__(
+        self,
+        base: int = 0,
+        compiled_at: int = 0,
+        when: float = 0.0,
+        document: str = "",
+        operator: str = "",
+        request: str = "",
+        text: str = "",
+        rows: list[ConfigRow] | None = None,
+    ) -> None:
+        self.base: int = base
+        self.compiled_at: int = compiled_at
+        self.when: float = when
+        self.document: str = document
+        self.operator: str = operator
+        self.request: str = request
+        self.text: str = text
+        self.rows: list[ConfigRow] = rows if rows is not None else []
 
     def pack(self) -> bytes:
         document = self.document.encode()
@@ -1877,16 +2237,22 @@
         return cls(base, compiled_at, when, document, operator, request, text, rows)
 
 
-@dataclass(slots=True)
-class Document:
+class Document(Record):
     """One document of the settings tree."""
 
     KIND: ClassVar[int] = 61
     LAYOUT: ClassVar[Struct] = Struct("!QHI")
-
-    version: int = 0
-    name: str = ""
-    text: str = ""
+    __slots__ = ('version', 'name', 'text',)
+
+    def __init__(
+        self,
+        version: int = 0,
+        name: str = "",
+        text: str = "",
+    ) -> None:
+        self.version: int = version
+        self.name: str = name
+        self.text: str = text
 
     def pack(self) -> bytes:
         name = self.name.encode()
@@ -1915,20 +2281,30 @@
         return cls(version, name, text)
 
 
-@dataclass(slots=True)
-class HistoryEntry:
+class HistoryEntry(Record):
     """One accepted edit."""
 
     KIND: ClassVar[int] = 62
     LAYOUT: ClassVar[Struct] = Struct("!QQdHHHI")
-
-    version: int = 0
-    base: int = 0
-    when: float = 0.0
-    document: str = ""
-    operator: str = ""
-    request: str = ""
-    text: str = ""
+    __slots__ = ('version', 'base', 'when', 'document', 'operator', 'request', 'text',)
+
+    def __init__(
+        self,
+        version: int = 0,
+        base: int = 0,
+        when: float = 0.0,
+        document: str = "",
+        operator: str = "",
+        request: str = "",
+        text: str = "",
+    ) -> None:
+        self.version: int = version
+        self.base: int = base
+        self.when: float = when
+        self.document: str = document
+        self.operator: str = operator
+        self.request: str = request
+        self.text: str = text
 
     def pack(self) -> bytes:
         document = self.document.encode()
@@ -1965,17 +2341,24 @@
         return cls(version, base, when, document, operator, request, text)
 
 
-@dataclass(slots=True)
-class RequestAnswer:
+class RequestAnswer(Record):
     """What an operator's request was first answered."""
 
     KIND: ClassVar[int] = 63
     LAYOUT: ClassVar[Struct] = Struct("!QBHH")
-
-    version: int = 0
-    result: int = 0
-    operator: str = ""
-    request: str = ""
+    __slots__ = ('version', 'result', 'operator', 'request',)
+
+    def __init__(
+        self,
+        version: int = 0,
+        result: int = 0,
+        operator: str = "",
+        request: str = "",
+    ) -> None:
+        self.version: int = version
+        self.result: int = result
+        self.operator: str = operator
+        self.request: str = request
 
     def pack(self) -> bytes:
         operator = self.operator.encode()
@@ -2004,19 +2387,28 @@
         return cls(version, result, operator, request)
 
 
-@dataclass(slots=True)
-class StoreState:
+class StoreState(Record):
     """The whole state of the configuration store. Subscribers below ``whole_below`` need everything: what they have may come from a history that a back-up has replaced."""
 
     KIND: ClassVar[int] = 64
     LAYOUT: ClassVar[Struct] = Struct("!QQIIII")
-
-    revision: int = 0
-    whole_below: int = 0
-    documents: list[Document] = field(default_factory=list)
-    rows: list[ConfigRow] = field(default_factory=list)
-    history: list[HistoryEntry] = field(default_factory=list)
-    requests: list[RequestAnswer] = field(default_factory=list)
+    __slots__ = ('revision', 'whole_below', 'documents', 'rows', 'history', 'requests',)
+
+    def __init__(
+        self,
+        revision: int = 0,
+        whole_below: int = 0,
+        documents: list[Document] | None = None,
+        rows: list[ConfigRow] | None = None,
+        history: list[HistoryEntry] | None = None,
+        requests: list[RequestAnswer] | None = None,
+    ) -> None:
+        self.revision: int = revision
+        self.whole_below: int = whole_below
+        self.documents: list[Document] = documents if documents is not None else []
+        self.rows: list[ConfigRow] = rows if rows is not None else []
+        self.history: list[HistoryEntry] = history if history is not None else []
+        self.requests: list[RequestAnswer] = requests if requests is not None else []
 
     def pack(self) -> bytes:
         documents = pack_records(self.documents)
@@ -2053,17 +2445,24 @@
         return cls(revision, whole_below, documents, rows, history, requests)
 
 
-@dataclass(slots=True)
-class RouteTableCommand:
+class RouteTableCommand(Record):
     """A checked whole route table that an operator puts in force. ``version`` is the operator's, ``base`` the one it replaces, ``digest`` tells equal requests; the ``document`` is compressed."""
 
     KIND: ClassVar[int] = 65
     LAYOUT: ClassVar[Struct] = Struct("!QQII")
-
-    version: int = 0
-    base: int = 0
-    digest: bytes = b""
-    document: bytes = b""
+    __slots__ = ('version', 'base', 'digest', 'document',)
+
+    def __init__(
+        self,
+        version: int = 0,
+        base: int = 0,
+        digest: bytes = b"",
+        document: bytes = b"",
+    ) -> None:
+        self.version: int = version
+        self.base: int = base
+        self.digest: bytes = digest
+        self.document: bytes = document
 
     def pack(self) -> bytes:
         digest = self.digest
@@ -2092,15 +2491,20 @@
         return cls(version, base, digest, document)
 
 
-@dataclass(slots=True)
-class TakenTable:
+class TakenTable(Record):
     """The digest of a route table that was taken."""
 
     KIND: ClassVar[int] = 66
     LAYOUT: ClassVar[Struct] = Struct("!QI")
+    __slots__ = ('version', 'digest',)
 
-    version: int = 0
-    digest: bytes = b""
+    def __init__(
+        self,
+        version: int = 0,
+        digest: bytes = b"",
+    ) -> None:
+        self.version: int = version
+        self.digest: bytes = digest
 
     def pack(self) -> bytes:
         digest = self.digest
@@ -2125,17 +2529,24 @@
         return cls(version, digest)
 
 
-@dataclass(slots=True)
-class RouteTableState:
+class RouteTableState(Record):
     """The whole state of a route table store; the document is compressed."""
 
     KIND: ClassVar[int] = 67
     LAYOUT: ClassVar[Struct] = Struct("!QQII")
-
-    revision: int = 0
-    version: int = 0
-    document: bytes = b""
-    taken: list[TakenTable] = field(default_factory=list)
+    __slots__ = ('revision', 'version', 'document', 'taken',)
+
+    def __init__(
+        self,
+        revision: int = 0,
+        version: int = 0,
+        document: bytes = b"",
+        taken: list[TakenTable] | None = None,
+    ) -> None:
+        self.revision: int = revision
+        self.version: int = version
+        self.document: bytes = document
+        self.taken: list[TakenTable] = taken if taken is not None else []
 
     def pack(self) -> bytes:
         document = self.document
@@ -2164,31 +2575,52 @@
         return cls(revision, version, document, taken)
 
 
-@dataclass(slots=True)
-class ForwardRequest:
+class ForwardRequest(Record):
     """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``root_priority`` and ``root_age_ms`` are those of the request for whose sake this one is made; ``repeated`` tells that this run, or one on the way to it, is a second one. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all. ``typical_us`` is the usual time of a run of this route over all workers, in microseconds as the asking sidecar knows it; 0: unknown."""
 
     KIND: ClassVar[int] = 80
     LAYOUT: ClassVar[Struct] = Struct("!IIIBBI???B?QHHHHII")
-
-    deadline_ms: int = 0
-    start_ms: int = 0
-    typical_us: int = 0
-    priority: int = 0
-    root_priority: int = 0
-    root_age_ms: int = 0
-    repeated: bool = False
-    repeatable: bool = False
-    bodiless: bool = False
-    framing: int = 0
-    whole: bool = False
-    length: int = 0
-    service: str = ""
-    route: str = ""
-    caller: str = ""
-    request: str = ""
-    lines: bytes = b""
-    body: bytes = b""
+    __slots__ = ('deadline_ms', 'start_ms', 'typical_us', 'priority', 'root_priority', 'root_age_ms', 'repeated', 'repeatable', 'bodiless', 'framing', 'whole', 'length', 'service', 'route', 'caller', 'request', 'lines', 'body',)
+
+    def __init__(
+        self,
+        deadline_ms: int = 0,
+        start_ms: int = 0,
+        typical_us: int = 0,
+        priority: int = 0,
+        root_priority: int = 0,
+        root_age_ms: int = 0,
+        repeated: bool = False,
+        repeatable: bool = False,
+        bodiless: bool = False,
+        framing: int = 0,
+        whole: bool = False,
+        length: int = 0,
+        service: str = "",
+        route: str = "",
+        caller: str = "",
+        request: str = "",
+        lines: bytes = b"",
+        body: bytes = b"",
+    ) -> None:
+        self.deadline_ms: int = deadline_ms
+        self.start_ms: int = start_ms
+        self.typical_us: int = typical_us
+        self.priority: int = priority
+        self.root_priority: int = root_priority
+        self.root_age_ms: int = root_age_ms
+        self.repeated: bool = repeated
+        self.repeatable: bool = repeatable
+        self.bodiless: bool = bodiless
+        self.framing: int = framing
+        self.whole: bool = whole
+        self.length: int = length
+        self.service: str = service
+        self.route: str = route
+        self.caller: str = caller
+        self.request: str = request
+        self.lines: bytes = lines
+        self.body: bytes = body
 
     def pack(self) -> bytes:
         service = self.service.encode()
@@ -2233,15 +2665,20 @@
         return cls(deadline_ms, start_ms, typical_us, priority, root_priority, root_age_ms, repeated, repeatable, bodiless, framing, whole, length, service, route, caller, request, lines, body)
 
 
-@dataclass(slots=True)
-class ForwardBody:
+class ForwardBody(Record):
     """The next piece of a body; none after the last."""
 
     KIND: ClassVar[int] = 81
     LAYOUT: ClassVar[Struct] = Struct("!?I")
+    __slots__ = ('last', 'data',)
 
-    last: bool = False
-    data: bytes = b""
+    def __init__(
+        self,
+        last: bool = False,
+        data: bytes = b"",
+    ) -> None:
+        self.last: bool = last
+        self.data: bytes = data
 
     def pack(self) -> bytes:
         data = self.data
@@ -2266,14 +2703,18 @@
         return cls(last, data)
 
 
-@dataclass(slots=True)
-class ForwardContinue:
+class ForwardContinue(Record):
     """The request is admitted: send the rest of its body."""
 
     KIND: ClassVar[int] = 82
     LAYOUT: ClassVar[Struct] = Struct("!B")
+    __slots__ = ('unused',)
 
-    unused: int = 0
+    def __init__(
+        self,
+        unused: int = 0,
+    ) -> None:
+        self.unused: int = unused
 
     def pack(self) -> bytes:
         try:
@@ -2294,31 +2735,52 @@
         return cls(unused)
 
 
-@dataclass(slots=True)
-class ForwardAnswer:
+class ForwardAnswer(Record):
     """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count; ``waited_ms`` and ``ran_ms`` are the times before and at the worker; ``faults`` is the part of its runs that failed by its own fault, in percent, ``slowness`` how many tenths of the typical time its runs take; ``starved`` that a call made by the run, or below it, found no room. ``body`` is the first piece, and all of it if ``whole``."""
 
     KIND: ClassVar[int] = 83
     LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIBBII?QII")
-
-    outcome: int = 0
-    reason: int = 0
-    arrived: bool = False
-    whole: bool = False
-    framing: int = 0
-    status: int = 0
-    retry_after_ms: int = 0
-    running: int = 0
-    queued: int = 0
-    slots: int = 0
-    faults: int = 0
-    slowness: int = 0
-    waited_ms: int = 0
-    ran_ms: int = 0
-    starved: bool = False
-    length: int = 0
-    lines: bytes = b""
-    body: bytes = b""
+    __slots__ = ('outcome', 'reason', 'arrived', 'whole', 'framing', 'status', 'retry_after_ms', 'running', 'queued', 'slots', 'faults', 'slowness', 'waited_ms', 'ran_ms', 'starved', 'length', 'lines', 'body',)
+
+    def __init__(
+        self,
+        outcome: int = 0,
+        reason: int = 0,
+        arrived: bool = False,
+        whole: bool = False,
+        framing: int = 0,
+        status: int = 0,
+        retry_after_ms: int = 0,
+        running: int = 0,
+        queued: int = 0,
+        slots: int = 0,
+        faults: int = 0,
+        slowness: int = 0,
+        waited_ms: int = 0,
+        ran_ms: int = 0,
+        starved: bool = False,
+        length: int = 0,
+        lines: bytes = b"",
+        body: bytes = b"",
+    ) -> None:
+        self.outcome: int = outcome
+        self.reason: int = reason
+        self.arrived: bool = arrived
+        self.whole: bool = whole
+        self.framing: int = framing
+        self.status: int = status
+        self.retry_after_ms: int = retry_after_ms
+        self.running: int = running
+        self.queued: int = queued
+        self.slots: int = slots
+        self.faults: int = faults
+        self.slowness: int = slowness
+        self.waited_ms: int = waited_ms
+        self.ran_ms: int = ran_ms
+        self.starved: bool = starved
+        self.length: int = length
+        self.lines: bytes = lines
+        self.body: bytes = body
 
     def pack(self) -> bytes:
         lines = self.lines
@@ -2347,14 +2809,18 @@
         return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, ran_ms, starved, length, lines, body)
 
 
-@dataclass(slots=True)
-class ForwardCut:
+class ForwardCut(Record):
     """The answer ends here, before its last byte."""
 
     KIND: ClassVar[int] = 84
     LAYOUT: ClassVar[Struct] = Struct("!B")
+    __slots__ = ('reason',)
 
-    reason: int = 0
+    def __init__(
+        self,
+        reason: int = 0,
+    ) -> None:
+        self.reason: int = reason
 
     def pack(self) -> bytes:
         try:
--- a/src/cranklane/sidecar/metrics.py
+++ b/src/cranklane/sidecar/metrics.py
@@ -12,9 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from prometheus_client import CollectorRegistry, Gauge, generate_latest
-from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
-
+from cranklane.common.metrics_server import GaugeRegistry
 from cranklane.outcome import Outcome, Reason
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -37,8 +35,10 @@
     labels: Labels
     values: defaultdict[Key, int] = field(default_factory=lambda: defaultdict(int))
 
-    def family(self) -> CounterMetricFamily:
+    def family(self) -> Any:
         """Return it as the library's family."""
+        from prometheus_client.core import CounterMetricFamily
+
         family = CounterMetricFamily(self.name, self.text, labels=self.labels)
         for key, value in self.values.items():
             family.add_metric([_label(item) for item in key], value)
@@ -72,7 +72,7 @@
     """What one sidecar counts; each process has a registry of its own."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
+        self._gauges = GaugeRegistry()
         self._requests = _Counter(
             "cranklane_requests",
             "Requests of this machine's callers by service, outcome, reason and status.",
@@ -93,10 +93,11 @@
         )
         self._request_seconds: defaultdict[str, _Distribution] = defaultdict(_Distribution)
         self._queue_seconds = _Distribution()
-        self.registry.register(self)  # type: ignore[arg-type]
 
     def collect(self) -> Iterator[Any]:
         """Yield every counter and histogram; the registry asks for them."""
+        from prometheus_client.core import HistogramMetricFamily
+
         for counter in (self._requests, self._attempts, self._admissions, self._left_out):
             yield counter.family()
         requests = HistogramMetricFamily(
@@ -116,7 +117,7 @@
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when it is asked for."""
-        Gauge(name, text, registry=self.registry).set_function(read)
+        self._gauges.add(name, text, read)
 
     def request(self, decision: Any) -> None:
         """Count a request that has ended; takes an ``ingress.Decision``."""
@@ -141,4 +142,4 @@
 
     def text(self) -> bytes:
         """Return everything in the text format."""
-        return generate_latest(self.registry)
+        return self._gauges.text([self])
--- a/src/cranklane_lab/simulate.py
+++ b/src/cranklane_lab/simulate.py
@@ -3,21 +3,19 @@
 from __future__ import annotations
 
 import json
-import logging
 import multiprocessing
 import os
 from dataclasses import asdict
 from typing import Any
 
-import structlog
-
+from cranklane.common.logs import write_lines_to
 from cranklane_lab.scenarios.base import Result, run_seed
 from cranklane_lab.scenarios.library import SCENARIOS
 
 
 def quiet() -> None:
     """Write no log lines of simulated processes."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    write_lines_to(None)
 
 
 def _run(arguments: tuple[str, int, tuple[str, ...]]) -> Result:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -91,4 +91,4 @@
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     for role in deploy["roles"].values():
         assert (ROOT / role["template"]).exists()
-        assert role["run"].split()[1] == "platform/start.py"
+        assert role["run"].split()[:3] == ["python3", "-S", "platform/start.py"]
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,7 +1,5 @@
 """Every record of the schema survives the wire, and broken bytes are refused."""
 
-from dataclasses import fields
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -56,7 +54,7 @@
         message = MESSAGES[kind].unpack(data)
     except MalformedRecordError:
         return
-    assert [field.name for field in fields(message)]
+    assert all(hasattr(message, name) for name in message.__slots__) and message.__slots__
 
 
 def test_numbers_out_of_range_are_refused_when_packing():
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -7,11 +7,10 @@
 from contextlib import contextmanager
 
 import gevent
-import structlog
 from typer.testing import CliRunner
 
 from cranklane.cli.main import application
-from cranklane.common.logs import LineQueue, RateLimit
+from cranklane.common.logs import LineQueue, RateLimit, write_lines_to
 from cranklane_lab.simulate import quiet
 from mesh_support import each_worker, play
 
@@ -21,24 +20,10 @@
     """Take every line that simulated processes write."""
     lines = []
 
-    class Sink:
-        def __init__(self, *_):
-            self.debug = self.info = self.warning = self.error = lines.append
-
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.BoundLogger,
-        logger_factory=Sink,
-        cache_logger_on_first_use=False,
-    )
+    write_lines_to(lines.append)
     try:
         yield lines
     finally:
-        structlog.reset_defaults()
         quiet()
 
 
