The scale runs of our own go; what callers learn of sick workers is measured instead

New: cranklane-lab evidence. Ruled out: keeping the ledger's load run (no deployment of the users has a ledger).

--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -154,30 +154,21 @@
 
 
 @application.command()
-def scale(
-    steps: Annotated[str, typer.Option(help="numbers of hollow nodes or connections")] = "",
-    part: Annotated[str, typer.Option(help="control, peers or ledger")] = "control",
-    controls: Annotated[int, typer.Option(min=1, help="control processes")] = 3,
-    hollow_folder: Annotated[
-        str, typer.Option(help="folder for hollow nodes' files, as on a memory file system")
-    ] = "",
-    json: Annotated[bool, typer.Option("--json", help="print results as JSON")] = False,
+def evidence(
+    callers: Annotated[int, typer.Option(min=1, help="callers of the service")] = 195,
+    workers: Annotated[int, typer.Option(min=2, help="its workers")] = 93,
+    slots: Annotated[int, typer.Option(min=1, help="requests that one worker runs at once")] = 14,
+    work_ms: Annotated[float, typer.Option(min=1.0, help="mean time of a run")] = 160.0,
+    load: Annotated[float, typer.Option(min=0.01, max=2.0, help="busy part of all slots")] = 0.08,
+    seed: Annotated[int, typer.Option(help="of the trial")] = 1,
 ) -> None:
-    """Measure what each role costs as the fleet grows."""
-    from cranklane_lab.scale.ledger import run_ledger
-    from cranklane_lab.scale.peers import run_peers
-    from cranklane_lab.scale.run import run_scale
-
-    defaults = {"control": "50,200,800,2400", "peers": "50,200,800,2400", "ledger": "1,16,64,256"}
-    if part not in defaults:
-        raise typer.BadParameter(f"--part {part!r}: known are {', '.join(defaults)}")
-    texts = (steps or defaults[part]).split(",")
-    if not all(text.isdigit() and int(text) for text in texts):
-        raise typer.BadParameter(f"--steps {steps!r}: expected numbers like 50,200")
-    numbers = sorted(int(text) for text in texts)
-    if part == "control":
-        raise typer.Exit(run_scale(numbers, controls, hollow_folder, json))
-    raise typer.Exit((run_peers if part == "peers" else run_ledger)(numbers, json))
+    """Measure how many requests go to sick workers, with and without shared judgements."""
+    from cranklane_lab.evidence.report import run_evidence
+    from cranklane_lab.evidence.trial import Shape
+
+    shape = Shape(callers, workers, slots, work_ms / 1000, load)
+    for line in run_evidence(shape, seed):
+        typer.echo(line)
 
 
 def main() -> None:
--- a/src/cranklane_lab/scale/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Measures what each role costs as the fleet grows, with hollow nodes beside real ones."""
--- a/tests/test_worker_condition.py
+++ b/tests/test_worker_condition.py
@@ -12,6 +12,7 @@
 from cranklane.records.messages import Member, MemberDelta
 from cranklane.sidecar.destinations import Destinations
 from cranklane.sidecar.worker_condition import TELL_SECONDS, WELL, Condition, WorkerCondition
+from cranklane_lab.evidence.report import run_evidence
 from cranklane_lab.evidence.trial import Shape, Trial
 from mesh_support import play
 
@@ -153,6 +154,13 @@
     assert play(script) > 0.3
 
 
+def test_the_command_prints_a_line_for_each_variant():
+    shape = replace(SMALL, seconds=4.0)
+    lines = list(run_evidence(shape, 1))
+    assert [line.split("  ")[0] for line in lines][-1] == "all well"
+    assert len(lines) == 5
+
+
 def test_a_condition_survives_the_wire():
     condition = Condition(0.45, 6.2)
     assert Condition.from_wire(condition.wire_faults, condition.wire_slowness) == condition
