--- a/src/cranklane_lab/evidence/trial.py
+++ b/src/cranklane_lab/evidence/trial.py
@@ -135,7 +135,7 @@
         self._workers = {
             f"worker-{number}": self._worker(number) for number in range(shape.workers)
         }
-        whole = MemberDelta(True, [self._member(node) for node in self._workers])
+        whole = MemberDelta(True, [self._member(worker) for worker in self._workers.values()])
         self._callers = [self._caller(number, whole) for number in range(shape.callers)]
         self._times = [TypicalTimes() for _ in range(shape.callers)]
         self._rate = shape.load * shape.workers * shape.slots / shape.work_seconds
@@ -173,20 +173,19 @@
         caller.apply(whole)
         return caller
 
-    def _member(self, node: str) -> Member:
-        worker = self._workers[node] if hasattr(self, "_workers") else None
-        number = int(node.rpartition("-")[2])
-        told = worker.condition.told if worker is not None else Condition()
+    def _member(self, worker: _Worker) -> Member:
+        number = int(worker.node.rpartition("-")[2])
+        told = worker.condition.told
         return Member(
             incarnation=1,
-            sequence=worker.sequence if worker is not None else 1,
+            sequence=worker.sequence,
             state=MemberState.LIVE,
             slots=self._shape.slots,
-            node=node,
+            node=worker.node,
             service=SERVICE,
             zone=ZONES[number % len(ZONES)],
             address=f"10.0.0.{number + 1}:80",
-            instance=node,
+            instance=worker.node,
             faults=told.wire_faults,
             slowness=told.wire_slowness,
         )
@@ -194,9 +193,10 @@
     def _tell(self, node: str) -> None:
         if not self._shape.told:
             return
+        worker = self._workers[node]
         self.outcome.told += 1
-        self._workers[node].sequence += 1
-        delta = MemberDelta(False, [self._member(node)])
+        worker.sequence += 1
+        delta = MemberDelta(False, [self._member(worker)])
 
         def arrive() -> None:
             for caller in self._callers:
