Of a large service each sidecar turns to the same 16 workers first, half of them of its zone

Ruled out: own zone only (a busy zone could not use the others). Change: a subset by a hash of both names, 8 of the own zone and 8 of others; when its best is half loaded, ejected or sick, 16 more are drawn. Judgements fade with a half-life of 6 s (4): with subsets a worker that has faded is idle, and so asked, by all its neighbours.

--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from zlib import crc32
 
 from gevent.event import Event
 
@@ -49,9 +50,14 @@
 """How many times slower a worker counts that fails every run."""
 
 CHOICES = 16
-"""Of more destinations than this only so many, drawn at random, are compared: the
-best of them is hardly worse than the best of all, and a call costs the same in a
-service of any size."""
+"""Of more destinations than this only so many are compared: the best of them is hardly
+worse than the best of all, and a call costs the same in a service of any size."""
+
+OWN_ZONE_CHOICES = 8
+"""So many of those are of the own zone, where there are as many."""
+
+WIDEN_LOAD = 0.5
+"""When the best of its subset is loaded this much, a process looks further."""
 
 UNREACHABLE = (Reason.PEER_UNREACHABLE, Reason.PEER_LOST)
 """Failures after which a destination is tried with requests only once a
@@ -192,6 +198,7 @@
         self._zone = zone
         self._by_node: dict[str, Destination] = {}
         self._by_service: dict[str, list[Destination]] = {}
+        self._subsets: dict[str, list[Destination]] = {}
         self._news = Event()
         self._most_known = 0
         self._grown_at = clock()
@@ -287,6 +294,7 @@
         self._take_told(added, member)
         self._by_node[member.node] = added
         self._by_service.setdefault(member.service, []).append(added)
+        self._subsets.pop(member.service, None)
         if len(self._by_node) > self._most_known:
             self._most_known = len(self._by_node)
             self._grown_at = self._clock()
@@ -296,6 +304,7 @@
         if known is not None:
             known.removed = True
             self._by_service[known.service].remove(known)
+            self._subsets.pop(known.service, None)
 
     def fleet_size(self) -> FleetSize:
         """Return how many sidecars are known, this one included."""
@@ -323,12 +332,34 @@
         """
         now = self._clock()
         members = self._by_service.get(service, [])
-        if len(members) > CHOICES:
-            drawn = self._random.sample(members, CHOICES)
-            return self._best(drawn, tried, priority, now) or self._best(
-                members, tried, priority, now
-            )
-        return self._best(members, tried, priority, now)
+        if len(members) <= CHOICES:
+            return self._best(members, tried, priority, now)
+        best = self._best(self._subset_of(service), tried, priority, now)
+        if best is not None and _is_at_ease(best, now):
+            return best
+        drawn = self._random.sample(members, CHOICES)
+        if best is not None:
+            drawn.append(best)
+        return self._best(drawn, tried, priority, now) or self._best(members, tried, priority, now)
+
+    def _subset_of(self, service: str) -> list[Destination]:
+        """Return the workers of a large service that this process turns to first.
+
+        The same ones as long as they are there, so that connections are met again and
+        their times are learnt. Each process has others, by a hash of both names, so that
+        together they cover all workers evenly.
+        """
+        subset = self._subsets.get(service)
+        if subset is None:
+            ranked = sorted(self._by_service[service], key=self._rank)
+            near = [item for item in ranked if item.zone == self._zone][:OWN_ZONE_CHOICES]
+            far = [item for item in ranked if item.zone != self._zone]
+            subset = near + far[: CHOICES - len(near)]
+            self._subsets[service] = subset
+        return subset
+
+    def _rank(self, item: Destination) -> int:
+        return crc32(f"{self._own}/{item.node}".encode())
 
     def _best(
         self, members: list[Destination], tried: set[str], priority: int, now: float
@@ -354,3 +385,8 @@
         if load > FULL_LOAD:
             cost += FULL_COST * (load - FULL_LOAD)
         return cost, self._random.random()
+
+
+def _is_at_ease(item: Destination, now: float) -> bool:
+    """Return whether there is no need to look for a better one."""
+    return item.load() < WIDEN_LOAD and item.ejected_until <= now and item.sickness(now) <= 1.0
--- a/src/cranklane/sidecar/slowness.py
+++ b/src/cranklane/sidecar/slowness.py
@@ -18,7 +18,7 @@
 SAMPLE_WEIGHT = 0.2
 MAX_RATIO = 16.0
 
-HALF_LIFE_SECONDS = 4.0
+HALF_LIFE_SECONDS = 6.0
 """A worker that is asked no more counts as half as slow after this long, so that it
 is tried again."""
 
@@ -38,7 +38,7 @@
 def faded_ratio(ratio: float, age: float) -> float:
     """Return what a ratio learnt some seconds ago counts as now.
 
-    >>> faded_ratio(5.0, 0.0), faded_ratio(5.0, 4.0), faded_ratio(1.5, 4.0)
+    >>> faded_ratio(5.0, 0.0), faded_ratio(5.0, 6.0), faded_ratio(1.5, 6.0)
     (5.0, 3.0, 1.5)
     """
     if ratio < TOLERATED:
