--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -18,6 +18,7 @@
 import test_publisher_frames
 import test_retry_budget
 import test_route_rows
+import test_subsets
 import test_worker_condition
 from cranklane.control.publisher import _NewestFrames
 from cranklane.control.route_store import RouteTableStore
@@ -28,8 +29,9 @@
 from cranklane.replication.membership_change import MembershipChange
 from cranklane.replication.peer_service import PeerService
 from cranklane.routes.splitter import Splitter
+from cranklane.sidecar import destinations
 from cranklane.sidecar.call_tree import CallTree
-from cranklane.sidecar.destinations import Destination
+from cranklane.sidecar.destinations import Destination, Destinations
 from cranklane.sidecar.dispatcher import Dispatcher
 from cranklane.sidecar.fault_share import FaultShare
 from cranklane.sidecar.hang_up import HangUpWatch
@@ -189,6 +191,18 @@
         lambda self, account, now: None,
         test_retry_budget.test_tokens_of_a_quiet_hour_are_not_spent_at_once,
     ),
+    "subsets that stay": (
+        Destinations,
+        "_subset_of",
+        lambda self, service: self._random.sample(self._by_service[service], 16),
+        test_subsets.test_a_caller_with_little_to_do_meets_few_workers,
+    ),
+    "subsets that are widened": (
+        destinations,
+        "_is_at_ease",
+        lambda item, now: True,
+        lambda: test_subsets.test_a_subset_in_trouble_is_widened("loaded"),
+    ),
     "frames made once": (
         _NewestFrames,
         "get",
