Sums of ended requests and of the work done for them: explain-losses

Cause: nothing told which part of a narrow service's work belongs to requests that are served, nor at which service deep in a tree a request was lost; single lines are sampled and cannot be added up. Ruled out: log lines of every run (volume), control as a collector (a message a run). Change: answers between sidecars carry the slot time of the calls below and the deepest call that failed; the sidecar where a client's request began writes one line a second (requests_ended) and counts cranklane_work_milliseconds; cranklane explain-losses adds up logs.

--- a/src/cranklane/cli/main.py
+++ b/src/cranklane/cli/main.py
@@ -13,6 +13,7 @@
 from cranklane.cli.common import Control, Token, call, fail
 from cranklane.cli.control import control_commands
 from cranklane.cli.explain import explain_target, show_policy
+from cranklane.cli.losses import losses_of, told
 from cranklane.cli.story import LogLine, read_lines, story_of
 from cranklane.errors import PolicyError
 from cranklane.policy.compiler import compile_policy
@@ -41,6 +42,24 @@
 @application.command("explain-request")
 def explain_request(request: str, logs: list[Path]) -> None:
     """Tell what became of a request, from the logs of the processes that it passed."""
+    story = story_of(request, _lines_of(logs))
+    if not story:
+        raise fail([f"no line tells of the request {request!r}"])
+    for line in story:
+        typer.echo(line)
+
+
+@application.command("explain-losses")
+def explain_losses(logs: list[Path]) -> None:
+    """Tell where requests were lost and how much work was done in vain, from sidecars' logs."""
+    losses = losses_of(_lines_of(logs))
+    if not losses.routes:
+        raise fail(["no line sums up ended requests: are these the logs of sidecars?"])
+    for line in told(losses):
+        typer.echo(line)
+
+
+def _lines_of(logs: list[Path]) -> list[LogLine]:
     lines: list[LogLine] = []
     for path in logs:
         try:
@@ -48,11 +67,7 @@
                 lines += read_lines(file)
         except OSError as error:
             raise fail([f"{path}: cannot be read: {error.strerror}"]) from error
-    story = story_of(request, lines)
-    if not story:
-        raise fail([f"no line tells of the request {request!r}"])
-    for line in story:
-        typer.echo(line)
+    return lines
 
 
 @policy_commands.command("check")
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2736,11 +2736,11 @@
 
 
 class ForwardAnswer(Record):
-    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count; ``waited_ms`` and ``ran_ms`` are the times before and at the worker; ``faults`` is the part of its runs that failed by its own fault, in percent, ``slowness`` how many tenths of the typical time its runs take; ``starved`` that a call made by the run, or below it, found no room. ``body`` is the first piece, and all of it if ``whole``."""
+    """First record of the answer. ``outcome`` and ``reason`` are those of a call; ``arrived`` tells whether the request reached the worker. The load is the sidecar's own count; ``waited_ms`` and ``ran_ms`` are the times before and at the worker; ``faults`` is the part of its runs that failed by its own fault, in percent, ``slowness`` how many tenths of the typical time its runs take; ``starved`` that a call made by the run, or below it, found no room; ``failed_service`` and ``failed_reason`` tell the deepest call that failed, ``below`` what the calls of the run cost. ``body`` is the first piece, and all of it if ``whole``."""
 
     KIND: ClassVar[int] = 83
-    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIBBII?QII")
-    __slots__ = ('outcome', 'reason', 'arrived', 'whole', 'framing', 'status', 'retry_after_ms', 'running', 'queued', 'slots', 'faults', 'slowness', 'waited_ms', 'ran_ms', 'starved', 'length', 'lines', 'body',)
+    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIBBII?BQHIII")
+    __slots__ = ('outcome', 'reason', 'arrived', 'whole', 'framing', 'status', 'retry_after_ms', 'running', 'queued', 'slots', 'faults', 'slowness', 'waited_ms', 'ran_ms', 'starved', 'failed_reason', 'length', 'failed_service', 'below', 'lines', 'body',)
 
     def __init__(
         self,
@@ -2759,7 +2759,10 @@
         waited_ms: int = 0,
         ran_ms: int = 0,
         starved: bool = False,
+        failed_reason: int = 0,
         length: int = 0,
+        failed_service: str = "",
+        below: list[ServiceWork] | None = None,
         lines: bytes = b"",
         body: bytes = b"",
     ) -> None:
@@ -2778,24 +2781,35 @@
         self.waited_ms: int = waited_ms
         self.ran_ms: int = ran_ms
         self.starved: bool = starved
+        self.failed_reason: int = failed_reason
         self.length: int = length
+        self.failed_service: str = failed_service
+        self.below: list[ServiceWork] = below if below is not None else []
         self.lines: bytes = lines
         self.body: bytes = body
 
     def pack(self) -> bytes:
+        failed_service = self.failed_service.encode()
+        below = pack_records(self.below)
         lines = self.lines
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.faults, self.slowness, self.waited_ms, self.ran_ms, self.starved, self.length, len(lines), len(body))
+            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.faults, self.slowness, self.waited_ms, self.ran_ms, self.starved, self.failed_reason, self.length, len(failed_service), len(below), len(lines), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, lines, body))
+        return b''.join((head, failed_service, below, lines, body))
 
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardAnswer:
         try:
-            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, ran_ms, starved, length, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, ran_ms, starved, failed_reason, length, failed_service_size, below_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
+            end = start + failed_service_size
+            failed_service = payload[start:end].decode()
+            start = end
+            end = start + below_size
+            below = unpack_records(ServiceWork.unpack, payload[start:end])
+            start = end
             end = start + lines_size
             lines = payload[start:end]
             start = end
@@ -2806,7 +2820,45 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardAnswer of {len(payload)} bytes, not {start}")
-        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, ran_ms, starved, length, lines, body)
+        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, ran_ms, starved, failed_reason, length, failed_service, below, lines, body)
+
+
+class ServiceWork(Record):
+    """Time that slots of a service were held for the sake of one request."""
+
+    KIND: ClassVar[int] = 85
+    LAYOUT: ClassVar[Struct] = Struct("!IH")
+    __slots__ = ('milliseconds', 'service',)
+
+    def __init__(
+        self,
+        milliseconds: int = 0,
+        service: str = "",
+    ) -> None:
+        self.milliseconds: int = milliseconds
+        self.service: str = service
+
+    def pack(self) -> bytes:
+        service = self.service.encode()
+        try:
+            head = self.LAYOUT.pack(self.milliseconds, len(service))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, service))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ServiceWork:
+        try:
+            milliseconds, service_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ServiceWork of {len(payload)} bytes, not {start}")
+        return cls(milliseconds, service)
 
 
 class ForwardCut(Record):
@@ -2900,5 +2952,6 @@
     81: ForwardBody,
     82: ForwardContinue,
     83: ForwardAnswer,
+    85: ServiceWork,
     84: ForwardCut,
 }
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -359,11 +359,20 @@
         "own count; ``waited_ms`` and ``ran_ms`` are the times before and at the "
         "worker; ``faults`` is the part of its runs that failed by its own fault, in percent, "
         "``slowness`` how many tenths of the typical time its runs take; "
-        "``starved`` that a call made by the run, or below it, found no room. "
+        "``starved`` that a call made by the run, or below it, found no room; "
+        "``failed_service`` and ``failed_reason`` tell the deepest call that failed, "
+        "``below`` what the calls of the run cost. "
         "``body`` is the first piece, and all of it if ``whole``.",
         "outcome:u8 reason:u8 arrived:bool whole:bool framing:u8 status:u16 retry_after_ms:u32 "
         "running:u32 queued:u32 slots:u32 faults:u8 slowness:u8 waited_ms:u32 ran_ms:u32 "
-        "starved:bool length:u64 lines:bytes body:bytes",
+        "starved:bool failed_reason:u8 length:u64 failed_service:str below:[ServiceWork] "
+        "lines:bytes body:bytes",
+    ),
+    Record(
+        85,
+        "ServiceWork",
+        "Time that slots of a service were held for the sake of one request.",
+        "milliseconds:u32 service:str",
     ),
     Record(84, "ForwardCut", "The answer ends here, before its last byte.", "reason:u8"),
 )
--- a/src/cranklane/sidecar/attempt.py
+++ b/src/cranklane/sidecar/attempt.py
@@ -8,6 +8,8 @@
 from cranklane.common.http1 import Framing
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
+from cranklane.sidecar.call_tree import CallFailure
+from cranklane.sidecar.slot_work import SlotWork
 from cranklane.sidecar.worker_condition import WELL, Condition
 
 BodyReader = Callable[[], bytes]
@@ -70,6 +72,8 @@
     :ivar waited_ms: time it waited for a slot of the worker.
     :ivar ran_ms: time until the worker had answered.
     :ivar starved: whether a run failed since a call of it, or of one below, found no room.
+    :ivar failure: the call that failed, where the run failed since one did.
+    :ivar below: what the calls of the run have cost; None: nothing.
     :ivar rest: the further pieces; raises AnswerCutError when they end too early.
     """
 
@@ -87,6 +91,8 @@
     waited_ms: int = 0
     ran_ms: int = 0
     starved: bool = False
+    failure: CallFailure | None = None
+    below: SlotWork | None = None
 
 
 def refusal(reason: Reason, arrived: bool = False, retry_after_ms: int = 0) -> Reply:
--- a/src/cranklane/sidecar/call_tree.py
+++ b/src/cranklane/sidecar/call_tree.py
@@ -9,7 +9,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from cranklane.outcome import Reason
+from cranklane.sidecar.slot_work import SlotWork
 
 ID_SEPARATOR = "."
 """Between the id of a run and what its worker adds for a call."""
@@ -30,25 +33,49 @@
     repeated: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """A call that failed, as deep in the tree as it is known.
+
+    :ivar service: the service that was called.
+    :ivar reason: why it has no answer; NONE where the worker's own run failed.
+    """
+
+    service: str
+    reason: Reason
+
+
 @dataclass(slots=True)
 class Run:
     """One run under way.
 
     :ivar starved: whether a call that it made found no room, here or further down.
     :ivar calls_under_way: calls that it made and that have not ended.
-    :ivar call_failed: whether a call that it made has failed.
+    :ivar failure: the first call that it made and that failed.
+    :ivar below: what its calls, and theirs, have cost.
     """
 
     root: Root
     starved: bool = False
     calls_under_way: int = 0
-    call_failed: bool = False
+    failure: CallFailure | None = None
+    below: SlotWork = field(default_factory=SlotWork)
+
+    @property
+    def call_failed(self) -> bool:
+        """Whether a call that it made has failed."""
+        return self.failure is not None
 
-    def call_ended(self, failed: bool, starved: bool) -> None:
-        """Take how a call that it made ended."""
+    def call_ended(self, failure: CallFailure | None, starved: bool, work: SlotWork) -> None:
+        """Take how a call that it made ended.
+
+        :param failure: what failed, None after an answer.
+        :param work: what the call has cost.
+        """
         self.calls_under_way -= 1
-        self.call_failed |= failed
+        self.failure = self.failure or failure
         self.starved |= starved
+        self.below.add_all(work)
 
 
 class CallTree:
--- a/src/cranklane/sidecar/decision_log.py
+++ b/src/cranklane/sidecar/decision_log.py
@@ -19,6 +19,7 @@
 from cranklane.sidecar.dispatcher import Call
 from cranklane.sidecar.ingress import Decision
 from cranklane.sidecar.metrics import SidecarMetrics
+from cranklane.sidecar.request_summary import End, RequestSummary, end_of
 
 PROBLEM_LINES_PER_SECOND = 100.0
 SUCCESS_LINES_PER_SECOND = 10.0
@@ -36,6 +37,7 @@
         self._log = log
         self._problems = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
         self._successes = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
+        self._summary = RequestSummary(clock, log)
 
     def attempted(self, call: Call, destination: Destination, reply: Reply, seconds: float) -> None:
         """Take the end of one attempt, with what made this destination the choice."""
@@ -63,10 +65,12 @@
 
     def decided(self, decision: Decision) -> None:
         """Take what became of a request."""
+        end = end_of(decision)
         self._metrics.request(decision)
-        late = decision.seconds > decision.objective_seconds > 0
-        fine = decision.outcome is Outcome.ANSWERED and decision.status < 500 and not late
-        limit = self._successes if fine else self._problems
+        if decision.of_client:
+            self._metrics.work(decision.work, end)
+            self._summary.add(decision, end)
+        limit = self._successes if end is End.IN_TIME else self._problems
         if not limit.allows():
             return
         self._log.info(
@@ -108,6 +112,7 @@
         """State now and then how many lines were left out, for ever."""
         while True:
             gevent.sleep(SUMMARY_SECONDS)
+            self._summary.write()
             problems = self._problems.take_left_out()
             successes = self._successes.take_left_out()
             self._metrics.lines_left_out(problems + successes)
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -24,6 +24,7 @@
 from cranklane.sidecar.gate import MICROSECONDS, Gate, tells_its_time
 from cranklane.sidecar.peers import PeerClient
 from cranklane.sidecar.retry_budget import RetryBudget
+from cranklane.sidecar.slot_work import SlotWork
 from cranklane.sidecar.slowness import TypicalTimes
 
 MAX_REFUSALS = 3
@@ -58,9 +59,11 @@
         caller's own word or by the route.
     :ivar lines: request line and headers, without framing and what a gate sets.
     :ivar root: the request for whose sake it is made; itself for one of a client.
+    :ivar of_client: whether a client made it, not a run of this machine's worker.
     :ivar rest: reads the part of the body that is not in ``body``; such a
         request is sent once only.
     :ivar attempts: workers reached so far.
+    :ivar work: what its runs, and the calls that they made, have cost.
     """
 
     request: str
@@ -74,12 +77,14 @@
     lines: bytes
     body: bytes
     root: Root
+    of_client: bool = True
     rest: BodyReader | None = None
     attempts: int = 0
     refusals: int = 0
     cancelled: bool = False
     current: Attempt | None = None
     tried: set[str] = field(default_factory=set)
+    work: SlotWork = field(default_factory=SlotWork)
 
     def cancel(self) -> None:
         """End it: its caller has left."""
@@ -169,6 +174,10 @@
         finally:
             destination.closed()
         call.attempts += reply.arrived
+        if reply.arrived:
+            call.work.add(call.service, reply.ran_ms)
+        if reply.below is not None:
+            call.work.add_all(reply.below)
         seconds = self._runtime.monotonic() - now
         self._learn(call, destination, reply, seconds)
         self._on_attempt(call, destination, reply, seconds)
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -168,9 +168,12 @@
                 self._release(request.request, started_at)
         reply.waited_ms = int((started_at - arrived_at) * 1000)
         ran = self._runtime.monotonic() - started_at
-        reply.ran_ms = int(ran * 1000)
+        reply.ran_ms = round(ran * 1000)
         if not attempt.cancelled:
             reply.starved = _is_starved(run, reply)
+            reply.below = run.below
+            if reply.outcome is not Outcome.ANSWERED or reply.status >= _SERVER_ERROR:
+                reply.failure = run.failure
             tells = request.typical_us > 0 and tells_its_time(reply)
             ratio = ratio_to(request.typical_us / MICROSECONDS, ran) if tells else None
             self._condition.run_ended(_is_own_fault(run, reply), ratio)
--- a/src/cranklane/sidecar/ingress.py
+++ b/src/cranklane/sidecar/ingress.py
@@ -26,7 +26,7 @@
 from cranklane.routes.table import Route, RouteTable
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.attempt import SMALL_BODY_BYTES, Reply, refusal
-from cranklane.sidecar.call_tree import CallTree, Root
+from cranklane.sidecar.call_tree import CallFailure, CallTree, Root
 from cranklane.sidecar.caller_connection import CallerConnection
 from cranklane.sidecar.dispatcher import (
     DEFAULT_RETRY_AFTER_MS,
@@ -35,6 +35,7 @@
     Dispatcher,
 )
 from cranklane.sidecar.hang_up import HangUpWatch
+from cranklane.sidecar.slot_work import SlotWork
 
 WRITE_SECONDS = 10.0
 """A caller that takes no bytes for this long is given up."""
@@ -59,6 +60,9 @@
     :ivar waited_ms: time it waited for a slot of the worker that answered last.
     :ivar ran_ms: time it was at that worker.
     :ivar allowed_seconds: time it had, by its caller's word or its route's.
+    :ivar of_client: whether a client made it, not a run of this machine's worker.
+    :ivar failure: the call that failed, where its run failed since one did.
+    :ivar work: what its runs, and the calls that they made, have cost.
     """
 
     request: str
@@ -75,6 +79,9 @@
     waited_ms: int
     ran_ms: int
     version: int
+    of_client: bool
+    failure: CallFailure | None
+    work: SlotWork
 
 
 class Ingress:
@@ -179,7 +186,7 @@
             return self._reject(connection, problem)
         run = self._call_tree.run_of(request.decode("latin-1"))
         root = run.root if run is not None else Root(route.priority, started_at)
-        call = self._call(connection, head, request, route, root, started_at)
+        call = self._call(connection, head, request, route, root, run is None, started_at)
         self._hang_ups.add(connection.stream, call.cancel)
         if run is not None:
             run.calls_under_way += 1
@@ -188,8 +195,8 @@
         finally:
             self._hang_ups.remove(connection.stream)
         if run is not None:
-            failed = reply.outcome is not Outcome.ANSWERED or reply.status >= _FIRST_ERROR
-            run.call_ended(failed, reply.starved or reply.reason in NO_ROOM)
+            starved = reply.starved or reply.reason in NO_ROOM
+            run.call_ended(_failure_of(call, reply), starved, call.work)
         return self._finish(connection, head, request, call, reply, started_at, table)
 
     def _route(self, head: RequestHead, table: RouteTable) -> tuple[Route | None, Reply | None]:
@@ -236,6 +243,7 @@
         request: bytes,
         route: Route,
         root: Root,
+        of_client: bool,
         started_at: float,
     ) -> Call:
         allowed = route.timeout_ms / 1000
@@ -268,6 +276,7 @@
             lines=lines,
             body=body,
             root=root,
+            of_client=of_client,
             rest=None if connection.body_whole else connection.next_piece,
         )
 
@@ -370,10 +379,20 @@
                 reply.waited_ms,
                 reply.ran_ms,
                 table.version,
+                call is None or call.of_client,
+                reply.failure,
+                call.work if call else SlotWork(),
             )
         )
 
 
+def _failure_of(call: Call, reply: Reply) -> CallFailure | None:
+    """Return what failed when a call of the worker did, as deep as it is known."""
+    if reply.outcome is Outcome.ANSWERED and reply.status < _FIRST_ERROR:
+        return None
+    return reply.failure or CallFailure(call.service, reply.reason)
+
+
 def _path_of(target: bytes) -> str | None:
     """Return the path of a request target without its query, or None.
 
--- a/src/cranklane/sidecar/metrics.py
+++ b/src/cranklane/sidecar/metrics.py
@@ -10,10 +10,12 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 from cranklane.common.metrics_server import GaugeRegistry
 from cranklane.outcome import Outcome, Reason
+from cranklane.sidecar.slot_work import SlotWork
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
@@ -91,6 +93,11 @@
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
+        self._work = _Counter(
+            "cranklane_work_milliseconds",
+            "Time of workers' slots by service and by the end of the client's request it was for.",
+            ("service", "end"),
+        )
         self._request_seconds: defaultdict[str, _Distribution] = defaultdict(_Distribution)
         self._queue_seconds = _Distribution()
 
@@ -98,7 +105,14 @@
         """Yield every counter and histogram; the registry asks for them."""
         from prometheus_client.core import HistogramMetricFamily
 
-        for counter in (self._requests, self._attempts, self._admissions, self._left_out):
+        counters = (
+            self._requests,
+            self._attempts,
+            self._admissions,
+            self._left_out,
+            self._work,
+        )
+        for counter in counters:
             yield counter.family()
         requests = HistogramMetricFamily(
             "cranklane_request_seconds",
@@ -126,6 +140,11 @@
         self._requests.values[service, outcome, decision.reason, decision.status] += 1
         self._request_seconds[service].observe(decision.seconds)
 
+    def work(self, work: SlotWork, end: Enum) -> None:
+        """Count what a client's request has cost; takes a ``request_summary.End``."""
+        for service, milliseconds in work:
+            self._work.values[service, end.value] += milliseconds
+
     def attempt(self, service: str, outcome: Outcome, reason: Reason) -> None:
         """Count an attempt that has ended."""
         self._attempts.values[service, outcome, reason] += 1
--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -23,11 +23,14 @@
     Hello,
     Message,
     Ping,
+    ServiceWork,
 )
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal, unknown
+from cranklane.sidecar.call_tree import CallFailure
 from cranklane.sidecar.gate import Gate
 from cranklane.sidecar.hang_up import HangUpWatch
+from cranklane.sidecar.slot_work import SlotWork
 from cranklane.sidecar.worker_condition import Condition
 
 CONNECT_SECONDS = 0.6
@@ -201,9 +204,20 @@
         answer.waited_ms,
         answer.ran_ms,
         answer.starved,
+        CallFailure(answer.failed_service, Reason(answer.failed_reason))
+        if answer.failed_service
+        else None,
+        _work(answer.below) if answer.below else None,
     )
 
 
+def _work(told: list[ServiceWork]) -> SlotWork:
+    work = SlotWork()
+    for item in told:
+        work.add(item.service, item.milliseconds)
+    return work
+
+
 class PeerServer:
     """Serves requests of other sidecars."""
 
@@ -308,6 +322,9 @@
         waited_ms=reply.waited_ms,
         ran_ms=reply.ran_ms,
         starved=reply.starved,
+        failed_service=reply.failure.service if reply.failure else "",
+        failed_reason=reply.failure.reason if reply.failure else Reason.NONE,
+        below=[ServiceWork(spent, service) for service, spent in reply.below or ()],
         length=reply.length,
         lines=reply.lines,
         body=reply.body,
--- /dev/null
+++ b/src/cranklane/sidecar/request_summary.py
@@ -0,0 +1,115 @@
+"""What became of the clients' requests of each second, and of the work done for them.
+
+Lines of single requests are bounded in number, so they cannot be added up. One line a
+second can: it counts the requests that ended, by route, end and cause, and sums the
+time that workers spent for them by whether it was of use to anybody.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from cranklane.outcome import Outcome, Reason
+from cranklane.sidecar.ingress import Decision
+
+SUMMARY_SECONDS = 1.0
+"""Seconds that one line covers: short enough to tell a fault from what follows it."""
+
+RUN_FAILED = "run_failed"
+"""Cause of a request whose worker answered with an error though no call of it failed."""
+
+_FIRST_ERROR = 500
+
+
+class End(Enum):
+    """How a request ended for its client."""
+
+    IN_TIME = "in_time"
+    LATE = "late"
+    REFUSED = "refused"
+    """It has not run, and its client was told so."""
+    FAILED = "failed"
+    LEFT = "left"
+    """Its client left before it ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class Cause:
+    """What a request ended for.
+
+    :ivar service: where it was refused or failed; empty when it was served.
+    """
+
+    service: str = ""
+    reason: str = ""
+
+
+def end_of(decision: Decision) -> End:
+    """Return how a request ended."""
+    if decision.reason is Reason.CANCELLED or decision.status == 0:
+        return End.LEFT
+    if decision.outcome is Outcome.NOT_RUN:
+        return End.REFUSED
+    if decision.outcome is Outcome.UNKNOWN or decision.status >= _FIRST_ERROR:
+        return End.FAILED
+    late = decision.seconds > decision.objective_seconds > 0
+    return End.LATE if late else End.IN_TIME
+
+
+def cause_of(decision: Decision, end: End) -> Cause:
+    """Return what a request was refused or failed for, as deep in its tree as is known."""
+    if end not in (End.REFUSED, End.FAILED):
+        return Cause()
+    if decision.failure is not None:
+        return Cause(decision.failure.service, _reason(decision.failure.reason))
+    return Cause(decision.service, _reason(decision.reason))
+
+
+def _reason(reason: Reason) -> str:
+    return RUN_FAILED if reason is Reason.NONE else reason.label
+
+
+class RequestSummary:
+    """Sums up the ended requests of clients second by second.
+
+    :param log: gets one line for each second in which a request ended.
+    """
+
+    def __init__(self, clock: Callable[[], float], log: Any) -> None:
+        self._clock = clock
+        self._log = log
+        self._began_at = clock()
+        self._ends: defaultdict[tuple[str, End, Cause], int] = defaultdict(int)
+        self._work: defaultdict[tuple[str, End], int] = defaultdict(int)
+
+    def add(self, decision: Decision, end: End) -> None:
+        """Take a request of a client that has ended."""
+        if self._clock() - self._began_at >= SUMMARY_SECONDS:
+            self.write()
+        self._ends[decision.route, end, cause_of(decision, end)] += 1
+        for service, milliseconds in decision.work:
+            self._work[service, end] += milliseconds
+
+    def write(self) -> None:
+        """Write the line of the seconds since the last one, if anything ended."""
+        now = self._clock()
+        if self._ends:
+            self._log.info(
+                "requests_ended",
+                seconds=round(now - self._began_at, 3),
+                ends=[
+                    [route, end.value, cause.service, cause.reason, count]
+                    for (route, end, cause), count in self._ends.items()
+                ],
+                work_ms=[
+                    [service, end.value, milliseconds]
+                    for (service, end), milliseconds in self._work.items()
+                ],
+            )
+        self._ends.clear()
+        self._work.clear()
+        self._began_at = now
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,116 @@
+"""Where requests were lost and which work was done in vain, by logs and metrics."""
+
+from __future__ import annotations
+
+import json
+
+import gevent
+from typer.testing import CliRunner
+
+from cranklane.cli.losses import losses_of, told
+from cranklane.cli.main import application
+from cranklane.cli.story import read_lines
+from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.world import simulate
+from test_story import captured_lines
+
+ROUTES = {
+    "view": {"prefix": "/view/", "service": "top"},
+    "look": {"prefix": "/look/", "service": "deep", "objective_ms": 300},
+}
+RUN_SECONDS = 0.5
+
+
+def delay(_source, _target):
+    return 0.0005
+
+
+def lines_of_one_tree(deep_slots, fails):
+    """Return what is logged and counted of one request whose run makes one call.
+
+    :param deep_slots: of the only worker that can serve the call.
+    :param fails: whether the run answers with an error.
+    """
+
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(3)
+        top = mesh.add_machine("top")
+        mesh.add_machine("deep", deep_slots)
+        entry = mesh.add_machine("other")
+        assert mesh.wait_for(lambda: mesh.voters() == 3, 10)
+        table = route_table(1, 0, ROUTES, ("top", "deep"))
+        assert mesh.wait_for(lambda: mesh.operate(table).status == 200, 5)
+        gevent.sleep(2.0)
+        top.worker.state.seconds = RUN_SECONDS
+        top.worker.state.status = 500 if fails else 200
+        root = gevent.spawn(mesh.request, entry, "/view/", name="root")
+        gevent.sleep(0.1)
+        mesh.request(top, "/look/", name="root.1")
+        root.join()
+        gevent.sleep(6.0)
+        return entry.sidecar.metrics.text().decode()
+
+    with captured_lines() as lines:
+        metrics = simulate(1, delay, scenario)
+    return list(read_lines(lines)), metrics
+
+
+def test_work_below_a_served_request_counts_as_useful():
+    lines, metrics = lines_of_one_tree(deep_slots=4, fails=False)
+    losses = losses_of(lines)
+    assert losses.by_route == {("view", "in_time"): 1}
+    assert losses.work["top", "in_time"] >= RUN_SECONDS * 1000
+    assert 20 <= losses.work["deep", "in_time"] < 40
+    assert 'cranklane_work_milliseconds_total{end="in_time",service="deep"}' in metrics
+
+
+def test_a_request_lost_for_want_of_room_names_the_service_that_had_none():
+    lines, _ = lines_of_one_tree(deep_slots=0, fails=True)
+    losses = losses_of(lines)
+    ((key, count),) = losses.by_cause.items()
+    assert key[:3] == ("view", "failed", "deep")
+    assert key[3] in ("queue_full", "deadline_too_near")
+    assert count == 1
+    assert losses.work["top", "failed"] >= RUN_SECONDS * 1000
+    assert losses.work["top", "in_time"] == 0
+
+
+def test_a_run_that_fails_by_itself_names_its_own_service():
+    lines, _ = lines_of_one_tree(deep_slots=4, fails=True)
+    assert list(losses_of(lines).by_cause) == [("view", "failed", "top", "run_failed")]
+
+
+def summary(second, ends, work):
+    return json.dumps(
+        {
+            "event": "requests_ended",
+            "node": "n",
+            "timestamp": f"2026-01-01T00:00:{second:02}Z",
+            "ends": ends,
+            "work_ms": work,
+        }
+    )
+
+
+def test_summaries_of_several_sidecars_are_added_up():
+    lines = [
+        summary(1, [["r", "in_time", "", "", 3]], [["s", "in_time", 750]]),
+        summary(1, [["r", "refused", "s", "queue_full", 1]], []),
+        summary(2, [["r", "failed", "t", "run_failed", 2]], [["s", "failed", 250]]),
+    ]
+    report = "\n".join(told(losses_of(read_lines(lines))))
+    assert "1.0 s  in_time 75.0%  late 0.0%  refused 0.0%  failed 25.0%" in report
+    assert "3/4" in report and "0/2" in report
+    assert "2  r                    failed   run_failed at t" in report
+
+
+def test_the_command_refuses_logs_without_summaries(tmp_path):
+    path = tmp_path / "empty.log"
+    path.write_text("")
+    shown = CliRunner().invoke(application, ["explain-losses", str(path)])
+    assert shown.exit_code != 0
+    assert "no line sums up" in shown.output
+    path.write_text(summary(1, [["r", "late", "", "", 1]], []))
+    shown = CliRunner().invoke(application, ["explain-losses", str(path)])
+    assert shown.exit_code == 0, shown.output
