cranklane-lab trees: drawn call trees that end in one narrow service

Ruled out: one hand-made deployment (the policy would be fitted to it). Change: deployments drawn by seed (depth to 5, up to 8 calls at the bottom, priorities, objectives, a surge, a slow or shedding worker), played with the product's own processes on the virtual clock; what is earned as a part of an upper bound. The stand-in worker can do work that makes calls.

--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -72,6 +72,18 @@
     raise typer.Exit(1 if any(result.broken for result in results) else 0)
 
 
+@application.command()
+def trees(
+    seeds: Annotated[str, typer.Option(help="first and last seed, as A-B")] = "1-16",
+    jobs: Annotated[int, typer.Option(help="processes at once; 0: one a core")] = 0,
+) -> None:
+    """Measure what is earned on drawn call trees that end in one narrow service."""
+    from cranklane_lab.trees.report import play_seeds, told
+
+    for line in told(play_seeds(_seeds(seeds), jobs)):
+        typer.echo(line)
+
+
 @application.command()
 def latency(
     calls: Annotated[int, typer.Option(min=100, help="pairs of calls")] = 4000,
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -63,6 +63,10 @@
     :ivar fail: requests to run and answer with 500.
     :ivar body: of each answer.
     :ivar echoes: whether its answers name their request instead.
+    :ivar work: does the work of a run and returns the status of its answer; it takes the
+        place of ``seconds`` and ``status``.
+    :ivar slower: factor on the time of its work, for ``work`` to heed.
+    :ivar shed_part: part of the requests that it refuses as not run.
     """
 
     seconds: float = 0.02
@@ -78,6 +82,9 @@
     fail: int = 0
     body: bytes = b"answer"
     echoes: bool = False
+    work: Callable[[RoutedRun], int] | None = None
+    slower: float = 1.0
+    shed_part: float = 0.0
     arrivals: int = 0
     connections: int = 0
     running: int = 0
@@ -186,7 +193,8 @@
         expected = head.value(NAMES.instance.lower())
         if expected is not None and expected != self.instance.encode():
             return self._answer(stream, request, 421, b"", not_run=True)
-        if state.strikes("refuse"):
+        sheds = state.shed_part and self._runtime.random.random() < state.shed_part
+        if sheds or state.strikes("refuse"):
             return self._answer(stream, request, 503, b"", not_run=True)
         run = RoutedRun(
             request.decode(),
@@ -197,6 +205,10 @@
             self._runtime.monotonic(),
         )
         state.runs.append(run)
+        if state.work is not None:
+            status = state.work(run)
+            body = state.body if status == state.status else b"failed"
+            return self._answer(stream, request, status, body)
         if not self._work(stream, run):
             return False
         return self._finish(stream, request)
--- /dev/null
+++ b/tests/test_trees.py
@@ -0,0 +1,52 @@
+"""Drawn call trees: what the decisions that span a tree earn on deployments nobody has seen."""
+
+from __future__ import annotations
+
+import pytest
+
+from cranklane.sidecar import dispatcher, slots
+from cranklane_lab.trees.drawn import MOST_CALLS, capacity_of, draw, most_worth
+from cranklane_lab.trees.play import play
+
+SEED = 3
+"""Depth 3, no trouble but a surge, one of the seeds that the policy was not chosen for alone."""
+
+
+@pytest.mark.parametrize("seed", range(1, 60))
+def test_every_drawn_deployment_can_be_played(seed):
+    deployment = draw(seed)
+    roots = deployment.roots()
+    assert len(roots) == 3
+    assert draw(seed) == deployment
+    demand = sum(kind.rate * deployment.narrow_seconds(kind.name) for kind in roots)
+    assert demand == pytest.approx(deployment.load * capacity_of(deployment.narrow))
+    for kind in roots:
+        assert 0 < deployment.narrow_seconds(kind.name) < 0.2 + 0.05 * MOST_CALLS
+        assert kind.objective < kind.deadline
+
+
+def test_no_more_can_be_earned_than_was_asked_for_or_than_there_is_room_for():
+    deployment = draw(SEED)
+    few = {kind.name: 1 for kind in deployment.roots()}
+    assert most_worth(deployment, few) == sum(kind.worth for kind in deployment.roots())
+    many = {kind.name: 100_000 for kind in deployment.roots()}
+    assert most_worth(deployment, many) < 100_000
+
+
+def test_calls_that_may_wait_as_their_root_can_spare_earn_more(monkeypatch):
+    earned = play(SEED).part
+    assert earned > 0.88
+
+    def by_its_own_objective(call, typical, now):
+        return call.route.objective_ms / 1000 * dispatcher.START_PART - (now - call.started_at)
+
+    monkeypatch.setattr(dispatcher, "_longest_wait", by_its_own_objective)
+    assert play(SEED).part < earned - 0.05
+
+
+def test_an_order_by_latest_start_alone_earns_less(monkeypatch):
+    seed = 12
+    earned = play(seed).part
+    assert earned > 0.9
+    monkeypatch.setattr(slots, "HURRY_WEIGHT", 1.0)
+    assert play(seed).part < earned - 0.05
