--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -32,19 +33,13 @@
 kept for this long after that and after each answer of its own."""
 
 OTHER_ZONE_COST = 1.15
-"""A destination in another zone counts as this much slower."""
+"""A run in another zone counts as this much longer: bytes between zones are paid for, and
+each of the two ways takes a while."""
 
-FULL_LOAD = 0.85
-"""Part of its slots from which a worker counts as slower."""
-
-FULL_COST = 4.0
-
-EMPTY_LOAD = 0.02
-"""Load that an idle worker counts as, so that its zone and its times matter too."""
-
-SLOW_COST = 0.3
-"""Load that a worker counts as besides, for each time that it is slower than
-tolerated: one that fails at once is always idle."""
+SPREAD_COST = 1.0
+"""Runs that a worker with all its slots taken costs more than an idle one, besides the
+wait there: equals share the load, a new worker gets some at once, and one that is slow,
+and so has more under way than others, gets less before anything else tells of it."""
 
 FAULTS_COST = 8.0
 """How many times slower a worker counts that fails every run."""
@@ -379,12 +374,29 @@
 
     def _score(self, item: Destination, now: float) -> tuple[float, float]:
         load = item.load()
-        cost = (load + EMPTY_LOAD) * (1.0 if item.zone == self._zone else OTHER_ZONE_COST)
-        sickness = item.sickness(now)
-        cost = cost * sickness + SLOW_COST * (sickness - 1.0)
-        if load > FULL_LOAD:
-            cost += FULL_COST * (load - FULL_LOAD)
-        return cost, self._random.random()
+        runs = 1.0 + expected_wait(load, item.slots) + SPREAD_COST * load
+        zone = 1.0 if item.zone == self._zone else OTHER_ZONE_COST
+        return runs * zone * item.sickness(now), self._random.random()
+
+
+def expected_wait(load: float, slots: int) -> float:
+    """Return how long a request waits at a worker, in typical runs.
+
+    What is known of the load is a moment old, so a worker that is nearly full counts as
+    full with the probability that one of so many slots has none free (the exponent of
+    Sakasegawa's approximation for queues with several servers). A worker with many slots
+    makes nobody wait until it is nearly full; requests waiting there are served by all
+    slots together.
+
+    :param load: requests there for each slot.
+
+    >>> [round(expected_wait(load, 19), 2) for load in (0.5, 0.7, 0.9, 1.0, 1.5)]
+    [0.01, 0.1, 0.51, 1.0, 1.5]
+    >>> [round(expected_wait(load, 100), 2) for load in (0.5, 0.7, 0.9, 1.0, 1.5)]
+    [0.0, 0.01, 0.22, 1.0, 1.5]
+    """
+    exponent = math.sqrt(2 * (slots + 1))
+    return min(1.0, load) ** exponent + max(0.0, load - 1.0)
 
 
 def _is_at_ease(item: Destination, now: float) -> bool:
