Round retries: tokens that lapse after a fifth of a window, so that more may be earned

Change: spans of a tenth of a window, 0.65 of the ratio; what is owed no longer lapses with the span. Ruled out: 0.75 and more (two bursts around a pause come too near to the bound, by reckoning).

--- a/src/cranklane/sidecar/retry_budget.py
+++ b/src/cranklane/sidecar/retry_budget.py
@@ -5,9 +5,9 @@
 bound without asking anybody:
 
 - Each request that begins at it earns a part of a token, which lapses after at most a
-  window. So what is spent in a window was earned in that window or the one before it, and
-  half of the ratio, less a margin, may be earned. Where all load comes through a few
-  sidecars, they earn all of it.
+  fifth of a window. So what is spent in a window was earned in that window or shortly
+  before it, and most of the ratio may be earned; the rest covers requests that come in
+  bursts. Where all load comes through a few sidecars, they earn all of it.
 - The slack is divided by the number of sidecars. Its share comes anew with each window, so
   that at most two shares are spent within any. There is none while the number still grows
   after a start: a fleet that was restarted as a whole does not know yet how large it is.
@@ -26,15 +26,20 @@
 from math import inf
 from random import Random
 
-RATIO_PART = 0.4
-"""Part of the ratio that is earned: a window may see two windows' tokens spent."""
+RATIO_PART = 0.65
+"""Part of the ratio that is earned: a window may see the tokens of 1.2 windows spent, and
+of more where the requests just before it were many more than before them."""
+
+SPAN_PART = 0.1
+"""Part of a window after which what was earned begins to lapse."""
 
 SLACK_PART = 0.2
 """Part of the slack that is divided among the sidecars: two shares may fall into one
 window, and calls made by repeats add to it further down."""
 
 MOST_OWED = 20.0
-"""Repeats that are remembered beyond the tokens there were: older ones are over."""
+"""Repeats that are remembered beyond the tokens there were: a debt of more would outlast
+the window that it was made in."""
 
 KNOWN_SIZE_HALF_LIFE = 6.0
 """Windows in which the number of sidecars that is reckoned with halves at most: a part
@@ -75,32 +80,43 @@
 class _Account:
     """Tokens of one service.
 
-    :ivar current: earned, less spent, in the present half of a window.
-    :ivar former: what is left of the half before it.
-    :ivar half_began: when the present half began.
+    :ivar current: earned, less spent, in the present span.
+    :ivar former: what is left of the span before it.
+    :ivar span_began: when the present span began.
+    :ivar owed: spent beyond the tokens there were; what is earned pays for it first.
     :ivar share: what is left of the share of the slack.
     :ivar share_began: when that share came.
     """
 
     current: float
     former: float
-    half_began: float
+    span_began: float
+    owed: float
     share: float
     share_began: float
 
     @property
     def tokens(self) -> float:
         """All that may be spent."""
-        return self.current + self.former + self.share
+        return self.current + self.former + self.share - self.owed
+
+    def earn(self, tokens: float) -> None:
+        """Take what one more request earns."""
+        paid = min(tokens, self.owed)
+        self.owed -= paid
+        self.current += tokens - paid
 
     def spend(self, tokens: float) -> None:
-        """Spend tokens, those that lapse first at first; a debt stands in ``current``."""
+        """Spend tokens, those that lapse first at first; what is missing is owed."""
         from_former = min(tokens, max(0.0, self.former))
         self.former -= from_former
         tokens -= from_former
         from_share = min(tokens, max(0.0, self.share))
         self.share -= from_share
-        self.current = max(-MOST_OWED, self.current - (tokens - from_share))
+        tokens -= from_share
+        from_current = min(tokens, self.current)
+        self.current -= from_current
+        self.owed = min(MOST_OWED, self.owed + tokens - from_current)
 
 
 class RetryBudget:
@@ -128,7 +144,7 @@
 
     def earned(self, service: str) -> None:
         """Count a request that begins here."""
-        self._account(service).current += RATIO_PART * self._bound.ratio
+        self._account(service).earn(RATIO_PART * self._bound.ratio)
 
     def charge(self, service: str) -> None:
         """Count a repeat that nobody asked for: a call of a run that is one."""
@@ -151,7 +167,7 @@
         now = self._clock()
         account = self._accounts.get(service)
         if account is None:
-            account = _Account(0.0, 0.0, now, 0.0, -inf)
+            account = _Account(0.0, 0.0, now, 0.0, 0.0, -inf)
             self._accounts[service] = account
         self._lapse(account, now)
         if now - account.share_began >= self._bound.window:
@@ -159,13 +175,13 @@
         return account
 
     def _lapse(self, account: _Account, now: float) -> None:
-        """Drop the tokens that are older than a window."""
-        half = self._bound.window / 2
-        halves = int((now - account.half_began) / half)
-        if halves > 0:
-            account.former = account.current if halves == 1 else 0.0
+        """Drop the tokens that are older than two spans."""
+        span = self._bound.window * SPAN_PART
+        spans = int((now - account.span_began) / span)
+        if spans > 0:
+            account.former = account.current if spans == 1 else 0.0
             account.current = 0.0
-            account.half_began += halves * half
+            account.span_began += spans * span
 
     def _renew_share(self, account: _Account, now: float) -> None:
         fleet = self._fleet()
