A worker that refuses requests without reason is at fault, and gets little

Cause: a worker that sheds is idle, so it looked like the best choice: 300 of 300 requests went to one that refused all (test_a_worker_that_refuses_without_reason_gets_little, red before). Ruled out: full workers (a sidecar never sends more than its worker's slots). Change: a refusal by the worker counts in its condition as a failed run does.

--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -232,8 +232,11 @@
 
 
 def _is_own_fault(run: Run, reply: Reply) -> bool:
-    """Return whether a run failed though the calls that it made did not."""
-    if reply.reason in _BROKEN_ANSWERS:
+    """Return whether a run failed though the calls that it made did not.
+
+    A worker that refuses one has no reason to: it is never sent more than it has slots for.
+    """
+    if reply.reason in _BROKEN_ANSWERS or reply.reason is Reason.WORKER_SHED:
         return True
     if _timed_out(reply):
         return run.calls_under_way == 0
--- a/tests/test_mesh_workers.py
+++ b/tests/test_mesh_workers.py
@@ -162,6 +162,18 @@
     assert play(script, slots=40) == (True, True)
 
 
+def test_a_worker_that_refuses_without_reason_gets_little():
+    def script(mesh):
+        mesh.machines[0].worker.state.refuse = 10_000
+        for number in range(300):
+            gevent.spawn(mesh.request, mesh.machines[0], "/sign/x", "POST", b"b", name=f"n{number}")
+            gevent.sleep(0.02)
+        gevent.sleep(2.0)
+        return mesh.machines[0].worker.state.arrivals
+
+    assert play(script, slots=40) < 60
+
+
 def test_a_request_waits_a_moment_for_the_first_worker_of_its_service():
     def script(mesh):
         machine = mesh.machines[0]
