--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -3,6 +3,7 @@
 import gevent
 
 from cranklane.outcome import Reason
+from cranklane.sidecar import slots as module
 from cranklane.sidecar.gate import HeldAnswer
 from cranklane.sidecar.slots import Slots
 from cranklane_lab.simulation.loop import run_virtual
@@ -130,3 +131,41 @@
     assert ended == ["unread"]
     assert list(HeldAnswer(pieces(), lambda: ended.append("read"))) == [b"piece"]
     assert ended == ["unread", "read"]
+
+
+LONG_WAITED = 0.4
+"""Seconds that the patient have waited of their 0.5 when one in a hurry comes."""
+
+
+def started_after_a_long_wait():
+    """Return in which order those start that wait longest and one in a hurry that comes late."""
+
+    def script(slots):
+        order = []
+        tasks = [gevent.spawn(ask, slots, order, "holder", 0, 1.0, LONG_WAITED + 0.05)]
+        gevent.sleep(0)
+        tasks += [gevent.spawn(ask, slots, order, f"patient {n}", 0, 0.5, 0.02) for n in range(2)]
+        gevent.sleep(LONG_WAITED)
+        slots.hold = 0.02
+        tasks.append(gevent.spawn(ask, slots, order, "hurried", 0, 0.15, 0.02))
+        gevent.joinall(tasks)
+        return order
+
+    return play(script)
+
+
+def test_those_about_to_be_refused_do_not_hold_up_one_that_can_wait_less():
+    order = ["holder", "hurried", "patient 0", "patient 1"]
+    assert started_after_a_long_wait() == order
+
+
+def test_by_latest_start_alone_they_would(monkeypatch):
+    monkeypatch.setattr(module, "HURRY_WEIGHT", 1.0)
+    assert started_after_a_long_wait()[1] == "patient 0"
+
+
+def test_a_worker_without_slots_refuses_at_once():
+    def script(slots):
+        return order_of(slots, [("a", 0, 5.0)])
+
+    assert play(script, limit=0) == [Reason.QUEUE_FULL]
