--- a/src/cranklane/sidecar/request_summary.py
+++ b/src/cranklane/sidecar/request_summary.py
@@ -16,7 +16,7 @@
 from cranklane.outcome import Outcome, Reason
 from cranklane.sidecar.ingress import Decision
 
-SUMMARY_SECONDS = 1.0
+LINE_SECONDS = 1.0
 """Seconds that one line covers: short enough to tell a fault from what follows it."""
 
 RUN_FAILED = "run_failed"
@@ -88,7 +88,7 @@
 
     def add(self, decision: Decision, end: End) -> None:
         """Take a request of a client that has ended."""
-        if self._clock() - self._began_at >= SUMMARY_SECONDS:
+        if self._clock() - self._began_at >= LINE_SECONDS:
             self.write()
         self._ends[decision.route, end, cause_of(decision, end)] += 1
         for service, milliseconds in decision.work:
