--- a/tests/test_trees.py
+++ b/tests/test_trees.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from statistics import fmean
+
 import pytest
 
 from cranklane.sidecar import dispatcher, slots
@@ -9,7 +11,10 @@
 from cranklane_lab.trees.play import play
 
 SEED = 3
-"""Depth 3, no trouble but a surge, one of the seeds that the policy was not chosen for alone."""
+"""Depth 3, no trouble but a surge."""
+
+COMPARED_SEEDS = range(1, 7)
+"""The first ones as they come, so that none is picked for what holds on it."""
 
 
 @pytest.mark.parametrize("seed", range(1, 60))
@@ -33,21 +38,24 @@
     assert most_worth(deployment, many) < 100_000
 
 
+def mean_part() -> float:
+    """Return what is earned on a fixed list of deployments, as a mean of parts."""
+    return fmean(play(seed).part for seed in COMPARED_SEEDS)
+
+
 def test_calls_that_may_wait_as_their_root_can_spare_earn_more(monkeypatch):
-    seed = 5
-    earned = play(seed).part
+    earned = mean_part()
     assert earned > 0.88
 
     def by_its_own_objective(call, typical, now):
         return call.route.objective_ms / 1000 * dispatcher.START_PART - (now - call.started_at)
 
     monkeypatch.setattr(dispatcher, "_longest_wait", by_its_own_objective)
-    assert play(seed).part < earned - 0.05
+    assert mean_part() < earned - 0.05
 
 
 def test_an_order_by_latest_start_alone_earns_less(monkeypatch):
-    seed = 5
-    earned = play(seed).part
+    earned = mean_part()
     assert earned > 0.9
     monkeypatch.setattr(slots, "HURRY_WEIGHT", 1.0)
-    assert play(seed).part < earned - 0.05
+    assert mean_part() < earned - 0.05
