Sight: the end of a worker, told from a lost connection, with all that ran there

Cause: the logs named a request by the id of one try only, and a lost answer and an ended worker by the same reason, so three hypotheses on the incident could not be told apart. Ruled out: the loss of a connection as the sign (answers are lost and connections reset by workers that live on); heartbeats (too late by seconds). Change: a port at which nobody listens any more tells the end, asked once for all that lost their connections; a worker_ended line names every run that was under way by its request and by an identity of what it asks (service, tenant, method, target, host, body); reason worker_ended; a counter. Callers turn away from an ended worker at once, as from one that takes no connection.

--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -82,6 +82,8 @@
     QUOTA_EXCEEDED = 30
     CALL_UNTIED = 31
     """The run that makes this call is not known here."""
+    WORKER_ENDED = 32
+    """The worker's process ended while it ran this request, and others beside it."""
 
     @property
     def label(self) -> str:
--- a/src/cranklane/sidecar/decision_log.py
+++ b/src/cranklane/sidecar/decision_log.py
@@ -21,11 +21,15 @@
 from cranklane.sidecar.dispatcher import Call
 from cranklane.sidecar.metrics import SidecarMetrics
 from cranklane.sidecar.request_summary import End, RequestSummary, end_of
+from cranklane.sidecar.worker_end import WorkerEnd
 
 PROBLEM_LINES_PER_SECOND = 100.0
 SUCCESS_LINES_PER_SECOND = 10.0
 SUMMARY_SECONDS = 5.0
 
+RUNS_IN_A_LINE = 100
+"""Runs named in one line at the end of a worker; their number is always told."""
+
 _CLIENT_ERRORS = range(400, 500)
 
 
@@ -123,6 +127,20 @@
             waited_seconds=round(waited, 4),
         )
 
+    def worker_ended(self, end: WorkerEnd) -> None:
+        """Take that the worker's process has ended, and what it was running."""
+        self._metrics.worker_ended(end.planned)
+        self._log.warning(
+            "worker_ended",
+            instance=end.instance,
+            planned=end.planned,
+            running=len(end.runs),
+            runs=[
+                [run.request, run.identity.hex(), round(run.seconds, 3)]
+                for run in end.runs[:RUNS_IN_A_LINE]
+            ],
+        )
+
     def summarise(self) -> None:
         """State now and then how many lines were left out, for ever."""
         while True:
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -54,6 +54,9 @@
 WIDEN_LOAD = 0.5
 """When the best of its subset is loaded this much, a process looks further."""
 
+NO_WORKER = (Reason.WORKER_UNREACHABLE, Reason.WORKER_ENDED)
+"""Failures that tell that nobody listens at the worker's address."""
+
 UNREACHABLE = (Reason.PEER_UNREACHABLE, Reason.PEER_LOST)
 """Failures after which a destination is tried with requests only once a
 connection to it has succeeded."""
@@ -159,7 +162,7 @@
     def failed(self, now: float, reason: Reason) -> None:
         """Count a failure; after some it gets nothing for a while."""
         self.failures += 1
-        at_once = reason in UNREACHABLE or reason is Reason.WORKER_UNREACHABLE
+        at_once = reason in UNREACHABLE or reason in NO_WORKER
         if at_once or self.failures >= FAILURES_BEFORE_EJECTION:
             pause = min(MAX_EJECT_SECONDS, EJECT_SECONDS * self.failures)
             self.ejected_until = now + pause
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -11,14 +11,16 @@
 from typing import Any
 
 from cranklane.common.request_names import HeaderNames
+from cranklane.errors import AnswerCutError
 from cranklane.outcome import Outcome, Reason
 from cranklane.runtime.interface import Runtime
-from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal
+from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal, unknown
 from cranklane.sidecar.call_tree import CallTree, Root, Run
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.slowness import ratio_to
 from cranklane.sidecar.worker_condition import WorkerCondition
+from cranklane.sidecar.worker_end import WorkerEnd, WorkerEnds
 from cranklane.sidecar.worker_exchange import WorkerExchange
 from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
 
@@ -35,7 +37,8 @@
 
 _SERVER_ERROR = 500
 _GATEWAY_TIMEOUT = 504
-_BROKEN_ANSWERS = (Reason.WORKER_FAILED, Reason.ANSWER_CUT)
+_NOBODY_LISTENS = (Reason.WORKER_UNREACHABLE, Reason.WORKER_ENDED)
+_BROKEN_ANSWERS = (Reason.WORKER_FAILED, Reason.WORKER_ENDED, Reason.ANSWER_CUT)
 
 
 AdmissionListener = Callable[[str, Reason, int, int, int, float], None]
@@ -48,10 +51,17 @@
     Not a generator: one that was never started would give nothing back when closed.
 
     :param on_end: called once, at the end, at a failure or by :meth:`close`.
+    :param on_cut: called when the answer ends too early, before ``on_end``.
     """
 
-    def __init__(self, pieces: Iterator[bytes], on_end: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        pieces: Iterator[bytes],
+        on_end: Callable[[], None],
+        on_cut: Callable[[], object] = bool,
+    ) -> None:
         self._pieces = pieces
+        self._on_cut = on_cut
         self._on_end: Callable[[], None] | None = on_end
 
     def __iter__(self) -> HeldAnswer:
@@ -62,6 +72,10 @@
         """Return the next piece."""
         try:
             return next(self._pieces)
+        except AnswerCutError:
+            self._on_cut()
+            self.close()
+            raise
         except BaseException:
             self.close()
             raise
@@ -80,6 +94,7 @@
     :param call_tree: told of the runs, to which the worker's own calls are tied.
     :param condition: told how the runs end and how long they take.
     :param on_admission: told of each decision.
+    :param on_worker_end: told once of each end of the worker's process.
     """
 
     def __init__(
@@ -91,6 +106,7 @@
         call_tree: CallTree,
         condition: WorkerCondition,
         on_admission: AdmissionListener,
+        on_worker_end: Callable[[WorkerEnd], None],
     ) -> None:
         self._call_tree = call_tree
         self._on_admission = on_admission
@@ -99,6 +115,7 @@
         self._slots = slots
         self._limiter = OutcomeLimiter(runtime.monotonic)
         self._condition = condition
+        self._ends = WorkerEnds(runtime, worker, on_worker_end)
         self._exchange = (
             WorkerExchange(runtime, worker.pool, names, worker.other_instance)
             if worker.pool is not None
@@ -162,15 +179,19 @@
             request.repeated,
         )
         run = self._call_tree.begin(request.request, root, request.tenant)
+        number = self._ends.began(request)
+        instance = self._worker.instance
         try:
             if on_admitted is not None:
                 on_admitted()
             deadline = arrived_at + request.deadline_ms / 1000
             assert self._exchange is not None
-            reply = self._exchange.run(attempt, self._worker.instance, deadline)
+            reply = self._exchange.run(attempt, instance, deadline)
+            if reply.reason is Reason.WORKER_FAILED and self._ends.connection_lost(instance):
+                reply = unknown(Reason.WORKER_ENDED)
         finally:
             if reply is None or reply.rest is None:
-                self._release(request.request, started_at)
+                self._release(request.request, number, started_at)
         reply.waited_ms = int((started_at - arrived_at) * 1000)
         ran = self._runtime.monotonic() - started_at
         reply.ran_ms = round(ran * 1000)
@@ -185,10 +206,14 @@
             # Where calls cannot be tied to runs, any failed run is taken for starved.
             untold = reply.status == _SERVER_ERROR and not self._call_tree.ties
             self._limiter.ended(request.route, begun_in, reply.starved or untold)
-        if reply.reason is Reason.WORKER_UNREACHABLE:
+        if reply.reason in _NOBODY_LISTENS:
             self._worker.unreachable()
         if reply.rest is not None:
-            reply.rest = HeldAnswer(reply.rest, partial(self._release, request.request, started_at))
+            reply.rest = HeldAnswer(
+                reply.rest,
+                partial(self._release, request.request, number, started_at),
+                partial(self._ends.connection_lost, instance),
+            )
         return reply
 
     def _closed_to(self, service: str) -> Reason:
@@ -209,8 +234,9 @@
 
         return on_wait
 
-    def _release(self, request: str, started_at: float) -> None:
+    def _release(self, request: str, number: int, started_at: float) -> None:
         self._call_tree.end(request)
+        self._ends.ended(number)
         self._slots.release(self._runtime.monotonic() - started_at)
 
     def _retry_after_ms(self, reason: Reason) -> int:
--- a/src/cranklane/sidecar/metrics.py
+++ b/src/cranklane/sidecar/metrics.py
@@ -95,6 +95,11 @@
             "Requests refused for their key, their tenant's limit or a stale route table.",
             ("reason",),
         )
+        self._worker_ends = _Counter(
+            "cranklane_worker_ends",
+            "Ends of the worker's process that were seen by the requests it ran.",
+            ("planned",),
+        )
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
@@ -115,6 +120,7 @@
             self._attempts,
             self._admissions,
             self._ingress_refusals,
+            self._worker_ends,
             self._left_out,
             self._work,
         )
@@ -165,6 +171,10 @@
         if waited > 0:
             self._queue_seconds.observe(waited)
 
+    def worker_ended(self, planned: bool) -> None:
+        """Count an end of the worker's process."""
+        self._worker_ends.values[("yes" if planned else "no",)] += 1
+
     def lines_left_out(self, count: int) -> None:
         """Count log lines that were left out."""
         self._left_out.values[()] += count
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -153,6 +153,7 @@
             call_tree,
             self.condition,
             self.decisions.admission,
+            self.decisions.worker_ended,
         )
         self.lease = TableLease(runtime.monotonic, settings.revocation_seconds)
         self.quota = TenantQuota(
--- /dev/null
+++ b/src/cranklane/sidecar/worker_end.py
@@ -0,0 +1,140 @@
+"""Tells the end of the worker's process from the loss of one connection to it.
+
+An answer that is lost, a connection that is reset and a worker that has ended look alike to
+the request that was under way. Only a port at which nobody listens any more tells an end,
+and only from the worker's own machine, to which no cut of the network lies in between.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import AsyncResult
+
+from cranklane.records.messages import ForwardRequest
+from cranklane.runtime.interface import Address, Runtime
+from cranklane.sidecar.request_identity import Identity, identity_of
+from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
+
+CONNECT_SECONDS = 0.25
+
+CLOSING_SECONDS = 0.01
+"""A process that ends closes its connections and its port one after the other: a connection
+that succeeded is tried once more after this long."""
+
+_LEAVING = (WorkerState.DRAINING, WorkerState.GONE)
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """A run that was under way when the worker ended.
+
+    :ivar seconds: since it began.
+    """
+
+    request: str
+    identity: Identity
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerEnd:
+    """The end of one start of the worker.
+
+    :ivar planned: whether the worker had told that it leaves.
+    """
+
+    instance: str
+    planned: bool
+    runs: tuple[EndedRun, ...]
+
+
+class WorkerEnds:
+    """The runs under way at the worker, and what becomes of them when it ends.
+
+    :param on_end: told once of each end.
+    """
+
+    def __init__(
+        self, runtime: Runtime, worker: WorkerRegistry, on_end: Callable[[WorkerEnd], None]
+    ) -> None:
+        self._clock = runtime.monotonic
+        self._worker = worker
+        self._on_end = on_end
+        self._check = WorkerEndCheck(runtime, worker.address) if worker.address else None
+        # In the order of their beginning.
+        self._runs: dict[int, tuple[ForwardRequest, float]] = {}
+        self._begun = 0
+        self._ended_instance = ""
+
+    def began(self, request: ForwardRequest) -> int:
+        """Take that a run begins; return its number."""
+        self._begun += 1
+        self._runs[self._begun] = (request, self._clock())
+        return self._begun
+
+    def ended(self, number: int) -> None:
+        """Take that a run has ended."""
+        self._runs.pop(number, None)
+
+    def connection_lost(self, instance: str) -> bool:
+        """Return whether the worker has ended, after a connection to a start of it was lost."""
+        if instance == self._ended_instance:
+            return True
+        planned = self._worker.state in _LEAVING
+        if self._check is None or not self._check.has_ended():
+            return False
+        if instance != self._ended_instance:
+            self._ended_instance = instance
+            self._on_end(WorkerEnd(instance, planned, self._runs_now()))
+        return True
+
+    def _runs_now(self) -> tuple[EndedRun, ...]:
+        now = self._clock()
+        return tuple(
+            EndedRun(request.request, identity_of_request(request), now - began_at)
+            for request, began_at in self._runs.values()
+        )
+
+
+def identity_of_request(request: ForwardRequest) -> Identity:
+    """Return the identity of a request on its way to a worker."""
+    return identity_of(request.service, request.tenant, request.lines, request.body, request.length)
+
+
+class WorkerEndCheck:
+    """Finds out whether the worker has ended, once for all who ask at the same time."""
+
+    def __init__(self, runtime: Runtime, address: Address) -> None:
+        self._runtime = runtime
+        self._address = address
+        self._under_way: AsyncResult[bool] | None = None
+
+    def has_ended(self) -> bool:
+        """Return whether nobody listens at the worker's address any more."""
+        if self._under_way is not None:
+            return bool(self._under_way.get())
+        self._under_way = AsyncResult()
+        ended = False
+        try:
+            ended = self._is_closed() or self._closes()
+        finally:
+            self._under_way.set(ended)
+            self._under_way = None
+        return ended
+
+    def _is_closed(self) -> bool:
+        """Return whether a connection is refused."""
+        try:
+            self._runtime.connect(self._address, CONNECT_SECONDS).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def _closes(self) -> bool:
+        gevent.sleep(CLOSING_SECONDS)
+        return self._is_closed()
--- a/src/cranklane/sidecar/worker_registry.py
+++ b/src/cranklane/sidecar/worker_registry.py
@@ -80,6 +80,7 @@
     :param service: the service this machine belongs to.
     :param heartbeat_seconds: time between a worker's heartbeats.
     :param on_change: called when what others should know has changed.
+    :ivar address: where it listens; None where this machine has no worker.
     :ivar instance: the worker's newest start; empty when none was heard.
     """
 
@@ -94,7 +95,7 @@
         log: Any,
     ) -> None:
         self._runtime = runtime
-        self._address: Address | None = parse_address(address) if address else None
+        self.address: Address | None = parse_address(address) if address else None
         self._heartbeat_seconds = heartbeat_seconds
         self._slots = slots
         self._on_change = on_change
@@ -102,7 +103,7 @@
         self._heard_at = 0.0
         self._sequences: OrderedDict[str, int] = OrderedDict()
         self._ended: OrderedDict[str, None] = OrderedDict()
-        self.pool = WorkerPool(runtime, self._address) if self._address else None
+        self.pool = WorkerPool(runtime, self.address) if self.address else None
         self.service = service
         self.instance = ""
         self.state = WorkerState.UNHEARD
