--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -116,6 +116,7 @@
     controllers: list[ControllerMachine] = field(default_factory=list)
     machines: list[MeshMachine] = field(default_factory=list)
     _requests: int = 0
+    _restarts: int = 0
 
     def start_controllers(self, count: int, tolerated: int = 1) -> None:
         """Start controllers for the first time."""
@@ -189,20 +190,33 @@
         name = f"sidecar-{number}"
         process, sidecar = self.start_sidecar(name, service, zone, host)
         worker_process = self.world.process(f"worker-{number}", zone, host)
-        worker = RoutedWorker(
-            worker_process,
-            service,
-            f"i-{number}",
-            (host, _WORKER_PORT),
-            (host, _REGISTRY_PORT),
-            slots,
-        )
+        worker = self._worker(worker_process, service, f"i-{number}", slots)
         if beats:
             worker_process.spawn(worker.beat_on)
         machine = MeshMachine(name, service, zone, host, worker_process, worker, process, sidecar)
         self.machines.append(machine)
         return machine
 
+    @staticmethod
+    def _worker(process: SimulatedProcess, service: str, instance: str, slots: int) -> RoutedWorker:
+        host = process.host
+        return RoutedWorker(
+            process, service, instance, (host, _WORKER_PORT), (host, _REGISTRY_PORT), slots
+        )
+
+    def restart_worker(self, machine: MeshMachine) -> None:
+        """Start a worker that has ended again, as a new instance with the same faults."""
+        former = machine.worker
+        name = machine.worker_process.name
+        process = self.world.process(name, machine.zone, machine.host)
+        self._restarts += 1
+        instance = f"{former.instance.partition('+')[0]}+{self._restarts}"
+        worker = self._worker(process, former.service, instance, former.slots)
+        worker.state = former.state
+        worker.state.running = 0
+        machine.worker_process, machine.worker = process, worker
+        process.spawn(worker.beat_on)
+
     def start_sidecar(
         self,
         name: str,
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -119,7 +119,7 @@
         self.service = service
         self.instance = instance
         self._registry = registry
-        self._slots = slots
+        self.slots = slots
         self._heartbeat_seconds = heartbeat_seconds
         self._sequence = 0
         self.phase = "ready"
@@ -133,7 +133,7 @@
         self._sequence += 1
         body = {
             "service": self.service,
-            "slots": self._slots,
+            "slots": self.slots,
             "phase": self.phase,
             "sequence": self._sequence,
             "cold_remaining_ms": 0,
@@ -223,7 +223,7 @@
                 self.instance.encode(),
                 NAMES.load,
                 self.state.running,
-                self._slots,
+                self.slots,
             )
         )
         return True
@@ -304,6 +304,3 @@
         if framed:
             lines += b"Content-Length: %d\r\n" % len(body)
         return status_line(status) + lines + b"\r\n" + body
-
-
-WhenRun = Callable[[RoutedRun], None]
