--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -83,7 +83,15 @@
     CALL_UNTIED = 31
     """The run that makes this call is not known here."""
     WORKER_ENDED = 32
-    """The worker's process ended while it ran this request, and others beside it."""
+    """The worker's process ended while it ran this request, which may be the cause."""
+    WORKER_ENDED_BESIDE = 33
+    """The worker's process ended while it ran this request, by another one or as planned."""
+    QUARANTINED = 34
+    """The workers that ran this very request before have ended; it is refused for a while."""
+    SUSPECTED = 35
+    """It may have ended a worker: only the gate that runs it alone may run it."""
+    RUN_ALONE = 36
+    """The same request is being run alone, to see whether it ends its worker."""
 
     @property
     def label(self) -> str:
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2884,11 +2884,11 @@
 
 
 class ForwardRequest(Record):
-    """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``root_priority`` and ``root_age_ms`` are those of the request for whose sake this one is made, ``root_objective_ms`` and ``root_deadline_ms`` what it has left until its answer is late and until nobody waits for it; ``repeated`` tells that this run, or one on the way to it, is a second one. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all. ``typical_us`` is the usual time of a run of this route over all workers, in microseconds as the asking sidecar knows it; 0: unknown. ``tenant`` is whose request it is; empty where requests need no key."""
+    """One sidecar asks another to have its worker run a request. Times are what is left, in milliseconds: ``deadline_ms`` until the caller leaves, ``start_ms`` until the request is no longer worth starting. ``root_priority`` and ``root_age_ms`` are those of the request for whose sake this one is made, ``root_objective_ms`` and ``root_deadline_ms`` what it has left until its answer is late and until nobody waits for it; ``repeated`` tells that this run, or one on the way to it, is a second one. ``lines`` holds the request line and the headers, ``body`` what of the body has been read; ``whole`` tells that this is all. ``typical_us`` is the usual time of a run of this route over all workers, in microseconds as the asking sidecar knows it; 0: unknown. ``tenant`` is whose request it is; empty where requests need no key. ``suspect`` tells that the worker that ran it before ended meanwhile, and that it may be the cause, ``alone`` that all senders send this suspect here."""
 
     KIND: ClassVar[int] = 80
-    LAYOUT: ClassVar[Struct] = Struct("!IIIBBIII???B?QHHHHHII")
-    __slots__ = ('deadline_ms', 'start_ms', 'typical_us', 'priority', 'root_priority', 'root_age_ms', 'root_objective_ms', 'root_deadline_ms', 'repeated', 'repeatable', 'bodiless', 'framing', 'whole', 'length', 'service', 'route', 'tenant', 'caller', 'request', 'lines', 'body',)
+    LAYOUT: ClassVar[Struct] = Struct("!IIIBBIII???B???QHHHHHII")
+    __slots__ = ('deadline_ms', 'start_ms', 'typical_us', 'priority', 'root_priority', 'root_age_ms', 'root_objective_ms', 'root_deadline_ms', 'repeated', 'repeatable', 'bodiless', 'framing', 'whole', 'suspect', 'alone', 'length', 'service', 'route', 'tenant', 'caller', 'request', 'lines', 'body',)
 
     def __init__(
         self,
@@ -2905,6 +2905,8 @@
         bodiless: bool = False,
         framing: int = 0,
         whole: bool = False,
+        suspect: bool = False,
+        alone: bool = False,
         length: int = 0,
         service: str = "",
         route: str = "",
@@ -2927,6 +2929,8 @@
         self.bodiless: bool = bodiless
         self.framing: int = framing
         self.whole: bool = whole
+        self.suspect: bool = suspect
+        self.alone: bool = alone
         self.length: int = length
         self.service: str = service
         self.route: str = route
@@ -2945,7 +2949,7 @@
         lines = self.lines
         body = self.body
         try:
-            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.typical_us, self.priority, self.root_priority, self.root_age_ms, self.root_objective_ms, self.root_deadline_ms, self.repeated, self.repeatable, self.bodiless, self.framing, self.whole, self.length, len(service), len(route), len(tenant), len(caller), len(request), len(lines), len(body))
+            head = self.LAYOUT.pack(self.deadline_ms, self.start_ms, self.typical_us, self.priority, self.root_priority, self.root_age_ms, self.root_objective_ms, self.root_deadline_ms, self.repeated, self.repeatable, self.bodiless, self.framing, self.whole, self.suspect, self.alone, self.length, len(service), len(route), len(tenant), len(caller), len(request), len(lines), len(body))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, route, tenant, caller, request, lines, body))
@@ -2953,7 +2957,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardRequest:
         try:
-            deadline_ms, start_ms, typical_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, repeated, repeatable, bodiless, framing, whole, length, service_size, route_size, tenant_size, caller_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
+            deadline_ms, start_ms, typical_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, repeated, repeatable, bodiless, framing, whole, suspect, alone, length, service_size, route_size, tenant_size, caller_size, request_size, lines_size, body_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + service_size
             service = payload[start:end].decode()
@@ -2980,7 +2984,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardRequest of {len(payload)} bytes, not {start}")
-        return cls(deadline_ms, start_ms, typical_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, repeated, repeatable, bodiless, framing, whole, length, service, route, tenant, caller, request, lines, body)
+        return cls(deadline_ms, start_ms, typical_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, repeated, repeatable, bodiless, framing, whole, suspect, alone, length, service, route, tenant, caller, request, lines, body)
 
 
 class ForwardBody(Record):
@@ -3179,6 +3183,110 @@
         return cls(milliseconds, service)
 
 
+class QuarantineEntry(Record):
+    """A request that is suspected of ending the workers that run it. ``held_ms`` is how much longer it is refused, 0 for one that is only suspected; ``ends`` names the ends of workers that speak against it, 8 bytes each; ``cleared`` tells that a worker has run it to its end, or that an operator has lifted it."""
+
+    KIND: ClassVar[int] = 90
+    LAYOUT: ClassVar[Struct] = Struct("!I?HII")
+    __slots__ = ('held_ms', 'cleared', 'service', 'ends', 'identity',)
+
+    def __init__(
+        self,
+        held_ms: int = 0,
+        cleared: bool = False,
+        service: str = "",
+        ends: bytes = b"",
+        identity: bytes = b"",
+    ) -> None:
+        self.held_ms: int = held_ms
+        self.cleared: bool = cleared
+        self.service: str = service
+        self.ends: bytes = ends
+        self.identity: bytes = identity
+
+    def pack(self) -> bytes:
+        service = self.service.encode()
+        ends = self.ends
+        identity = self.identity
+        try:
+            head = self.LAYOUT.pack(self.held_ms, self.cleared, len(service), len(ends), len(identity))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, service, ends, identity))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> QuarantineEntry:
+        try:
+            held_ms, cleared, service_size, ends_size, identity_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + ends_size
+            ends = payload[start:end]
+            start = end
+            end = start + identity_size
+            identity = payload[start:end]
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"QuarantineEntry of {len(payload)} bytes, not {start}")
+        return cls(held_ms, cleared, service, ends, identity)
+
+
+class QuarantineNews(Record):
+    """What a sidecar knows of such requests. ``digest`` is that of all it holds; ``asks`` wants the receiver's own entries where its digest differs. The receiver passes it on to the nodes whose names come after its own, up to ``relay_to``; those of ``service``, or all where it is empty."""
+
+    KIND: ClassVar[int] = 91
+    LAYOUT: ClassVar[Struct] = Struct("!Q?HHI")
+    __slots__ = ('digest', 'asks', 'service', 'relay_to', 'entries',)
+
+    def __init__(
+        self,
+        digest: int = 0,
+        asks: bool = False,
+        service: str = "",
+        relay_to: str = "",
+        entries: list[QuarantineEntry] | None = None,
+    ) -> None:
+        self.digest: int = digest
+        self.asks: bool = asks
+        self.service: str = service
+        self.relay_to: str = relay_to
+        self.entries: list[QuarantineEntry] = entries if entries is not None else []
+
+    def pack(self) -> bytes:
+        service = self.service.encode()
+        relay_to = self.relay_to.encode()
+        entries = pack_records(self.entries)
+        try:
+            head = self.LAYOUT.pack(self.digest, self.asks, len(service), len(relay_to), len(entries))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, service, relay_to, entries))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> QuarantineNews:
+        try:
+            digest, asks, service_size, relay_to_size, entries_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + service_size
+            service = payload[start:end].decode()
+            start = end
+            end = start + relay_to_size
+            relay_to = payload[start:end].decode()
+            start = end
+            end = start + entries_size
+            entries = unpack_records(QuarantineEntry.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"QuarantineNews of {len(payload)} bytes, not {start}")
+        return cls(digest, asks, service, relay_to, entries)
+
+
 class ForwardCut(Record):
     """The answer ends here, before its last byte."""
 
@@ -3279,5 +3387,7 @@
     82: ForwardContinue,
     83: ForwardAnswer,
     85: ServiceWork,
+    90: QuarantineEntry,
+    91: QuarantineNews,
     84: ForwardCut,
 }
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -399,10 +399,12 @@
         "the headers, ``body`` what of the body has been read; ``whole`` tells that this is all. "
         "``typical_us`` is the usual time of a run of this route over all workers, in "
         "microseconds as the asking sidecar knows it; 0: unknown. ``tenant`` is whose request "
-        "it is; empty where requests need no key.",
+        "it is; empty where requests need no key. ``suspect`` tells that the worker that ran it "
+        "before ended meanwhile, and that it may be the cause, ``alone`` that all senders send "
+        "this suspect here.",
         "deadline_ms:u32 start_ms:u32 typical_us:u32 priority:u8 root_priority:u8 "
         "root_age_ms:u32 root_objective_ms:u32 root_deadline_ms:u32 repeated:bool "
-        "repeatable:bool bodiless:bool framing:u8 whole:bool "
+        "repeatable:bool bodiless:bool framing:u8 whole:bool suspect:bool alone:bool "
         "length:u64 service:str route:str tenant:str caller:str request:str lines:bytes body:bytes",
     ),
     Record(
@@ -434,5 +436,23 @@
         "Time that slots of a service were held for the sake of one request.",
         "milliseconds:u32 service:str",
     ),
+    Record(
+        90,
+        "QuarantineEntry",
+        "A request that is suspected of ending the workers that run it. ``held_ms`` is how much "
+        "longer it is refused, 0 for one that is only suspected; ``ends`` names the ends of "
+        "workers that speak against it, 8 bytes each; ``cleared`` tells that a worker has run it "
+        "to its end, or that an operator has lifted it.",
+        "held_ms:u32 cleared:bool service:str ends:bytes identity:bytes",
+    ),
+    Record(
+        91,
+        "QuarantineNews",
+        "What a sidecar knows of such requests. ``digest`` is that of all it holds; ``asks`` "
+        "wants the receiver's own entries where its digest differs. The receiver passes it on "
+        "to the nodes whose names come after its own, up to ``relay_to``; those of ``service``, "
+        "or all where it is empty.",
+        "digest:u64 asks:bool service:str relay_to:str entries:[QuarantineEntry]",
+    ),
     Record(84, "ForwardCut", "The answer ends here, before its last byte.", "reason:u8"),
 )
--- a/src/cranklane/sidecar/decision_log.py
+++ b/src/cranklane/sidecar/decision_log.py
@@ -20,6 +20,7 @@
 from cranklane.sidecar.destinations import Destination
 from cranklane.sidecar.dispatcher import Call
 from cranklane.sidecar.metrics import SidecarMetrics
+from cranklane.sidecar.request_identity import Identity
 from cranklane.sidecar.request_summary import End, RequestSummary, end_of
 from cranklane.sidecar.worker_end import WorkerEnd
 
@@ -127,6 +128,18 @@
             waited_seconds=round(waited, 4),
         )
 
+    def quarantined(self, call: Call, identity: Identity, seconds_left: float) -> None:
+        """Take that a request of this machine's callers is held."""
+        if not self._problems.allows():
+            return
+        self._log.info(
+            "quarantine_refusal",
+            request=call.request,
+            service=call.service,
+            identity=identity.hex(),
+            seconds_left=round(seconds_left, 1),
+        )
+
     def worker_ended(self, end: WorkerEnd) -> None:
         """Take that the worker's process has ended, and what it was running."""
         self._metrics.worker_ended(end.planned)
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -54,7 +54,11 @@
 WIDEN_LOAD = 0.5
 """When the best of its subset is loaded this much, a process looks further."""
 
-NO_WORKER = (Reason.WORKER_UNREACHABLE, Reason.WORKER_ENDED)
+NO_WORKER = (
+    Reason.WORKER_UNREACHABLE,
+    Reason.WORKER_ENDED,
+    Reason.WORKER_ENDED_BESIDE,
+)
 """Failures that tell that nobody listens at the worker's address."""
 
 UNREACHABLE = (Reason.PEER_UNREACHABLE, Reason.PEER_LOST)
@@ -340,6 +344,24 @@
             drawn.append(best)
         return self._best(drawn, tried, priority, now) or self._best(members, tried, priority, now)
 
+    def lone_run_destination(
+        self, service: str, identity: bytes, tried: set[str]
+    ) -> Destination | None:
+        """Return the destination that runs a suspected request alone, or None.
+
+        All senders that know the same workers name the same one (rendezvous hashing), and
+        suspects are spread over all workers.
+        """
+        now = self._clock()
+        live = [
+            item
+            for item in self._by_service.get(service, [])
+            if item.state is MemberState.LIVE
+            and item.node not in tried
+            and item.ejected_until <= now
+        ]
+        return max(live, key=lambda item: crc32(identity + item.node.encode()), default=None)
+
     def _subset_of(self, service: str) -> list[Destination]:
         """Return the workers of a large service that this process turns to first.
 
--- a/src/cranklane/sidecar/dispatcher.py
+++ b/src/cranklane/sidecar/dispatcher.py
@@ -20,9 +20,11 @@
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, BodyReader, Reply, refusal
 from cranklane.sidecar.call_tree import Root
-from cranklane.sidecar.destinations import UNREACHABLE, Destination, Destinations
+from cranklane.sidecar.destinations import NO_WORKER, UNREACHABLE, Destination, Destinations
 from cranklane.sidecar.gate import MICROSECONDS, Gate, tells_its_time
 from cranklane.sidecar.peers import PeerClient
+from cranklane.sidecar.quarantine import Quarantine, Standing
+from cranklane.sidecar.request_identity import Identity, identity_of
 from cranklane.sidecar.retry_budget import RetryBudget
 from cranklane.sidecar.slot_work import SlotWork
 from cranklane.sidecar.slowness import TypicalTimes
@@ -70,6 +72,8 @@
     :ivar rest: reads the part of the body that is not in ``body``; such a
         request is sent once only.
     :ivar attempts: workers reached so far.
+    :ivar suspect: whether its last worker ended and it may be the cause.
+    :ivar alone: whether it goes to the gate that runs this suspect alone.
     :ivar work: what its runs, and the calls that they made, have cost.
     """
 
@@ -90,10 +94,16 @@
     attempts: int = 0
     refusals: int = 0
     cancelled: bool = False
+    suspect: bool = False
+    alone: bool = False
     current: Attempt | None = None
     tried: set[str] = field(default_factory=set)
     work: SlotWork = field(default_factory=SlotWork)
 
+    def identity(self) -> Identity:
+        """Return what makes it the same as others."""
+        return identity_of(self.service, self.tenant, self.lines, self.body, self.length)
+
     def cancel(self) -> None:
         """End it: its caller has left."""
         self.cancelled = True
@@ -106,7 +116,9 @@
 
     :param own: name of this machine's node.
     :param caller: service of this machine.
+    :param quarantine: what is known of requests that end workers.
     :param on_attempt: told of each attempt that has ended, and its seconds.
+    :param on_quarantined: told of a request that is held, and for how many more seconds.
     """
 
     def __init__(
@@ -116,9 +128,11 @@
         gate: Gate,
         peers: PeerClient,
         budget: RetryBudget,
+        quarantine: Quarantine,
         own: str,
         caller: str,
         on_attempt: Callable[[Call, Destination, Reply, float], None],
+        on_quarantined: Callable[[Call, Identity, float], None],
     ) -> None:
         self._runtime = runtime
         self._destinations = destinations
@@ -127,7 +141,9 @@
         self._budget = budget
         self._own = own
         self._caller = caller
+        self._quarantine = quarantine
         self._on_attempt = on_attempt
+        self._on_quarantined = on_quarantined
         self._times = TypicalTimes()
 
     def run(self, call: Call) -> Reply:
@@ -136,12 +152,15 @@
             self._budget.charge(call.service)
         else:
             self._budget.earned(call.service)
+        held = self._held(call)
+        if held is not None:
+            return held
         result = refusal(Reason.NO_MEMBERS, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
         may_have_run = False
         answered: Reply | None = None
         while True:
             priority = call.root.priority
-            destination = self._destinations.choose(call.service, call.tried, priority)
+            destination = self._choose(call)
             if destination is None:
                 if not call.tried and self._destinations.all_full(call.service, priority):
                     result = refusal(Reason.QUEUE_FULL, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
@@ -160,6 +179,25 @@
             result = Reply(Outcome.UNKNOWN, result.reason, arrived=True)
         return result
 
+    def _choose(self, call: Call) -> Destination | None:
+        """Return the destination of the next attempt."""
+        if call.alone:
+            return self._destinations.lone_run_destination(
+                call.service, call.identity(), call.tried
+            )
+        return self._destinations.choose(call.service, call.tried, call.root.priority)
+
+    def _held(self, call: Call) -> Reply | None:
+        """Return the refusal of a request that is held, or None."""
+        if self._quarantine.is_empty:
+            return None
+        identity = call.identity()
+        if self._quarantine.standing(identity) is not Standing.HELD:
+            return None
+        left = self._quarantine.seconds_left(identity)
+        self._on_quarantined(call, identity, left)
+        return refusal(Reason.QUARANTINED, retry_after_ms=_milliseconds(left) + 1)
+
     def _member_comes(self, call: Call) -> bool:
         """Wait for a first worker of a service, as after a start; return whether to look."""
         spent = self._runtime.monotonic() - call.started_at
@@ -209,6 +247,8 @@
             bodiless=call.bodiless,
             framing=call.framing,
             whole=call.rest is None,
+            suspect=call.suspect,
+            alone=call.alone,
             length=call.length,
             service=call.service,
             route=call.route.name,
@@ -228,17 +268,30 @@
         destination.take_load(self._runtime.monotonic(), reply.load)
         if reply.reason is Reason.QUEUE_FULL:
             destination.no_room(self._runtime.monotonic(), call.root.priority)
+        self._learn_of_suspicion(call, destination, reply)
         if reply.reason is Reason.DRAINING:
             # Its own sidecar knows best; control's word comes later.
             destination.state = MemberState.DRAINING
         if reply.reason in UNREACHABLE:
             self._eject(destination, reply.reason)
-        elif reply.reason in (Reason.WORKER_UNREACHABLE, Reason.NO_MEMBERS) or (
+        elif reply.reason in (*NO_WORKER, Reason.NO_MEMBERS) or (
             reply.outcome is Outcome.UNKNOWN
             and reply.reason not in (Reason.CANCELLED, Reason.DEADLINE_PASSED)
         ):
             destination.failed(self._runtime.monotonic(), reply.reason)
 
+    def _learn_of_suspicion(self, call: Call, destination: Destination, reply: Reply) -> None:
+        match reply.reason:
+            case Reason.QUARANTINED:
+                left = reply.retry_after_ms / 1000
+                self._quarantine.learn(call.service, call.identity(), left)
+            case Reason.WORKER_ENDED:
+                call.suspect = True
+            case Reason.SUSPECTED:
+                call.alone = True
+                # It may be the very one that is to run it alone.
+                call.tried.discard(destination.node)
+
     def _learn_times(
         self, call: Call, destination: Destination, reply: Reply, seconds: float
     ) -> None:
@@ -277,6 +330,10 @@
         """Return whether another worker may be tried after this reply."""
         if call.cancelled or self._runtime.monotonic() >= call.deadline:
             return False
+        if reply.reason in (Reason.QUARANTINED, Reason.RUN_ALONE):
+            return False
+        if call.suspect and self._held(call) is not None:
+            return False
         if reply.outcome is Outcome.ANSWERED and not self._may_improve(call, reply):
             return False
         if reply.outcome is Outcome.UNKNOWN and not call.route.repeatable:
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -13,14 +13,18 @@
 from cranklane.common.request_names import HeaderNames
 from cranklane.errors import AnswerCutError
 from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import ForwardRequest
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.attempt import Attempt, Load, Reply, refusal, unknown
 from cranklane.sidecar.call_tree import CallTree, Root, Run
+from cranklane.sidecar.lone_runs import LoneRuns, SuspectAdmission
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
+from cranklane.sidecar.quarantine import Quarantine, Standing, end_id
+from cranklane.sidecar.request_identity import Identity
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.slowness import ratio_to
 from cranklane.sidecar.worker_condition import WorkerCondition
-from cranklane.sidecar.worker_end import WorkerEnd, WorkerEnds
+from cranklane.sidecar.worker_end import WorkerEnd, WorkerEnds, identity_of_request
 from cranklane.sidecar.worker_exchange import WorkerExchange
 from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
 
@@ -37,8 +41,9 @@
 
 _SERVER_ERROR = 500
 _GATEWAY_TIMEOUT = 504
-_NOBODY_LISTENS = (Reason.WORKER_UNREACHABLE, Reason.WORKER_ENDED)
-_BROKEN_ANSWERS = (Reason.WORKER_FAILED, Reason.WORKER_ENDED, Reason.ANSWER_CUT)
+_ENDED = (Reason.WORKER_ENDED, Reason.WORKER_ENDED_BESIDE)
+_NOBODY_LISTENS = (Reason.WORKER_UNREACHABLE, *_ENDED)
+_BROKEN_ANSWERS = (Reason.WORKER_FAILED, *_ENDED, Reason.ANSWER_CUT)
 
 
 AdmissionListener = Callable[[str, Reason, int, int, int, float], None]
@@ -52,6 +57,7 @@
 
     :param on_end: called once, at the end, at a failure or by :meth:`close`.
     :param on_cut: called when the answer ends too early, before ``on_end``.
+    :param on_whole: called when its last piece was read, before ``on_end``.
     """
 
     def __init__(
@@ -59,9 +65,11 @@
         pieces: Iterator[bytes],
         on_end: Callable[[], None],
         on_cut: Callable[[], object] = bool,
+        on_whole: Callable[[], object] = bool,
     ) -> None:
         self._pieces = pieces
         self._on_cut = on_cut
+        self._on_whole = on_whole
         self._on_end: Callable[[], None] | None = on_end
 
     def __iter__(self) -> HeldAnswer:
@@ -72,6 +80,10 @@
         """Return the next piece."""
         try:
             return next(self._pieces)
+        except StopIteration:
+            self._on_whole()
+            self.close()
+            raise
         except AnswerCutError:
             self._on_cut()
             self.close()
@@ -93,6 +105,7 @@
 
     :param call_tree: told of the runs, to which the worker's own calls are tied.
     :param condition: told how the runs end and how long they take.
+    :param quarantine: what is known of requests that end workers.
     :param on_admission: told of each decision.
     :param on_worker_end: told once of each end of the worker's process.
     """
@@ -105,6 +118,7 @@
         names: HeaderNames,
         call_tree: CallTree,
         condition: WorkerCondition,
+        quarantine: Quarantine,
         on_admission: AdmissionListener,
         on_worker_end: Callable[[WorkerEnd], None],
     ) -> None:
@@ -115,7 +129,10 @@
         self._slots = slots
         self._limiter = OutcomeLimiter(runtime.monotonic)
         self._condition = condition
-        self._ends = WorkerEnds(runtime, worker, on_worker_end)
+        self._on_worker_end = on_worker_end
+        self._ends = WorkerEnds(runtime, worker, self._worker_has_ended)
+        self._quarantine = quarantine
+        self._lone_runs = LoneRuns(runtime.monotonic, quarantine)
         self._exchange = (
             WorkerExchange(runtime, worker.pool, names, worker.other_instance)
             if worker.pool is not None
@@ -145,18 +162,12 @@
     def _run(self, attempt: Attempt, on_admitted: Any) -> Reply:
         request = attempt.request
         arrived_at = self._runtime.monotonic()
-        reason = self._closed_to(request.service)
-        if reason is Reason.NONE and not self._limiter.admits(
-            request.route, request.priority, request.caller
-        ):
-            reason = Reason.REFUSED_EARLY
+        admission = self._lone_runs.admit(request, self._ends_wait(attempt))
+        reason = admission.reason
         if reason is Reason.NONE:
-            reason = self._slots.acquire(
-                request.root_priority,
-                request.start_ms / 1000,
-                self._ends_wait(attempt),
-                request.root_age_ms / 1000,
-            )
+            reason = self._admit(attempt)
+            if reason is not Reason.NONE and admission.lone is not None:
+                self._lone_runs.release(admission.lone, 0.0)
         started_at = self._runtime.monotonic()
         slots = self._slots
         self._on_admission(
@@ -168,19 +179,44 @@
             started_at - arrived_at,
         )
         if reason is not Reason.NONE:
-            return refusal(reason, retry_after_ms=self._retry_after_ms(reason))
-        reply: Reply | None = None
-        begun_in = self._limiter.began(request.route)
-        root = Root(
+            after = admission.retry_after_ms or self._retry_after_ms(reason)
+            return refusal(reason, retry_after_ms=after)
+        return self._run_admitted(attempt, on_admitted, arrived_at, started_at, admission)
+
+    def _admit(self, attempt: Attempt) -> Reason:
+        """Take a slot of the worker; return why there is none, or NONE."""
+        request = attempt.request
+        reason = self._closed_to(request.service)
+        if reason is not Reason.NONE:
+            return reason
+        if not self._limiter.admits(request.route, request.priority, request.caller):
+            return Reason.REFUSED_EARLY
+        return self._slots.acquire(
             request.root_priority,
-            arrived_at - request.root_age_ms / 1000,
-            arrived_at + request.root_objective_ms / 1000,
-            arrived_at + request.root_deadline_ms / 1000,
-            request.repeated,
+            request.start_ms / 1000,
+            self._ends_wait(attempt),
+            request.root_age_ms / 1000,
         )
-        run = self._call_tree.begin(request.request, root, request.tenant)
-        number = self._ends.began(request)
+
+    def _run_admitted(
+        self,
+        attempt: Attempt,
+        on_admitted: Any,
+        arrived_at: float,
+        started_at: float,
+        admission: SuspectAdmission,
+    ) -> Reply:
+        """Run a request that has a slot."""
+        request = attempt.request
+        reply: Reply | None = None
+        begun_in = self._limiter.began(request.route)
+        run = self._call_tree.begin(request.request, _root_of(request, arrived_at), request.tenant)
+        lone = admission.lone
+        number = self._ends.began(request, admission.level)
         instance = self._worker.instance
+        release = partial(self._release, request.request, number, started_at, lone)
+        if lone is not None:
+            self._lone_runs.begins(lone)
         try:
             if on_admitted is not None:
                 on_admitted()
@@ -188,34 +224,65 @@
             assert self._exchange is not None
             reply = self._exchange.run(attempt, instance, deadline)
             if reply.reason is Reason.WORKER_FAILED and self._ends.connection_lost(instance):
-                reply = unknown(Reason.WORKER_ENDED)
+                reply = unknown(self._reason_of_end(request))
         finally:
             if reply is None or reply.rest is None:
-                self._release(request.request, number, started_at)
+                release()
         reply.waited_ms = int((started_at - arrived_at) * 1000)
         ran = self._runtime.monotonic() - started_at
         reply.ran_ms = round(ran * 1000)
         if not attempt.cancelled:
-            reply.starved = _is_starved(run, reply)
-            reply.below = run.below
-            if reply.outcome is not Outcome.ANSWERED or reply.status >= _SERVER_ERROR:
-                reply.failure = run.failure
-            tells = request.typical_us > 0 and tells_its_time(reply)
-            ratio = ratio_to(request.typical_us / MICROSECONDS, ran) if tells else None
-            self._condition.run_ended(_is_own_fault(run, reply), ratio)
-            # Where calls cannot be tied to runs, any failed run is taken for starved.
-            untold = reply.status == _SERVER_ERROR and not self._call_tree.ties
-            self._limiter.ended(request.route, begun_in, reply.starved or untold)
+            self._learn(request, run, reply, ran, begun_in)
         if reply.reason in _NOBODY_LISTENS:
             self._worker.unreachable()
         if reply.rest is not None:
             reply.rest = HeldAnswer(
                 reply.rest,
-                partial(self._release, request.request, number, started_at),
+                release,
                 partial(self._ends.connection_lost, instance),
+                partial(self._answered, request),
             )
+        elif reply.outcome is Outcome.ANSWERED:
+            self._answered(request)
         return reply
 
+    def _learn(
+        self, request: ForwardRequest, run: Run, reply: Reply, ran: float, begun_in: int
+    ) -> None:
+        """Take what a run tells of the worker, and of the room further down."""
+        reply.starved = _is_starved(run, reply)
+        reply.below = run.below
+        if reply.outcome is not Outcome.ANSWERED or reply.status >= _SERVER_ERROR:
+            reply.failure = run.failure
+        tells = request.typical_us > 0 and tells_its_time(reply)
+        ratio = ratio_to(request.typical_us / MICROSECONDS, ran) if tells else None
+        self._condition.run_ended(_is_own_fault(run, reply), ratio)
+        # Where calls cannot be tied to runs, any failed run is taken for starved.
+        untold = reply.status == _SERVER_ERROR and not self._call_tree.ties
+        self._limiter.ended(request.route, begun_in, reply.starved or untold)
+
+    # What the end of the worker tells of the requests that ran.
+
+    def _worker_has_ended(self, end: WorkerEnd) -> None:
+        self._on_worker_end(end)
+        if not end.planned:
+            self._quarantine.worker_ended(
+                self._worker.service,
+                end_id(end.instance),
+                {run.identity: run.level for run in end.runs},
+            )
+
+    def _reason_of_end(self, request: ForwardRequest) -> Reason:
+        """Return whether a request whose worker has ended may be the cause."""
+        standing = self._quarantine.standing(identity_of_request(request))
+        beside = standing is Standing.CLEAR
+        return Reason.WORKER_ENDED_BESIDE if beside else Reason.WORKER_ENDED
+
+    def _answered(self, request: ForwardRequest) -> None:
+        """Take that the worker has run a request to its end: it is no cause of ends."""
+        if not self._quarantine.is_empty:
+            self._quarantine.answered(identity_of_request(request))
+
     def _closed_to(self, service: str) -> Reason:
         """Return why no request for a service is taken now."""
         worker = self._worker
@@ -234,10 +301,13 @@
 
         return on_wait
 
-    def _release(self, request: str, number: int, started_at: float) -> None:
+    def _release(self, request: str, number: int, started_at: float, lone: Identity | None) -> None:
+        held_seconds = self._runtime.monotonic() - started_at
         self._call_tree.end(request)
         self._ends.ended(number)
-        self._slots.release(self._runtime.monotonic() - started_at)
+        self._slots.release(held_seconds)
+        if lone is not None:
+            self._lone_runs.release(lone, held_seconds)
 
     def _retry_after_ms(self, reason: Reason) -> int:
         if reason is Reason.REFUSED_EARLY:
@@ -252,6 +322,17 @@
     return answered or reply.reason is Reason.DEADLINE_PASSED
 
 
+def _root_of(request: ForwardRequest, arrived_at: float) -> Root:
+    """Return the request at the root of a request's call tree, by this process's clock."""
+    return Root(
+        request.root_priority,
+        arrived_at - request.root_age_ms / 1000,
+        arrived_at + request.root_objective_ms / 1000,
+        arrived_at + request.root_deadline_ms / 1000,
+        request.repeated,
+    )
+
+
 def _is_starved(run: Run, reply: Reply) -> bool:
     """Return whether a run failed for want of room further down, or of time."""
     return _timed_out(reply) or (reply.status == _SERVER_ERROR and run.starved)
--- /dev/null
+++ b/src/cranklane/sidecar/lone_runs.py
@@ -0,0 +1,128 @@
+"""Decides how a request runs that may be the cause of a worker's end.
+
+A suspect that its sender repeats at once runs like any other request. One that speaks more
+against, and one that comes in anew, runs with no other such suspect beside it, and at one
+gate, the same for all senders, so that copies of it wait there for what becomes of the first. A
+gate that gets it from a sender that does not know has it sent there.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent.event import Event
+
+from cranklane.outcome import Reason
+from cranklane.records.messages import ForwardRequest
+from cranklane.sidecar.quarantine import Quarantine, Standing
+from cranklane.sidecar.request_identity import Identity
+from cranklane.sidecar.slots import Slots, Waiter
+from cranklane.sidecar.worker_end import identity_of_request
+
+MILLISECONDS = 1000
+
+SEEN_ONCE = 1
+"""Level of a suspect that ran beside others at one worker that ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectAdmission:
+    """Whether a request may run as far as its past is concerned.
+
+    :ivar reason: why it may not, NONE when it may.
+    :ivar level: how strongly it is suspected as it begins.
+    :ivar lone: its identity where it has the one place for suspects that run alone.
+    """
+
+    reason: Reason = Reason.NONE
+    level: int = 0
+    lone: Identity | None = None
+    retry_after_ms: int = 0
+
+
+_UNSUSPECTED = SuspectAdmission()
+
+
+class LoneRuns:
+    """The one place at a worker for suspects that run alone."""
+
+    def __init__(self, clock: Callable[[], float], quarantine: Quarantine) -> None:
+        self._quarantine = quarantine
+        self._place = Slots(clock)
+        self._place.resize(1)
+        # Those that have the place or wait for it; set when the run of one has ended.
+        self._ended: dict[Identity, Event] = {}
+
+    def admit(self, request: ForwardRequest, on_wait: Callable[[Waiter], None]) -> SuspectAdmission:
+        """Let a request run, alone where it must; refuse one that is held."""
+        if self._quarantine.is_empty and not request.suspect:
+            return _UNSUSPECTED
+        identity = identity_of_request(request)
+        if request.suspect:
+            self._quarantine.suspect(request.service, identity)
+        admission = self._without_place(identity)
+        if admission is not None:
+            return admission
+        level = self._quarantine.level(identity)
+        on_trial = self._quarantine.standing(identity) is Standing.ON_TRIAL
+        if request.suspect and level == SEEN_ONCE and not on_trial:
+            return SuspectAdmission(level=level)
+        if not request.alone:
+            return SuspectAdmission(Reason.SUSPECTED)
+        ended = self._ended.get(identity)
+        if ended is not None:
+            return self._after_copy(request, identity, ended)
+        return self._take_place(request, identity, on_wait)
+
+    def _without_place(self, identity: Identity) -> SuspectAdmission | None:
+        """Return the admission of a request that needs no place; None for one that does."""
+        standing = self._quarantine.standing(identity)
+        if standing is Standing.CLEAR:
+            return _UNSUSPECTED
+        if standing is Standing.HELD:
+            left = int(self._quarantine.seconds_left(identity) * MILLISECONDS)
+            return SuspectAdmission(Reason.QUARANTINED, retry_after_ms=left + 1)
+        return None
+
+    def _after_copy(
+        self, request: ForwardRequest, identity: Identity, ended: Event
+    ) -> SuspectAdmission:
+        """Wait for what becomes of a copy of a request that was here before it."""
+        ended.wait(request.start_ms / MILLISECONDS)
+        return self._without_place(identity) or SuspectAdmission(Reason.RUN_ALONE)
+
+    def _take_place(
+        self, request: ForwardRequest, identity: Identity, on_wait: Callable[[Waiter], None]
+    ) -> SuspectAdmission:
+        self._ended[identity] = Event()
+        reason = self._place.acquire(
+            request.root_priority,
+            request.start_ms / MILLISECONDS,
+            on_wait,
+            request.root_age_ms / MILLISECONDS,
+        )
+        if reason is not Reason.NONE:
+            self._end(identity)
+            return SuspectAdmission(reason)
+        admission = self._without_place(identity)
+        if admission is not None:
+            # Another gate has found out meanwhile.
+            self.release(identity, 0.0)
+            return admission
+        return SuspectAdmission(level=self._quarantine.level(identity), lone=identity)
+
+    def begins(self, identity: Identity) -> None:
+        """Take that the run of a suspect that has the place begins now."""
+        if self._quarantine.standing(identity) is Standing.ON_TRIAL:
+            self._quarantine.trial_begins(identity)
+
+    def release(self, identity: Identity, held_seconds: float) -> None:
+        """Give the place back, after all is known of the run."""
+        self._place.release(held_seconds)
+        self._end(identity)
+
+    def _end(self, identity: Identity) -> None:
+        ended = self._ended.pop(identity, None)
+        if ended is not None:
+            ended.set()
--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -23,6 +23,7 @@
     Hello,
     Message,
     Ping,
+    QuarantineNews,
     ServiceWork,
 )
 from cranklane.runtime.interface import Address, Runtime
@@ -46,6 +47,9 @@
 
 GREETING_SECONDS = 5.0
 
+NEWS_SECONDS = 1.0
+"""Time for the answer to news; after it the sidecar counts as not reached."""
+
 
 class _Kept:
     __slots__ = ("records", "stream", "rested_at")
@@ -152,6 +156,22 @@
             else:
                 records.close()
 
+    def exchange(self, address: Address, news: QuarantineNews) -> QuarantineNews | None:
+        """Send news to the sidecar at an address; return its answer, None without one."""
+        try:
+            kept = self._take(address)
+        except (OSError, ConnectionLostError, MalformedRecordError):
+            return None
+        try:
+            kept.records.set_silent_after(NEWS_SECONDS)
+            kept.records.send(news)
+            answer = kept.records.expect(QuarantineNews)
+        except (ConnectionLostError, MalformedRecordError):
+            kept.records.close()
+            return None
+        self._keep(address, kept)
+        return answer
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to an address that does not answer."""
         for kept in self._idle.pop(address, ()):
@@ -219,9 +239,20 @@
 
 
 class PeerServer:
-    """Serves requests of other sidecars."""
-
-    def __init__(self, runtime: Runtime, gate: Gate, hang_ups: HangUpWatch, log: Any) -> None:
+    """Serves requests of other sidecars.
+
+    :param on_news: takes news of quarantined requests and returns the answer.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        gate: Gate,
+        hang_ups: HangUpWatch,
+        on_news: Callable[[QuarantineNews], QuarantineNews],
+        log: Any,
+    ) -> None:
+        self._on_news = on_news
         self._runtime = runtime
         self._log = log
         self._gate = gate
@@ -236,9 +267,9 @@
             records.set_silent_after(SERVER_IDLE_SECONDS)
             while True:
                 self._idle.add(records)
-                request = records.expect(ForwardRequest)
+                _, message = records.receive()
                 self._idle.discard(records)
-                if not self._serve(records, stream, request):
+                if not self._take(records, stream, message):
                     break
         except ConnectionLostError:
             pass
@@ -249,6 +280,17 @@
             self._idle.discard(records)
             records.close()
 
+    def _take(self, records: RecordConnection, stream: object, message: Message) -> bool:
+        """Answer one record; return whether the connection can be used again."""
+        match message:
+            case ForwardRequest():
+                return self._serve(records, stream, message)
+            case QuarantineNews():
+                records.send(self._on_news(message))
+                return True
+            case _:
+                raise MalformedRecordError(f"{type(message).__name__} from a sidecar")
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for records in list(self._idle):
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -46,7 +46,9 @@
 from cranklane.sidecar.ingress import Ingress
 from cranklane.sidecar.metrics import SidecarMetrics
 from cranklane.sidecar.peers import PeerClient, PeerServer
+from cranklane.sidecar.quarantine_spread import QuarantineSpread
 from cranklane.sidecar.retry_budget import RetryBound, RetryBudget
+from cranklane.sidecar.sidecar_directory import SidecarDirectory
 from cranklane.sidecar.slots import Slots
 from cranklane.sidecar.table_lease import TableLease
 from cranklane.sidecar.tenant_quota import TenantQuota
@@ -143,6 +145,16 @@
         )
         self.metrics = SidecarMetrics()
         self.decisions = DecisionLog(runtime.monotonic, self.metrics, self._log)
+        self.peers = PeerClient(runtime, self._hello)
+        self.directory = SidecarDirectory(runtime.monotonic, settings.name)
+        self.quarantine = QuarantineSpread(
+            runtime,
+            self.directory,
+            settings.name,
+            lambda: self.worker.service,
+            self.peers.exchange,
+            self._log,
+        )
         call_tree = CallTree()
         self.condition = WorkerCondition(runtime.monotonic, self._condition_news)
         self.gate = Gate(
@@ -152,6 +164,7 @@
             names,
             call_tree,
             self.condition,
+            self.quarantine.table,
             self.decisions.admission,
             self.decisions.worker_ended,
         )
@@ -160,8 +173,9 @@
             runtime.monotonic, runtime.random, lambda: self.destinations.fleet_size().sidecars
         )
         hang_ups = HangUpWatch(runtime)
-        self.peers = PeerClient(runtime, self._hello)
-        self.peer_server = PeerServer(runtime, self.gate, hang_ups, self._log)
+        self.peer_server = PeerServer(
+            runtime, self.gate, hang_ups, self.quarantine.received, self._log
+        )
         self.dispatcher = Dispatcher(
             runtime,
             self.destinations,
@@ -173,9 +187,11 @@
                 runtime.random,
                 self.destinations.fleet_size,
             ),
+            self.quarantine.table,
             settings.name,
             settings.service,
             self.decisions.attempted,
+            self.decisions.quarantined,
         )
         self.ingress = Ingress(
             runtime,
@@ -193,6 +209,7 @@
         )
         self._add_gauges()
         self._own_sequence = 0
+        self._learnt_for = ""
         self._lease_held = True
         self._stopping = False
         self._listeners: list[Listener] = []
@@ -214,6 +231,7 @@
         self._runtime.spawn(self.worker.watch)
         self._runtime.spawn(self.decisions.summarise)
         self._runtime.spawn(self._report_usage)
+        self._runtime.spawn(self.quarantine.compare_on)
         self._log.info("started", service=settings.service, seeds=settings.seeds)
 
     def _add_gauges(self) -> None:
@@ -225,6 +243,7 @@
         add("cranklane_worker_faults", "Part of runs failed by the worker.", self._faults)
         add("cranklane_worker_slowness", "Run times against typical ones.", self._slowness)
         add("cranklane_table_age", "Seconds since the table was newest.", lambda: self.lease.age)
+        add("cranklane_held_requests", "Requests held, or to be tried again.", self._held_requests)
         add("cranklane_ready", "Whether callers may send requests.", self.is_ready)
         add(
             "cranklane_control_connected",
@@ -232,6 +251,9 @@
             lambda: self.subscription.connected,
         )
 
+    def _held_requests(self) -> float:
+        return len(self.quarantine.table.held())
+
     def _faults(self) -> float:
         return self.condition.now().faults
 
@@ -355,6 +377,10 @@
 
     def _members_changed(self, delta: MemberDelta) -> None:
         self.destinations.apply(delta)
+        self.directory.apply(delta)
+        if delta.whole:
+            # It starts, or control was lost: it may have missed news.
+            self._runtime.spawn(self.quarantine.learn)
         self._log.info(
             "members",
             whole=delta.whole,
@@ -381,6 +407,9 @@
         """Tell this process's own table, and control, what is known of the worker."""
         settings = self.settings
         self._own_sequence += 1
+        if self.worker.instance != self._learnt_for:
+            self._learnt_for = self.worker.instance
+            self._runtime.spawn(self.quarantine.learn)
         self.destinations.state_own(
             Member(
                 incarnation=self.incarnation,
--- /dev/null
+++ b/src/cranklane/sidecar/quarantine.py
@@ -0,0 +1,345 @@
+"""Requests that are suspected of ending the workers that run them, and those that are held.
+
+A worker that ends takes all its runs along, and most of them are innocent. So the first end
+makes suspects of all of them, and that costs them nothing: a suspect may be sent to a second
+worker at once. When that one ends too, its end speaks against those who were suspects
+already as they began there, and against nobody else; each such end raises a suspect's level.
+Where it is one alone, it is held: refused everywhere, at first for a few seconds. Where there are
+several, each is from then on run with no other such suspect beside it, so that the next end tells
+which one it is; that one is held for long. A suspect that a worker answers is cleared, also
+after a hold.
+
+The table is empty on a calm day, and then nobody computes an identity.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from cranklane.common.secret_digest import sha256
+from cranklane.records.messages import QuarantineEntry
+from cranklane.sidecar.request_identity import Identity
+
+FIRST_HOLD_SECONDS = 5.0
+"""Hold after the first end that speaks against a request alone. One such end may be a chance, as
+when the worker's machine fails in that moment; the pause lets the workers that have ended come
+back (some seconds) before the next one is risked, and costs an innocent no more than that."""
+
+LONG_HOLD_SECONDS = 300.0
+"""Hold after the second such end; it doubles with each further one. Each trial of a guilty
+request costs a worker and all that runs there."""
+
+MOST_HOLD_SECONDS = 3600.0
+"""Longest hold: whoever mends the worker gets the request served within this time, or lifts the
+hold."""
+
+TRIAL_SECONDS = 10.0
+"""Others go on to refuse a request for this long while one gate tries it again: longer than
+nearly all runs."""
+
+SUSPECT_SECONDS = 120.0
+"""A suspect that is not seen again is forgotten after this long: later it is no more likely to
+be guilty than any other request, and a table that is empty costs nothing."""
+
+MOST_SUSPECTS = 1024
+"""Suspects kept, the newest: the runs of some tens of workers."""
+
+MOST_HELD = 256
+"""Requests held at a time. Of more, those whose hold ends first are let go, so that a flood of
+ever new ones cannot fill the memory."""
+
+MOST_CLEARED = 256
+"""Cleared requests remembered, so that news that is older than the clearing changes nothing."""
+
+HELD_AGREES_SECONDS = 1.0
+"""Two times until which a request is held that differ by less are the same, told by ways of
+different length."""
+
+END_ID_BYTES = 8
+"""Bytes that name an end of a worker in records."""
+
+
+class Standing(Enum):
+    """What is known of a request.
+
+    :cvar ON_TRIAL: held until now; one lone run shows whether it still ends workers.
+    """
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    HELD = "held"
+    ON_TRIAL = "on_trial"
+
+
+@dataclass(slots=True)
+class Held:
+    """One request that is suspected or held.
+
+    :ivar ends: the ends of workers that speak against it, each by its name.
+    :ivar held_until: second until which it is refused; never held: -inf.
+    """
+
+    identity: Identity
+    service: str
+    seen_at: float
+    ends: frozenset[bytes] = field(default_factory=frozenset)
+    held_until: float = -math.inf
+
+    @property
+    def is_held(self) -> bool:
+        """Whether it was ever held."""
+        return self.held_until > -math.inf
+
+    @property
+    def level(self) -> int:
+        """How strongly it is suspected, from 1 on."""
+        return 1 + len(self.ends)
+
+
+def hold_seconds(ends: int) -> float:
+    """Return how long a request is held when so many ends speak against it.
+
+    >>> [hold_seconds(ends) for ends in (1, 2, 3, 9)]
+    [5.0, 300.0, 600.0, 3600.0]
+    """
+    if ends < 2:
+        return FIRST_HOLD_SECONDS
+    return float(min(MOST_HOLD_SECONDS, LONG_HOLD_SECONDS * 2 ** (ends - 2)))
+
+
+class Quarantine:
+    """What one sidecar knows of suspected and held requests.
+
+    :param clock: seconds that have passed, those of a suspension included.
+    :param on_news: given the entries that other sidecars should know.
+    """
+
+    def __init__(
+        self, clock: Callable[[], float], on_news: Callable[[list[QuarantineEntry]], None]
+    ) -> None:
+        self._clock = clock
+        self._on_news = on_news
+        # In the order in which they were seen last.
+        self._entries: OrderedDict[Identity, Held] = OrderedDict()
+        self._cleared: OrderedDict[Identity, frozenset[bytes]] = OrderedDict()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request is suspected or held."""
+        return not self._entries
+
+    def standing(self, identity: Identity) -> Standing:
+        """Return what is known of a request."""
+        entry = self._entries.get(identity)
+        if entry is None:
+            return Standing.CLEAR
+        now = self._clock()
+        if entry.held_until > now:
+            return Standing.HELD
+        if entry.is_held:
+            return Standing.ON_TRIAL
+        if now - entry.seen_at > SUSPECT_SECONDS:
+            del self._entries[identity]
+            return Standing.CLEAR
+        return Standing.SUSPECT
+
+    def level(self, identity: Identity) -> int:
+        """Return how strongly a request is suspected; 0 for one that is not."""
+        entry = self._entries.get(identity)
+        return entry.level if entry is not None else 0
+
+    def seconds_left(self, identity: Identity) -> float:
+        """Return how much longer a request is held."""
+        entry = self._entries.get(identity)
+        return max(0.0, entry.held_until - self._clock()) if entry is not None else 0.0
+
+    def held(self) -> list[Held]:
+        """Return the requests that are held, or wait for a trial."""
+        return [entry for entry in self._entries.values() if entry.is_held]
+
+    def forget_old(self) -> None:
+        """Drop suspects that were not seen for long, and holds that were over for long."""
+        now = self._clock()
+        for entry in list(self._entries.values()):
+            last = max(entry.seen_at, entry.held_until)
+            kept = MOST_HOLD_SECONDS if entry.is_held else SUSPECT_SECONDS
+            if now - last > kept:
+                del self._entries[entry.identity]
+
+    # What happens at this sidecar's worker.
+
+    def worker_ended(self, service: str, end: bytes, runs: dict[Identity, int]) -> None:
+        """Take that the worker has ended.
+
+        :param end: names the end.
+        :param runs: the requests that ran, each with its level as it began: what became known
+            later says nothing, as several workers may end at one moment.
+        """
+        top = max(runs.values(), default=0)
+        blamed = [identity for identity, level in runs.items() if level == top]
+        for identity in blamed:
+            self.suspect(service, identity)
+        if top > 0:
+            self._count_end(blamed, end)
+        self._drop_surplus()
+        self._tell(blamed)
+
+    def _count_end(self, blamed: list[Identity], end: bytes) -> None:
+        for identity in blamed:
+            entry = self._entries[identity]
+            entry.ends |= {end}
+            if len(blamed) == 1:
+                until = self._clock() + hold_seconds(len(entry.ends))
+                entry.held_until = max(entry.held_until, until)
+
+    def suspect(self, service: str, identity: Identity) -> None:
+        """Take that a request ran at a worker as it ended."""
+        entry = self._entries.get(identity)
+        if entry is None:
+            self._entries[identity] = Held(identity, service, self._clock())
+            self._drop_surplus()
+        else:
+            entry.seen_at = self._clock()
+            self._entries.move_to_end(identity)
+
+    def trial_begins(self, identity: Identity) -> None:
+        """Take that a held request is run once more here, and have the others wait."""
+        self._entries[identity].held_until = self._clock() + TRIAL_SECONDS
+        self._tell([identity])
+
+    def answered(self, identity: Identity) -> None:
+        """Take that a worker has run a request to its end."""
+        if identity in self._entries:
+            self.lift(identity)
+
+    # What operators say.
+
+    def lift(self, identity: Identity) -> bool:
+        """Clear a request, here and everywhere; return whether it was known."""
+        entry = self._entries.pop(identity, None)
+        if entry is None:
+            return False
+        self._remember_cleared(identity, entry.ends)
+        self._on_news([_wire(entry, 0.0, cleared=True)])
+        return True
+
+    def hold(self, service: str, identity: Identity, seconds: float) -> None:
+        """Hold a request, here and everywhere."""
+        self.suspect(service, identity)
+        self._cleared.pop(identity, None)
+        entry = self._entries[identity]
+        entry.held_until = max(entry.held_until, self._clock() + seconds)
+        self._drop_surplus()
+        self._tell([identity])
+
+    # What other sidecars tell.
+
+    def learn(self, service: str, identity: Identity, seconds: float) -> None:
+        """Take that a gate has refused a request that it holds for some seconds more."""
+        self.take([QuarantineEntry(int(seconds * 1000) + 1, False, service, b"", identity)])
+
+    def take(self, told: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
+        """Take what another sidecar knows; return what of it is news here."""
+        return [entry for entry in told if self._take(entry)]
+
+    def _take(self, told: QuarantineEntry) -> bool:
+        if told.cleared:
+            return self._take_cleared(told)
+        ends = _ends_of(told.ends)
+        if ends and ends <= self._cleared.get(told.identity, frozenset()):
+            # It was cleared after all that this tells.
+            return False
+        is_new = told.identity not in self._entries
+        self.suspect(told.service, told.identity)
+        entry = self._entries[told.identity]
+        added = ends - entry.ends
+        # Ends that were seen at two places at once count together.
+        seen_apart = bool(added and entry.ends - ends)
+        entry.ends |= ends
+        seconds = told.held_ms / 1000
+        if seen_apart:
+            seconds = max(seconds, hold_seconds(len(entry.ends)))
+        is_longer = seconds > 0 and self._extend(entry, seconds)
+        self._drop_surplus()
+        return is_new or bool(added) or is_longer
+
+    def _take_cleared(self, told: QuarantineEntry) -> bool:
+        ends = _ends_of(told.ends)
+        self._remember_cleared(told.identity, ends)
+        known = self._entries.get(told.identity)
+        if known is None or not known.ends <= ends:
+            return False
+        del self._entries[told.identity]
+        return True
+
+    def _extend(self, entry: Held, seconds: float) -> bool:
+        """Hold a request for some seconds from now; return whether that is longer."""
+        until = self._clock() + seconds
+        if until <= entry.held_until + HELD_AGREES_SECONDS:
+            return False
+        entry.held_until = until
+        return True
+
+    def entries(self) -> list[QuarantineEntry]:
+        """Return what another sidecar should know of held requests."""
+        now = self._clock()
+        return [_wire(entry, entry.held_until - now) for entry in self.held()]
+
+    def digest(self) -> int:
+        """Return a number that is the same where the same requests are held.
+
+        It tells nothing of when holds end, as clocks and delays differ.
+        """
+        value = 0
+        for entry in self.held():
+            value ^= int.from_bytes(entry.identity[:8]) + len(entry.ends)
+        return value % 2**64
+
+    # Bookkeeping.
+
+    def _tell(self, identities: list[Identity]) -> None:
+        now = self._clock()
+        known = [self._entries[identity] for identity in identities if identity in self._entries]
+        if known:
+            self._on_news([_wire(entry, entry.held_until - now) for entry in known])
+
+    def _remember_cleared(self, identity: Identity, ends: frozenset[bytes]) -> None:
+        self._cleared[identity] = self._cleared.pop(identity, frozenset()) | ends
+        while len(self._cleared) > MOST_CLEARED:
+            self._cleared.popitem(last=False)
+
+    def _drop_surplus(self) -> None:
+        """Keep the table within its bounds."""
+        held = self.held()
+        if len(held) > MOST_HELD:
+            del self._entries[min(held, key=lambda entry: entry.held_until).identity]
+        while len(self._entries) > MOST_HELD + MOST_SUSPECTS:
+            oldest = next(entry for entry in self._entries.values() if not entry.is_held)
+            del self._entries[oldest.identity]
+
+
+def end_id(instance: str) -> bytes:
+    """Return what names the end of a worker's start in records."""
+    return bytes(sha256(instance.encode()).digest()[:END_ID_BYTES])
+
+
+def _ends_of(data: bytes) -> frozenset[bytes]:
+    """Return the names that a field of a record holds one after the other.
+
+    >>> sorted(_ends_of(b"11111111" + b"22222222"))
+    [b'11111111', b'22222222']
+    """
+    starts = range(0, len(data), END_ID_BYTES)
+    return frozenset(data[start : start + END_ID_BYTES] for start in starts)
+
+
+def _wire(entry: Held, seconds: float, cleared: bool = False) -> QuarantineEntry:
+    """Return an entry as a record, with the seconds that it is still held."""
+    held_ms = max(1, int(seconds * 1000)) if entry.is_held else 0
+    return QuarantineEntry(
+        held_ms, cleared, entry.service, b"".join(sorted(entry.ends)), entry.identity
+    )
--- /dev/null
+++ b/src/cranklane/sidecar/quarantine_spread.py
@@ -0,0 +1,172 @@
+"""Tells other sidecars which requests are suspected of ending workers, and learns it of them.
+
+News goes straight from sidecar to sidecar, so that it needs no controller. The one that has
+it sends it to at most ``FAN_OUT`` others, each of which passes it on to its part of the rest:
+of 2,400 sidecars all have it after three steps, and none sends it more than ``FAN_OUT`` times.
+Suspicions concern the sidecars of one service, whose gates run suspects alone; holds concern
+all. What a cut or a restart has kept from a sidecar it learns from any other: when it starts,
+when its worker comes back, when control is found again, and, while anything is held, from a
+comparison with one other now and then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from cranklane.records.messages import QuarantineEntry, QuarantineNews
+from cranklane.runtime.interface import Address, Runtime
+from cranklane.sidecar.quarantine import Quarantine
+from cranklane.sidecar.sidecar_directory import OtherSidecar, SidecarDirectory
+
+FAN_OUT = 16
+"""Sidecars to which one sends a piece of news."""
+
+GATHER_SECONDS = 0.005
+"""Time over which news is gathered: the ends of many runs at once make one record."""
+
+COMPARE_SECONDS = 2.0
+"""Between two comparisons with another sidecar while anything is held: one that was cut off
+learns of a hold about this long after it is back."""
+
+LEARN_TRIES = 3
+"""Sidecars that are asked, one after the other, until one answers."""
+
+ENTRIES_IN_A_LINE = 20
+"""Requests named in one log line; their number is always told."""
+
+Exchange = Callable[[Address, QuarantineNews], QuarantineNews | None]
+"""Sends news to a sidecar and returns its answer, None when it gives none."""
+
+
+class QuarantineSpread:
+    """Sends and takes news of suspected and held requests.
+
+    :param service: returns the service of this machine's worker.
+    :param exchange: sends a record to another sidecar.
+    :ivar table: what this sidecar knows.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        directory: SidecarDirectory,
+        own: str,
+        service: Callable[[], str],
+        exchange: Exchange,
+        log: Any,
+    ) -> None:
+        self._runtime = runtime
+        self._directory = directory
+        self._own = own
+        self._service = service
+        self._exchange = exchange
+        self._log = log
+        self._waiting: list[QuarantineEntry] = []
+        self.table = Quarantine(runtime.monotonic, self._tell)
+
+    # News of this sidecar.
+
+    def _tell(self, entries: list[QuarantineEntry]) -> None:
+        self._log_entries(entries, "own")
+        if not self._waiting:
+            self._runtime.spawn(self._send_gathered)
+        self._waiting += entries
+
+    def _send_gathered(self) -> None:
+        gevent.sleep(GATHER_SECONDS)
+        entries, self._waiting = self._waiting, []
+        for_all = [entry for entry in entries if entry.held_ms or entry.ends]
+        for_service = [entry for entry in entries if not (entry.held_ms or entry.ends)]
+        if for_all:
+            self._send("", for_all, self._directory.of())
+        if for_service:
+            service = self._service()
+            self._send(service, for_service, self._directory.of(service))
+
+    def _send(
+        self, service: str, entries: list[QuarantineEntry], others: list[OtherSidecar]
+    ) -> None:
+        """Send entries to others, each part of them by way of its first."""
+        size = max(1, -(-len(others) // FAN_OUT))
+        for start in range(0, len(others), size):
+            part = others[start : start + size]
+            self._runtime.spawn(self._send_part, service, entries, part)
+
+    def _send_part(
+        self, service: str, entries: list[QuarantineEntry], part: list[OtherSidecar]
+    ) -> None:
+        relay_to = part[-1].node
+        for other in part:
+            news = QuarantineNews(self.table.digest(), False, service, relay_to, entries)
+            if self._exchange(other.address, news) is not None:
+                return
+
+    # News of other sidecars.
+
+    def received(self, news: QuarantineNews) -> QuarantineNews:
+        """Take another sidecar's news, pass it on, and return the answer."""
+        self._take(news.entries)
+        if news.relay_to > self._own:
+            others = [
+                other
+                for other in self._directory.of(news.service)
+                if self._own < other.node <= news.relay_to
+            ]
+            self._send(news.service, news.entries, others)
+        digest = self.table.digest()
+        told = self.table.entries() if news.asks and news.digest != digest else []
+        return QuarantineNews(digest=digest, entries=told)
+
+    def _take(self, entries: list[QuarantineEntry]) -> None:
+        fresh = self.table.take(entries)
+        if fresh:
+            self._log_entries(fresh, "peer")
+
+    # Catching up.
+
+    def compare_on(self) -> None:
+        """Compare with another sidecar now and then, for ever."""
+        while True:
+            gevent.sleep(COMPARE_SECONDS)
+            self.table.forget_old()
+            if self.table.held():
+                self.learn(1)
+
+    def learn(self, tries: int = LEARN_TRIES) -> bool:
+        """Ask one sidecar what is held, its own service's first; return whether one answered."""
+        own_service = self._service()
+        others = self._directory.of()
+        self._runtime.random.shuffle(others)
+        others.sort(key=lambda other: (other.away_since is not None, other.service != own_service))
+        return any(self._compare(other) for other in others[:tries])
+
+    def _compare(self, other: OtherSidecar) -> bool:
+        news = QuarantineNews(digest=self.table.digest(), asks=True)
+        answer = self._exchange(other.address, news)
+        if answer is None:
+            return False
+        self._take(answer.entries)
+        if self.table.digest() != answer.digest:
+            news = QuarantineNews(digest=self.table.digest(), entries=self.table.entries())
+            self._exchange(other.address, news)
+        return True
+
+    def _log_entries(self, entries: list[QuarantineEntry], source: str) -> None:
+        for event, chosen in (
+            ("requests_cleared", [entry for entry in entries if entry.cleared]),
+            ("requests_held", [e for e in entries if e.held_ms and not e.cleared]),
+            ("requests_suspected", [e for e in entries if not e.held_ms and not e.cleared]),
+        ):
+            if chosen:
+                self._log.warning(
+                    event,
+                    source=source,
+                    count=len(chosen),
+                    requests=[
+                        [entry.identity.hex(), entry.service, entry.held_ms / 1000]
+                        for entry in chosen[:ENTRIES_IN_A_LINE]
+                    ],
+                )
--- a/src/cranklane/sidecar/worker_end.py
+++ b/src/cranklane/sidecar/worker_end.py
@@ -32,11 +32,13 @@
     """A run that was under way when the worker ended.
 
     :ivar seconds: since it began.
+    :ivar level: how strongly it was suspected as it began.
     """
 
     request: str
     identity: Identity
     seconds: float
+    level: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,13 @@
     runs: tuple[EndedRun, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Run:
+    request: ForwardRequest
+    began_at: float
+    level: int
+
+
 class WorkerEnds:
     """The runs under way at the worker, and what becomes of them when it ends.
 
@@ -65,14 +74,17 @@
         self._on_end = on_end
         self._check = WorkerEndCheck(runtime, worker.address) if worker.address else None
         # In the order of their beginning.
-        self._runs: dict[int, tuple[ForwardRequest, float]] = {}
+        self._runs: dict[int, _Run] = {}
         self._begun = 0
         self._ended_instance = ""
 
-    def began(self, request: ForwardRequest) -> int:
-        """Take that a run begins; return its number."""
+    def began(self, request: ForwardRequest, level: int) -> int:
+        """Take that a run begins; return its number.
+
+        :param level: how strongly the request is suspected.
+        """
         self._begun += 1
-        self._runs[self._begun] = (request, self._clock())
+        self._runs[self._begun] = _Run(request, self._clock(), level)
         return self._begun
 
     def ended(self, number: int) -> None:
@@ -94,8 +106,13 @@
     def _runs_now(self) -> tuple[EndedRun, ...]:
         now = self._clock()
         return tuple(
-            EndedRun(request.request, identity_of_request(request), now - began_at)
-            for request, began_at in self._runs.values()
+            EndedRun(
+                run.request.request,
+                identity_of_request(run.request),
+                now - run.began_at,
+                run.level,
+            )
+            for run in self._runs.values()
         )
 
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,206 @@
+"""The table of suspected and held requests of one sidecar, and what sidecars tell each other."""
+
+from __future__ import annotations
+
+import pytest
+
+from cranklane.records.messages import QuarantineEntry
+from cranklane.sidecar.quarantine import (
+    FIRST_HOLD_SECONDS,
+    LONG_HOLD_SECONDS,
+    MOST_HELD,
+    MOST_SUSPECTS,
+    SUSPECT_SECONDS,
+    TRIAL_SECONDS,
+    Quarantine,
+    Standing,
+    end_id,
+)
+from cranklane.sidecar.request_identity import identity_of
+
+GUILTY = b"g" * 16
+BESIDE = b"b" * 16
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Sidecar:
+    """A table and the news that it has told."""
+
+    def __init__(self, clock):
+        self.news = []
+        self.table = Quarantine(clock, self.news.extend)
+
+    def end(self, name, *runs):
+        self.table.worker_ended("s", end_id(name), dict(runs))
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def sidecar(clock):
+    return Sidecar(clock)
+
+
+def test_the_first_end_holds_nobody(sidecar):
+    sidecar.end("one", (GUILTY, 0), (BESIDE, 0))
+    assert sidecar.table.standing(GUILTY) is Standing.SUSPECT
+    assert sidecar.table.standing(BESIDE) is Standing.SUSPECT
+    assert sidecar.table.held() == []
+
+
+def test_the_end_of_a_second_worker_speaks_only_against_the_suspect(sidecar):
+    sidecar.end("one", (GUILTY, 0))
+    sidecar.end("two", (GUILTY, 1), (BESIDE, 0))
+    assert sidecar.table.standing(GUILTY) is Standing.HELD
+    assert sidecar.table.standing(BESIDE) is Standing.CLEAR
+
+
+def test_ends_at_one_moment_hold_nobody(sidecar):
+    for name in ("one", "two", "three", "four"):
+        sidecar.end(name, (GUILTY, 0))
+    assert sidecar.table.standing(GUILTY) is Standing.SUSPECT
+
+
+def test_of_several_suspects_at_one_end_none_is_held_and_the_next_end_tells(sidecar):
+    sidecar.end("one", (GUILTY, 0), (BESIDE, 0))
+    sidecar.end("two", (GUILTY, 1), (BESIDE, 1))
+    assert sidecar.table.held() == []
+    sidecar.end("three", (GUILTY, 2), (BESIDE, 1))
+    assert [entry.identity for entry in sidecar.table.held()] == [GUILTY]
+    assert sidecar.table.seconds_left(GUILTY) == LONG_HOLD_SECONDS
+
+
+def test_the_first_hold_is_short_and_the_second_long(sidecar, clock):
+    sidecar.end("one", (GUILTY, 0))
+    sidecar.end("two", (GUILTY, 1))
+    assert sidecar.table.seconds_left(GUILTY) == FIRST_HOLD_SECONDS
+    clock.now += FIRST_HOLD_SECONDS
+    assert sidecar.table.standing(GUILTY) is Standing.ON_TRIAL
+    sidecar.table.trial_begins(GUILTY)
+    assert sidecar.table.seconds_left(GUILTY) == TRIAL_SECONDS
+    sidecar.end("three", (GUILTY, 2))
+    assert sidecar.table.seconds_left(GUILTY) == LONG_HOLD_SECONDS
+
+
+def test_an_answer_clears_a_suspect_and_one_on_trial(sidecar, clock):
+    sidecar.end("one", (GUILTY, 0), (BESIDE, 0))
+    sidecar.table.answered(BESIDE)
+    assert sidecar.table.standing(BESIDE) is Standing.CLEAR
+    sidecar.end("two", (GUILTY, 1))
+    clock.now += FIRST_HOLD_SECONDS
+    sidecar.table.trial_begins(GUILTY)
+    sidecar.table.answered(GUILTY)
+    assert sidecar.table.is_empty
+
+
+def test_a_suspect_that_is_not_seen_again_is_forgotten(sidecar, clock):
+    sidecar.end("one", (GUILTY, 0))
+    clock.now += SUSPECT_SECONDS + 1
+    assert sidecar.table.standing(GUILTY) is Standing.CLEAR
+    assert sidecar.table.is_empty
+
+
+def test_news_bring_another_sidecar_to_the_same_state(sidecar, clock):
+    other = Sidecar(clock)
+    sidecar.end("one", (GUILTY, 0))
+    sidecar.end("two", (GUILTY, 1))
+    assert other.table.take(sidecar.news)
+    assert other.table.standing(GUILTY) is Standing.HELD
+    assert other.table.digest() == sidecar.table.digest()
+    assert other.table.take(sidecar.table.entries()) == []
+    assert other.news == []
+
+
+def test_ends_seen_at_two_places_count_together(clock):
+    first, second = Sidecar(clock), Sidecar(clock)
+    for sidecar, name in ((first, "two"), (second, "three")):
+        sidecar.end("one", (GUILTY, 0))
+        sidecar.end(name, (GUILTY, 1))
+    first.table.take(second.news)
+    assert first.table.seconds_left(GUILTY) == LONG_HOLD_SECONDS
+
+
+def test_news_that_is_older_than_a_clearing_holds_nobody(sidecar, clock):
+    other = Sidecar(clock)
+    sidecar.end("one", (GUILTY, 0))
+    sidecar.end("two", (GUILTY, 1))
+    old = list(sidecar.news)
+    other.table.take(old)
+    sidecar.table.lift(GUILTY)
+    other.table.take(sidecar.news[-1:])
+    assert other.table.is_empty
+    assert other.table.take(old[-1:]) == []
+    assert sidecar.table.take(old[-1:]) == []
+    assert other.table.is_empty and sidecar.table.is_empty
+
+
+def test_refusals_of_a_gate_do_not_hold_longer_than_the_gate_does(sidecar, clock):
+    sidecar.end("one", (GUILTY, 0))
+    sidecar.end("two", (GUILTY, 1))
+    for _ in range(10):
+        left = sidecar.table.seconds_left(GUILTY)
+        sidecar.table.learn("s", GUILTY, left)
+        clock.now += 0.4
+    clock.now += FIRST_HOLD_SECONDS - 4.0
+    assert sidecar.table.standing(GUILTY) is Standing.ON_TRIAL
+
+
+def test_a_flood_of_different_requests_stays_within_the_bounds(sidecar):
+    for number in range(5000):
+        identity = number.to_bytes(16)
+        sidecar.end(f"a{number}", (identity, 0))
+        sidecar.end(f"b{number}", (identity, 1))
+        sidecar.table.suspect("s", (number + 10**6).to_bytes(16))
+    assert len(sidecar.table.held()) == MOST_HELD
+    assert len(sidecar.table._entries) <= MOST_HELD + MOST_SUSPECTS
+
+
+def test_operators_hold_and_lift(sidecar):
+    sidecar.table.hold("s", GUILTY, 60.0)
+    assert sidecar.table.standing(GUILTY) is Standing.HELD
+    assert sidecar.table.lift(GUILTY)
+    assert sidecar.table.standing(GUILTY) is Standing.CLEAR
+    assert not sidecar.table.lift(GUILTY)
+
+
+def test_an_entry_outlives_its_record():
+    entry = QuarantineEntry(5000, False, "s", end_id("one"), GUILTY)
+    assert QuarantineEntry.unpack(entry.pack()).identity == GUILTY
+
+
+LINES = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("service", "tenant", "lines", "body", "length"),
+    [
+        ("t", "", LINES, b"", 0),
+        ("s", "other", LINES, b"", 0),
+        ("s", "", LINES.replace(b"/a", b"/b"), b"", 0),
+        ("s", "", LINES.replace(b"GET", b"PUT"), b"", 0),
+        ("s", "", LINES.replace(b"Host: h", b"Host: i"), b"", 0),
+        ("s", "", LINES, b"x", 1),
+        ("s", "", LINES, b"", 70_000),
+    ],
+)
+def test_requests_that_differ_in_what_they_ask_are_not_the_same(
+    service, tenant, lines, body, length
+):
+    assert identity_of(service, tenant, lines, body, length) != identity_of("s", "", LINES, b"", 0)
+
+
+def test_the_parts_of_a_large_body_that_count_are_the_first():
+    body = b"x" * 65_536
+    first = identity_of("s", "", LINES, body, 100_000)
+    assert first == identity_of("s", "", LINES, body + b"y", 100_000)
+    assert first != identity_of("s", "", LINES, body, 100_001)
