A run counts against a request only once it was sent, and all that ran become suspects

Cause: with four such requests at one instant one of them ended five workers. At the first end a repeat of another one was just being connected to that worker, counted as a run, and took the blame; at the next one a suspect ran beside it and explained its end. Change: a run is noted when its first byte is sent; whoever ran at an end that speaks against a suspect becomes one too (which costs nothing) instead of nothing.

--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -84,8 +84,8 @@
     """The run that makes this call is not known here."""
     WORKER_ENDED = 32
     """The worker's process ended while it ran this request, which may be the cause."""
-    WORKER_ENDED_BESIDE = 33
-    """The worker's process ended while it ran this request, by another one or as planned."""
+    WORKER_LEFT = 33
+    """The worker's process ended while it ran this request, after it had told that it leaves."""
     QUARANTINED = 34
     """The workers that ran this very request before have ended; it is refused for a while."""
     SUSPECTED = 35
--- a/src/cranklane/sidecar/destinations.py
+++ b/src/cranklane/sidecar/destinations.py
@@ -57,7 +57,7 @@
 NO_WORKER = (
     Reason.WORKER_UNREACHABLE,
     Reason.WORKER_ENDED,
-    Reason.WORKER_ENDED_BESIDE,
+    Reason.WORKER_LEFT,
 )
 """Failures that tell that nobody listens at the worker's address."""
 
--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -19,12 +19,12 @@
 from cranklane.sidecar.call_tree import CallTree, Root, Run
 from cranklane.sidecar.lone_runs import LoneRuns, SuspectAdmission
 from cranklane.sidecar.outcome_limiter import OutcomeLimiter
-from cranklane.sidecar.quarantine import Quarantine, Standing, end_id
+from cranklane.sidecar.quarantine import Quarantine, end_id
 from cranklane.sidecar.request_identity import Identity
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.slowness import ratio_to
 from cranklane.sidecar.worker_condition import WorkerCondition
-from cranklane.sidecar.worker_end import WorkerEnd, WorkerEnds, identity_of_request
+from cranklane.sidecar.worker_end import LEAVING, WorkerEnd, WorkerEnds, identity_of_request
 from cranklane.sidecar.worker_exchange import WorkerExchange
 from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
 
@@ -41,7 +41,7 @@
 
 _SERVER_ERROR = 500
 _GATEWAY_TIMEOUT = 504
-_ENDED = (Reason.WORKER_ENDED, Reason.WORKER_ENDED_BESIDE)
+_ENDED = (Reason.WORKER_ENDED, Reason.WORKER_LEFT)
 _NOBODY_LISTENS = (Reason.WORKER_UNREACHABLE, *_ENDED)
 _BROKEN_ANSWERS = (Reason.WORKER_FAILED, *_ENDED, Reason.ANSWER_CUT)
 
@@ -212,7 +212,7 @@
         begun_in = self._limiter.began(request.route)
         run = self._call_tree.begin(request.request, _root_of(request, arrived_at), request.tenant)
         lone = admission.lone
-        number = self._ends.began(request, admission.level)
+        number = self._ends.next_number()
         instance = self._worker.instance
         release = partial(self._release, request.request, number, started_at, lone)
         if lone is not None:
@@ -222,9 +222,11 @@
                 on_admitted()
             deadline = arrived_at + request.deadline_ms / 1000
             assert self._exchange is not None
-            reply = self._exchange.run(attempt, instance, deadline)
+            on_sent = partial(self._ends.began, number, request, admission.level)
+            reply = self._exchange.run(attempt, instance, deadline, on_sent)
             if reply.reason is Reason.WORKER_FAILED and self._ends.connection_lost(instance):
-                reply = unknown(self._reason_of_end(request))
+                left = self._worker.state in LEAVING
+                reply = unknown(Reason.WORKER_LEFT if left else Reason.WORKER_ENDED)
         finally:
             if reply is None or reply.rest is None:
                 release()
@@ -272,12 +274,6 @@
                 {run.identity: run.level for run in end.runs},
             )
 
-    def _reason_of_end(self, request: ForwardRequest) -> Reason:
-        """Return whether a request whose worker has ended may be the cause."""
-        standing = self._quarantine.standing(identity_of_request(request))
-        beside = standing is Standing.CLEAR
-        return Reason.WORKER_ENDED_BESIDE if beside else Reason.WORKER_ENDED
-
     def _answered(self, request: ForwardRequest) -> None:
         """Take that the worker has run a request to its end: it is no cause of ends."""
         if not self._quarantine.is_empty:
--- a/src/cranklane/sidecar/quarantine.py
+++ b/src/cranklane/sidecar/quarantine.py
@@ -2,8 +2,8 @@
 
 A worker that ends takes all its runs along, and most of them are innocent. So the first end
 makes suspects of all of them, and that costs them nothing: a suspect may be sent to a second
-worker at once. When that one ends too, its end speaks against those who were suspects
-already as they began there, and against nobody else; each such end raises a suspect's level.
+worker at once. When that one ends too, its end speaks against those who were suspected most as
+they began there; each such end raises a suspect's level.
 Where it is one alone, it is held: refused everywhere, at first for a few seconds. Where there are
 several, each is from then on run with no other such suspect beside it, so that the next end tells
 which one it is; that one is held for long. A suspect that a worker answers is cleared, also
@@ -180,13 +180,12 @@
             later says nothing, as several workers may end at one moment.
         """
         top = max(runs.values(), default=0)
-        blamed = [identity for identity, level in runs.items() if level == top]
-        for identity in blamed:
+        for identity in runs:
             self.suspect(service, identity)
         if top > 0:
-            self._count_end(blamed, end)
+            self._count_end([identity for identity, level in runs.items() if level == top], end)
         self._drop_surplus()
-        self._tell(blamed)
+        self._tell(list(runs))
 
     def _count_end(self, blamed: list[Identity], end: bytes) -> None:
         for identity in blamed:
--- a/src/cranklane/sidecar/worker_end.py
+++ b/src/cranklane/sidecar/worker_end.py
@@ -24,7 +24,8 @@
 """A process that ends closes its connections and its port one after the other: a connection
 that succeeded is tried once more after this long."""
 
-_LEAVING = (WorkerState.DRAINING, WorkerState.GONE)
+LEAVING = (WorkerState.DRAINING, WorkerState.GONE)
+"""States in which an end of the worker was to be expected."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,14 +79,17 @@
         self._begun = 0
         self._ended_instance = ""
 
-    def began(self, request: ForwardRequest, level: int) -> int:
-        """Take that a run begins; return its number.
+    def next_number(self) -> int:
+        """Return the number of one more run."""
+        self._begun += 1
+        return self._begun
+
+    def began(self, number: int, request: ForwardRequest, level: int) -> None:
+        """Take that a run begins: its request is sent to the worker now.
 
         :param level: how strongly the request is suspected.
         """
-        self._begun += 1
-        self._runs[self._begun] = _Run(request, self._clock(), level)
-        return self._begun
+        self._runs[number] = _Run(request, self._clock(), level)
 
     def ended(self, number: int) -> None:
         """Take that a run has ended."""
@@ -95,7 +99,7 @@
         """Return whether the worker has ended, after a connection to a start of it was lost."""
         if instance == self._ended_instance:
             return True
-        planned = self._worker.state in _LEAVING
+        planned = self._worker.state in LEAVING
         if self._check is None or not self._check.has_ended():
             return False
         if instance != self._ended_instance:
--- a/src/cranklane/sidecar/worker_exchange.py
+++ b/src/cranklane/sidecar/worker_exchange.py
@@ -95,10 +95,13 @@
         self._not_run_name = names.not_run.lower()
         self._integrity_name = names.integrity.lower()
 
-    def run(self, attempt: Attempt, instance: str, deadline: float) -> Reply:
+    def run(
+        self, attempt: Attempt, instance: str, deadline: float, on_sent: Callable[[], None]
+    ) -> Reply:
         """Send a request and return its answer; small ones whole.
 
         :param deadline: monotonic second at which nobody waits any more.
+        :param on_sent: called when the first byte is about to be sent.
         """
         try:
             connection = self._pool.take(careful=not attempt.request.repeatable)
@@ -106,7 +109,7 @@
             return refusal(Reason.WORKER_UNREACHABLE)
         attempt.when_cancelled(connection.close)
         try:
-            return self._run(attempt, connection, instance, deadline)
+            return self._run(attempt, connection, instance, deadline, on_sent)
         except TimeoutError:
             connection.close()
             return unknown(Reason.DEADLINE_PASSED)
@@ -118,13 +121,19 @@
             return unknown(Reason.ANSWER_CUT)
 
     def _run(
-        self, attempt: Attempt, connection: WorkerConnection, instance: str, deadline: float
+        self,
+        attempt: Attempt,
+        connection: WorkerConnection,
+        instance: str,
+        deadline: float,
+        on_sent: Callable[[], None],
     ) -> Reply:
         remaining = deadline - self._runtime.monotonic()
         if remaining <= 0 or attempt.cancelled:
             connection.close()
             return refusal(Reason.CANCELLED if attempt.cancelled else Reason.DEADLINE_PASSED)
         connection.stream.settimeout(remaining)
+        on_sent()
         sender = self._send(attempt, connection, instance, remaining)
         head = self._own_answer(attempt.request, connection)
         if head is None:
--- a/src/cranklane_lab/simulation/crashes.py
+++ b/src/cranklane_lab/simulation/crashes.py
@@ -48,6 +48,15 @@
         # Belongs to no process: it survives the ends that it brings about.
         gevent.spawn(self._end_workers)
 
+    def end(self, *machines: MeshMachine) -> None:
+        """End workers at one moment for a reason of their own."""
+        for machine in machines:
+            self._ended.put((machine, b"", machine.worker.state.running))
+
+    def mend(self) -> None:
+        """Let workers bear such requests from now on."""
+        self._mark = b"\0"
+
     def runs_of(self, mark: bytes) -> list[RoutedRun]:
         """Return the runs of requests whose target holds a mark."""
         return [
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import gevent
+import pytest
 
 from cranklane_lab.simulation.crashes import CrashingRequests
 from mesh_support import play
@@ -82,3 +83,209 @@
     ended, served = play(script, **FLEET)
     assert ended <= 3
     assert served > 0.95
+
+
+def held(machine):
+    """Return whether a sidecar holds a request."""
+    return bool(machine.sidecar.quarantine.table.held())
+
+
+def until_held(mesh, machines, seconds=2.0):
+    """Return the seconds until all of some sidecars hold a request."""
+    begun = mesh.world.loop.now()
+    while not all(held(machine) for machine in machines):
+        assert mesh.world.loop.now() - begun < seconds
+        gevent.sleep(0.001)
+    return mesh.world.loop.now() - begun
+
+
+def cut_control(mesh):
+    for controller in mesh.controllers:
+        for machine in mesh.machines:
+            mesh.world.network.cut(machine.process.name, controller.process.name)
+            mesh.world.network.cut(controller.process.name, machine.process.name)
+
+
+def test_all_sidecars_know_within_tens_of_milliseconds():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        gevent.spawn(mesh.request, mesh.machines[6], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        return until_held(mesh, mesh.machines)
+
+    assert play(script, **FLEET) < 0.05
+
+
+def test_large_fleets_pass_the_news_on():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        gevent.spawn(mesh.request, mesh.machines[6], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        return until_held(mesh, mesh.machines)
+
+    assert play(script, services=("s",) * 20 + ("t",) * 50, slots=16) < 0.05
+
+
+def test_the_third_end_is_the_last_while_control_is_cut_off():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        cut_control(mesh)
+        gevent.sleep(3.0)
+        callers = Callers(mesh, 10.0)
+        repeat(mesh)
+        return len(crashing.crashes), callers.join()
+
+    ended, served = play(script, **FLEET)
+    assert ended <= 3
+    assert served > 0.95
+
+
+def test_the_third_end_is_the_last_while_the_leader_is_gone():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        mesh.leader().process.kill(power_lost=True)
+        callers = Callers(mesh, 10.0)
+        repeat(mesh)
+        return len(crashing.crashes), callers.join()
+
+    ended, served = play(script, **FLEET)
+    assert ended <= 3
+    assert served > 0.95
+
+
+def test_a_sidecar_that_was_paused_or_cut_off_learns_of_it_soon_after():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        away = mesh.machines[6]
+        for machine in mesh.machines[:6]:
+            mesh.world.network.cut(machine.process.name, away.process.name)
+            mesh.world.network.cut(away.process.name, machine.process.name)
+        paused = mesh.machines[5]
+        paused.process.freeze(4.0)
+        mesh.request(mesh.machines[0], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        gevent.sleep(4.0)
+        assert not held(away)
+        mesh.world.network.heal_all()
+        return until_held(mesh, [away, paused], 10.0)
+
+    assert play(script, **FLEET) < 5.0
+
+
+def test_a_sidecar_that_was_restarted_knows_before_its_first_request():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        mesh.request(mesh.machines[0], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        machine = mesh.machines[4]
+        machine.process.kill()
+        machine.process, machine.sidecar = mesh.start_sidecar(
+            machine.name, machine.service, machine.zone, machine.host
+        )
+        assert mesh.wait_for(machine.sidecar.is_ready, 2.0)
+        status = mesh.request(machine, CRASH).status
+        return status, held(machine), len(crashing.crashes)
+
+    assert play(script, **FLEET) == (503, True, 2)
+
+
+def test_several_such_requests_at_once_end_three_workers_each_at_most():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        callers = Callers(mesh)
+        tasks = [
+            gevent.spawn(repeat, mesh, f"/read/crash/{number}", 12, 0.9) for number in range(4)
+        ]
+        gevent.joinall(tasks)
+        callers.join()
+        ends = [len(crashing.ends_under(b"/crash/%d" % number)) for number in range(4)]
+        return max(ends)
+
+    assert play(script, services=("s",) * 12 + ("t",) * 2, slots=16) <= 3
+
+
+def test_the_answer_is_final_tells_when_and_says_that_it_has_not_run():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        mesh.request(mesh.machines[0], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        gevent.sleep(0.05)
+        begun = mesh.world.loop.now()
+        answer = mesh.request(mesh.machines[6], CRASH, name="refused")
+        seconds = mesh.world.loop.now() - begun
+        after = float(answer.headers["retry-after"])
+        return answer.status, 4.0 < after <= 5.0, seconds < 0.005, mesh.run_of("refused")
+
+    assert play(script, **FLEET) == (503, True, True, [])
+
+
+def test_a_request_is_served_again_once_the_workers_bear_it():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        mesh.request(mesh.machines[0], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        crashing.mend()
+        gevent.sleep(6.0)
+        first = mesh.request(mesh.machines[6], CRASH).status
+        gevent.sleep(0.1)
+        known = [machine for machine in mesh.machines if held(machine)]
+        return first, known, mesh.request(mesh.machines[1], CRASH).status
+
+    assert play(script, **FLEET) == (200, [], 200)
+
+
+def test_requests_that_may_run_once_only_are_held_too():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        for number in range(12):
+            mesh.request(mesh.machines[number % 7], "/sign/crash", "POST", b"body")
+            gevent.sleep(1.0)
+        return len(crashing.crashes)
+
+    assert play(script, **FLEET) <= 3
+
+
+class Innocents:
+    """Callers of a service whose workers end for reasons of their own."""
+
+    def __init__(self, mesh, path):
+        self._mesh = mesh
+        self._path = path
+        self._until = mesh.world.loop.now() + 10.0
+        self.statuses = []
+        self._task = gevent.spawn(self._call_on)
+
+    def _call_on(self):
+        number = 0
+        while self._mesh.world.loop.now() < self._until:
+            number += 1
+            machine = self._mesh.machines[number % len(self._mesh.machines)]
+            gevent.spawn(self._call, machine, self._path.format(number))
+            gevent.sleep(0.005)
+
+    def _call(self, machine, path):
+        self.statuses.append(self._mesh.request(machine, path).status)
+
+    def failed(self):
+        """Wait for the last answer; return how many were not served."""
+        self._task.join()
+        gevent.sleep(4.0)
+        return sum(status != 200 for status in self.statuses)
+
+
+@pytest.mark.parametrize("path", ["/read/{}", "/read/popular"])
+@pytest.mark.parametrize("together", [1, 2])
+def test_workers_that_end_for_other_reasons_cost_innocents_nothing(path, together):
+    def script(mesh):
+        for machine in mesh.machines:
+            machine.worker.state.seconds = 0.16
+        crashing = CrashingRequests(mesh)
+        innocents = Innocents(mesh, path)
+        gevent.sleep(1.0)
+        for first in range(0, 4, together):
+            crashing.end(*mesh.machines[first : first + together])
+            gevent.sleep(3.5)
+        failed = innocents.failed()
+        return failed, [machine.name for machine in mesh.machines if held(machine)]
+
+    assert play(script, **FLEET) == (0, [])
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -62,7 +62,8 @@
     sidecar.end("one", (GUILTY, 0))
     sidecar.end("two", (GUILTY, 1), (BESIDE, 0))
     assert sidecar.table.standing(GUILTY) is Standing.HELD
-    assert sidecar.table.standing(BESIDE) is Standing.CLEAR
+    assert sidecar.table.standing(BESIDE) is Standing.SUSPECT
+    assert sidecar.table.level(BESIDE) == 1
 
 
 def test_ends_at_one_moment_hold_nobody(sidecar):
