Suspended machines: the product's clock counts the time

Cause: CLOCK_MONOTONIC stands still while a machine is suspended, so a leader that wakes up took its lease for valid, a revoked key ran, a controller confirmed an old table, shares of a tenant's limit were followed, a run began after the ledger's lease, and a request after its deadline. Ruled out: a second clock for leases alone: each of these is a lapse, and one clock for all makes a suspension what a freeze is already, for which each promise has tests. Timers of tasks and of the kernel (TCP_USER_TIMEOUT) still stand still; what they wait for is looked at anew after each wait. Change: the production runtime reads CLOCK_BOOTTIME; a sidecar whose machine stood still does not take its worker for lost. The simulator suspends machines: their timers stand still, what comes does not.

--- a/src/cranklane/runtime/interface.py
+++ b/src/cranklane/runtime/interface.py
@@ -85,7 +85,11 @@
 
     @abstractmethod
     def monotonic(self) -> float:
-        """Return seconds on a clock that never steps back."""
+        """Return seconds on a clock that never steps back.
+
+        It counts the time that the machine was suspended, unlike the timers of tasks: a wait
+        may end later than that by this clock, and what it waited for is to be looked at anew.
+        """
 
     @abstractmethod
     def wall(self) -> float:
--- a/src/cranklane/runtime/real.py
+++ b/src/cranklane/runtime/real.py
@@ -135,8 +135,12 @@
         self.random = Random()
 
     def monotonic(self) -> float:
-        """Return seconds on a clock that never steps back."""
-        return time.monotonic()
+        """Return seconds on a clock that never steps back and counts a suspension.
+
+        The kernel's usual steady clock stands still meanwhile: a lease that others took for
+        lapsed would hold on here.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return seconds since 1970 on a clock that may be wrong."""
--- a/src/cranklane/sidecar/worker_registry.py
+++ b/src/cranklane/sidecar/worker_registry.py
@@ -31,6 +31,10 @@
 MISSED_HEARTBEATS = 3.5
 """Heartbeats in a row whose absence means that the worker is lost."""
 
+LATE_LOOK = 2.0
+"""Heartbeats' times after which a look at the worker's silence is late: less than those that
+make it lost, and more than a busy process is late by."""
+
 REMEMBERED_INSTANCES = 64
 
 
@@ -180,9 +184,15 @@
 
     def watch(self) -> None:
         """Notice when heartbeats stop, for ever."""
+        looked_at = self._runtime.monotonic()
         while True:
             gevent.sleep(self._heartbeat_seconds)
-            silent = self._runtime.monotonic() - self._heard_at
+            now = self._runtime.monotonic()
+            if now - looked_at > LATE_LOOK * self._heartbeat_seconds:
+                # This machine stood still, and the worker with it: its silence tells nothing.
+                self._heard_at = now
+            looked_at = now
+            silent = now - self._heard_at
             if silent > MISSED_HEARTBEATS * self._heartbeat_seconds and self.state in (
                 WorkerState.READY,
                 WorkerState.UNREACHABLE,
--- a/src/cranklane_lab/simulation/loop.py
+++ b/src/cranklane_lab/simulation/loop.py
@@ -16,6 +16,10 @@
 import gevent
 from gevent.hub import Hub, get_hub, set_hub
 
+LEAST_WAIT_SECONDS = 1e-9
+"""A wait is at least this long: one below the resolution of the virtual clock would end at the
+second at which it began, and whoever waits until a time would wait for ever."""
+
 
 class Owner(Protocol):
     """A simulated process, as far as the loop is concerned.
@@ -23,11 +27,13 @@
     :ivar frozen_until: virtual second until which nothing of it runs.
     :ivar dead: whether it has ended.
     :ivar clock_rate: its seconds for each true second.
+    :ivar suspended_seconds: for how long its machine has been suspended, all in all.
     """
 
     frozen_until: float
     dead: bool
     clock_rate: float
+    suspended_seconds: float
 
 
 def current_owner() -> Any:
@@ -59,7 +65,11 @@
 
 
 class _Timer:
-    """A call at a virtual time."""
+    """A call at a virtual time.
+
+    :ivar stands_still: whether it stands still while its owner's machine is suspended, as a
+        process's timers do; what comes from the network does not.
+    """
 
     def __init__(self, loop: VirtualLoop, after: float, repeat: float = 0.0) -> None:
         self._loop = loop
@@ -68,6 +78,8 @@
         self.callback: Callable[..., Any] | None = None
         self.args: tuple[Any, ...] = ()
         self.owner: Any = None
+        self.stands_still = True
+        self._suspended_before = 0.0
         self._generation = 0
 
     @property
@@ -89,8 +101,20 @@
 
     def _schedule(self, after: float) -> None:
         self._generation += 1
-        rate = self.owner.clock_rate if self.owner is not None else 1.0
-        self._loop.schedule(max(0.0, after) / rate, self, self._generation)
+        rate = 1.0
+        if self.owner is not None:
+            rate = self.owner.clock_rate
+            self._suspended_before = self.owner.suspended_seconds
+        least = LEAST_WAIT_SECONDS if after > 0 else 0.0
+        self._loop.schedule(max(least, after) / rate, self, self._generation)
+
+    def take_suspension(self) -> float:
+        """Return for how long it has stood still since this was asked last."""
+        if self.owner is None or not self.stands_still:
+            return 0.0
+        still = self.owner.suspended_seconds - self._suspended_before
+        self._suspended_before = self.owner.suspended_seconds
+        return float(still)
 
     def fire(self, generation: int) -> None:
         """Make the call, unless the timer was stopped or started again."""
@@ -186,6 +210,10 @@
             if owner is not None:
                 if owner.dead:
                     continue
+                still = timer.take_suspension()
+                if still > 0:
+                    self._push(when + still, timer, generation)
+                    continue
                 if owner.frozen_until > when:
                     self._push(owner.frozen_until, timer, generation)
                     continue
--- a/src/cranklane_lab/simulation/network.py
+++ b/src/cranklane_lab/simulation/network.py
@@ -249,6 +249,7 @@
         timer = self._loop.timer(when - self._loop.now())
         timer.start(action)
         timer.owner = owner
+        timer.stands_still = False
 
     def listen(
         self,
--- a/src/cranklane_lab/simulation/process.py
+++ b/src/cranklane_lab/simulation/process.py
@@ -43,8 +43,13 @@
     :ivar host: IP number of its machine.
     :ivar clock_rate: its seconds for each true second.
     :ivar wall_offset: seconds its wall clock is wrong by.
+    :ivar suspended_seconds: for how long its machine has been suspended, all in all.
+    :cvar counts_suspension: whether its steady clock counts that time, as the production
+        runtime's does.
     """
 
+    counts_suspension = True
+
     def __init__(self, world: World, name: str, zone: str, host: str, disk: Disk) -> None:
         self._world = world
         self.name = name
@@ -55,6 +60,7 @@
         self.dead = False
         self.clock_rate = 1.0
         self.wall_offset = 0.0
+        self.suspended_seconds = 0.0
         self.tasks: dict[int, Greenlet] = {}
         self.connections: dict[int, SimulatedConnection] = {}
         self.random = Random(world.random.getrandbits(64))
@@ -65,7 +71,8 @@
 
     def monotonic(self) -> float:
         """Return the process's own seconds."""
-        return self._world.loop.now() * self.clock_rate
+        uncounted = 0.0 if self.counts_suspension else self.suspended_seconds
+        return (self._world.loop.now() - uncounted) * self.clock_rate
 
     def wall(self) -> float:
         """Return seconds since 1970 on the process's own clock."""
@@ -107,6 +114,11 @@
         """Let nothing of this process run for a while; nobody is told."""
         self.frozen_until = self._world.loop.now() + seconds
 
+    def suspend(self, seconds: float) -> None:
+        """Suspend its machine for a while: as :meth:`freeze`, and its timers stand still."""
+        self.freeze(seconds)
+        self.suspended_seconds += seconds
+
     def kill(self, power_lost: bool = False) -> None:
         """End the process at once.
 
