Operators list, lift and add holds; explain-request tells of them

Cause: a hold that is wrong, or whose cause was mended, could only be waited out. Change: GET /v1/quarantine beside a sidecar's metrics, POST lift and hold with the operator's token (its digest is the setting operator_digest; without it nobody may change anything); cranklane quarantine list, lift, hold; what is changed at one sidecar counts at all. explain-request knows the new reasons and tells the lines on ended workers, holds and clearings around a request. Tests: tests/test_quarantine_operators.py (11).

--- a/src/cranklane/cli/main.py
+++ b/src/cranklane/cli/main.py
@@ -14,6 +14,7 @@
 from cranklane.cli.control import control_commands
 from cranklane.cli.explain import explain_target, show_policy
 from cranklane.cli.losses import losses_of, told
+from cranklane.cli.quarantine import quarantine_commands
 from cranklane.cli.route_table import route_table_commands
 from cranklane.cli.story import LogLine, read_lines, story_of
 from cranklane.common.secret_digest import secret_digest
@@ -29,6 +30,7 @@
 application.add_typer(config_commands, name="config")
 application.add_typer(control_commands, name="control")
 application.add_typer(route_table_commands, name="route-table")
+application.add_typer(quarantine_commands, name="quarantine")
 
 
 def _read(path: Path) -> Policy:
--- a/src/cranklane/cli/story.py
+++ b/src/cranklane/cli/story.py
@@ -8,11 +8,14 @@
 from datetime import datetime
 from typing import Any
 
-REQUEST_EVENTS = ("request", "attempt", "admission")
+REQUEST_EVENTS = ("request", "attempt", "admission", "quarantine_refusal")
 STATE_EVENTS = frozenset(
     {
         "worker_state",
         "worker_instance",
+        "worker_ended",
+        "requests_held",
+        "requests_cleared",
         "worker_replaced",
         "control_connected",
         "control_lost",
@@ -42,6 +45,11 @@
     "peer_lost": "the connection to the worker's sidecar was lost",
     "deadline_passed": "its time was over before an answer came",
     "cancelled": "its caller left",
+    "worker_ended": "the worker's process ended while it ran this request and maybe others",
+    "worker_left": "the worker's process ended as it had told, while it ran this request",
+    "quarantined": "workers that ran this very request before have ended: it is held for a while",
+    "suspected": "a worker that ran this very request has ended: it runs at one worker only",
+    "run_alone": "the same request is being run alone, to see whether it ends its worker",
 }
 
 
--- a/src/cranklane/settings.py
+++ b/src/cranklane/settings.py
@@ -67,6 +67,10 @@
     lambda value: value == [] or _is_addresses(value),
     lambda text: text.split(",") if text else [],
 )
+DIGEST = Check(
+    "64 hexadecimal digits, or nothing",
+    lambda value: isinstance(value, str) and re.fullmatch("([0-9a-f]{64})?", value) is not None,
+)
 TEXT = Check("a text", lambda value: isinstance(value, str))
 
 
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -28,6 +28,7 @@
 from cranklane.settings import (
     ADDRESS,
     ADDRESSES,
+    DIGEST,
     NAME,
     OPTIONAL_ADDRESS,
     TEXT,
@@ -46,6 +47,7 @@
 from cranklane.sidecar.ingress import Ingress
 from cranklane.sidecar.metrics import SidecarMetrics
 from cranklane.sidecar.peers import PeerClient, PeerServer
+from cranklane.sidecar.quarantine_api import QuarantineApi
 from cranklane.sidecar.quarantine_spread import QuarantineSpread
 from cranklane.sidecar.retry_budget import RetryBound, RetryBudget
 from cranklane.sidecar.sidecar_directory import SidecarDirectory
@@ -111,6 +113,9 @@
         help="after it was acknowledged, a revoked key runs nowhere after these seconds, also "
         "out of touch with control; 0: only where control is in touch",
     )
+    operator_digest: str = setting(
+        DIGEST, "", help="SHA-256 digest of the token that may lift and add holds; empty: nobody's"
+    )
     stop_seconds: float = setting(seconds(0, 3600), 6.0, help="most seconds of a planned stop")
 
 
@@ -225,8 +230,13 @@
         self._listen(settings.registry, SmallHttp(self._runtime, worker_api.handle).accept)
         self._listen(settings.callers, self.ingress.accept)
         if settings.metrics:
-            metrics = MetricsServer(self.metrics.text)
-            self._listen(settings.metrics, SmallHttp(self._runtime, metrics.handle).accept)
+            operators = QuarantineApi(
+                self.quarantine.table,
+                lambda: self.settings.operator_digest,
+                self._log,
+                MetricsServer(self.metrics.text).handle,
+            )
+            self._listen(settings.metrics, SmallHttp(self._runtime, operators.handle).accept)
         self._runtime.spawn(self.subscription.follow)
         self._runtime.spawn(self.worker.watch)
         self._runtime.spawn(self.decisions.summarise)
