Soak: two requests that end workers, sent again at other machines under all faults

Cause: the promise on such requests was shown in simulation only. Change: workers of the soak end under them and come back; checked from what workers ran: at most three runs later than 3 s after the third end. The simulated mesh uses the same stand-in.

--- a/src/cranklane_lab/simulation/crashes.py
+++ b/src/cranklane_lab/simulation/crashes.py
@@ -11,9 +11,6 @@
 from cranklane_lab.simulation.mesh import Mesh, MeshMachine
 from cranklane_lab.standins.routed_worker import RoutedRun
 
-CRASH_SECONDS = 0.05
-"""A worker ends this long after it began to run such a request."""
-
 BACK_SECONDS = 3.0
 """A worker that has ended is back after this long."""
 
@@ -40,11 +37,11 @@
 
     def __init__(self, mesh: Mesh, mark: bytes = b"/crash") -> None:
         self._mesh = mesh
-        self._mark = mark
         self._ended: Queue[tuple[MeshMachine, bytes, int]] = Queue()
         self.crashes: list[Crash] = []
         for machine in mesh.machines:
-            machine.worker.state.work = partial(self._work, machine, machine.worker.state.seconds)
+            machine.worker.state.crash_mark = mark
+            machine.worker.state.on_crash = partial(self._crash, machine)
         # Belongs to no process: it survives the ends that it brings about.
         gevent.spawn(self._end_workers)
 
@@ -55,7 +52,8 @@
 
     def mend(self) -> None:
         """Let workers bear such requests from now on."""
-        self._mark = b"\0"
+        for machine in self._mesh.machines:
+            machine.worker.state.crash_mark = b""
 
     def runs_of(self, mark: bytes) -> list[RoutedRun]:
         """Return the runs of requests whose target holds a mark."""
@@ -66,18 +64,9 @@
             if mark in run.target
         ]
 
-    def _work(self, machine: MeshMachine, seconds: float, run: RoutedRun) -> int:
-        state = machine.worker.state
-        state.running += 1
-        try:
-            if self._mark in run.target:
-                gevent.sleep(CRASH_SECONDS)
-                self._ended.put((machine, run.target, state.running - 1))
-                gevent.sleep(BACK_SECONDS)
-            gevent.sleep(seconds)
-        finally:
-            state.running -= 1
-        return state.status
+    def _crash(self, machine: MeshMachine, run: RoutedRun) -> None:
+        self._ended.put((machine, run.target, machine.worker.state.running))
+        gevent.sleep(BACK_SECONDS)
 
     def _end_workers(self) -> None:
         while True:
--- a/src/cranklane_lab/soak/checks.py
+++ b/src/cranklane_lab/soak/checks.py
@@ -5,9 +5,16 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from cranklane_lab.soak.site import Crash
 from cranklane_lab.standins.raw_http import RawAnswer
 from cranklane_lab.standins.routed_worker import RoutedWorker
 
+KNOWN_SECONDS = 3.0
+"""After the third end under a request, every machine knows of it this much later."""
+
+MOST_RUNS_AFTER = 3
+"""Runs of such a request after that."""
+
 NOT_RUN_STATUS = frozenset({408, 421, 429, 503})
 
 
@@ -51,6 +58,18 @@
         if version < sent_after:
             self.break_promise(f"a read gave version {version} after {sent_after} was acknowledged")
 
+    def check_crashes(self, crashes: list[Crash], workers: list[RoutedWorker]) -> None:
+        """Compare the ends of workers under each request with its later runs."""
+        for target in sorted({crash.target for crash in crashes}):
+            ends = [crash.at for crash in crashes if crash.target == target]
+            if len(ends) < 3:
+                continue
+            known_at = ends[2] + KNOWN_SECONDS
+            runs = [run for worker in workers for run in worker.state.runs]
+            later = sum(run.target == target and run.at > known_at for run in runs)
+            if later > MOST_RUNS_AFTER:
+                self.break_promise(f"{target.decode()} ran {later} times after its third end")
+
     def check_runs(self, workers: list[RoutedWorker]) -> None:
         """Compare what workers ran with what callers were told."""
         runs = Counter(run.request for worker in workers for run in worker.state.runs)
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -4,6 +4,7 @@
 
 import json
 import tempfile
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -26,6 +27,10 @@
 PAUSE_SECONDS = 0.02
 EDIT_SECONDS = 0.7
 FINAL_REQUESTS = 60
+
+CRASH_KINDS = 2
+CRASH_PAUSE_SECONDS = 0.7
+"""Mean pause between two of the same request that ends workers."""
 ROUTES: dict[str, dict[str, Any]] = {
     "read": {"prefix": "/read/", "service": "s"},
     "sign": {"prefix": "/sign/", "service": "t", "repeat": "unsafe"},
@@ -41,6 +46,7 @@
     """One seed's result.
 
     :ivar folder: where the logs of its processes stand.
+    :ivar ends: workers that ended under each request that ends them.
     """
 
     seed: int
@@ -51,6 +57,7 @@
     tables: int
     faults: list[str] = field(default_factory=list)
     folder: str = ""
+    ends: dict[str, int] = field(default_factory=dict)
 
 
 class Soak:
@@ -77,6 +84,7 @@
                 self._check_recovery()
                 self._check_table()
                 self._seen.check_runs(self._site.workers)
+                self._seen.check_crashes(self._site.crashes, self._site.workers)
         finally:
             self._ended = True
             self._site.stop()
@@ -89,6 +97,7 @@
             self._seen.acknowledged,
             self._faults,
             str(self._folder),
+            dict(Counter(crash.target.decode() for crash in self._site.crashes)),
         )
 
     def _note(self, text: str) -> None:
@@ -108,6 +117,7 @@
         faults = Faults(self._site, Random(self._random.random()), self._note)
         tasks = [gevent.spawn(self._call) for _ in range(CALLERS)]
         tasks.append(gevent.spawn(self._edit))
+        tasks += [gevent.spawn(self._crash, kind) for kind in range(CRASH_KINDS)]
         striking = [
             gevent.spawn(faults.strike_sidecars, lambda: self._ended),
             gevent.spawn(faults.strike_controllers, lambda: self._ended),
@@ -148,7 +158,15 @@
             self._seen.answered(name, route != "sign", answer)
             gevent.sleep(PAUSE_SECONDS * random.random())
 
-    def _ask(self, machine: int, route: str, name: str) -> RawAnswer | None:
+    def _crash(self, kind: int) -> None:
+        """Send the same request, which ends workers, at one machine after the other."""
+        random = Random(self._random.random())
+        while not self._ended:
+            gevent.sleep(CRASH_PAUSE_SECONDS * 2 * random.random())
+            name = f"crash-{kind}-{random.getrandbits(32)}"
+            self._ask(random.randrange(len(SERVICES)), "read", name, f"crash-{kind}")
+
+    def _ask(self, machine: int, route: str, name: str, rest: str = "x") -> RawAnswer | None:
         headers = {
             "Host": HOST,
             NAMES.request.decode(): name,
@@ -157,7 +175,7 @@
         address = self._site.callers_address(machine)
         body = b"x" * 500 if route == "sign" else b""
         method = "POST" if body else "GET"
-        return exchange(self._runtime, address, method, f"/{route}/x", headers, body, 5.0)
+        return exchange(self._runtime, address, method, f"/{route}/{rest}", headers, body, 5.0)
 
     # Operators.
 
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -4,13 +4,17 @@
 
 import shutil
 from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
+import gevent
+
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.fleet.mesh_flags import MeshPorts, as_arguments
 from cranklane_lab.fleet.processes import FleetProcess, start
 from cranklane_lab.soak.proxy import Proxy
-from cranklane_lab.standins.routed_worker import RoutedWorker
+from cranklane_lab.standins.routed_worker import RoutedRun, RoutedWorker
 
 CONTROLLERS = 3
 TOLERATED = 1
@@ -18,6 +22,20 @@
 SLOTS = 16
 WORK_SECONDS = 0.01
 
+CRASH_MARK = b"/read/crash"
+"""Requests whose target holds this end the worker that runs them."""
+
+BACK_SECONDS = 1.5
+"""A worker that has ended is back after this long."""
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A worker that ended under a request."""
+
+    at: float
+    target: bytes
+
 
 class SoakSite:
     """Addresses are of the loopback range; those told to others are the proxies'.
@@ -25,6 +43,7 @@
     :ivar controllers: running controllers by number.
     :ivar sidecars: running sidecars by number.
     :ivar proxies: by the name of the process behind each.
+    :ivar crashes: the workers that have ended, in their order.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -35,6 +54,7 @@
         self.sidecars: dict[int, FleetProcess] = {}
         self.workers: list[RoutedWorker] = []
         self.proxies: dict[str, Proxy] = {}
+        self.crashes: list[Crash] = []
 
     def start(self) -> None:
         """Start everything for the first time."""
@@ -42,10 +62,10 @@
             self._proxy(f"controller-{number}", f"127.0.3.{number + 1}", f"127.0.1.{number + 1}")
         for number in range(CONTROLLERS):
             self.start_controller(number, first=True)
-        for number, service in enumerate(SERVICES):
+        for number in range(len(SERVICES)):
             self._proxy(f"sidecar-{number}", f"127.0.4.{number + 1}", f"127.0.2.{number + 1}")
             self.start_sidecar(number)
-            self._start_worker(number, service)
+            self.workers.append(self._new_worker(number, f"i-{number}"))
 
     def _proxy(self, name: str, near: str, far: str) -> None:
         self.proxies[name] = Proxy((near, self._ports.peer), (far, self._ports.peer))
@@ -85,12 +105,12 @@
         arguments = as_arguments(daemon, flags)
         return start(name, "cranklane.cli.entry", arguments, self._folder)
 
-    def _start_worker(self, number: int, service: str) -> None:
+    def _new_worker(self, number: int, instance: str) -> RoutedWorker:
         host = f"127.0.2.{number + 1}"
         worker = RoutedWorker(
             self._runtime,
-            service,
-            f"i-{number}",
+            SERVICES[number],
+            instance,
             (host, self._ports.worker),
             (host, self._ports.registry),
             SLOTS,
@@ -98,8 +118,25 @@
         )
         worker.state.seconds = WORK_SECONDS
         worker.state.echoes = True
-        self.workers.append(worker)
+        worker.state.crash_mark = CRASH_MARK
+        worker.state.on_crash = partial(self._crashed, number)
         self._runtime.spawn(worker.beat_on)
+        return worker
+
+    def _crashed(self, number: int, run: RoutedRun) -> None:
+        """End a worker under a request, and start it again a while later."""
+        worker = self.workers[number]
+        if worker.ended:
+            return
+        self.crashes.append(Crash(self._runtime.monotonic(), run.target))
+        worker.end()
+        gevent.spawn_later(BACK_SECONDS, self._restart_worker, number)
+
+    def _restart_worker(self, number: int) -> None:
+        former = self.workers[number]
+        worker = self._new_worker(number, f"i-{number}+{len(self.crashes)}")
+        worker.state.runs = former.state.runs
+        self.workers[number] = worker
 
     def callers_address(self, number: int) -> tuple[str, int]:
         """Return where a sidecar's machine sends its requests."""
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -30,6 +30,9 @@
 INTEGRITY = b"whole"
 _LOOK_SECONDS = 0.02
 
+CRASH_SECONDS = 0.05
+"""A worker ends this long after it began to run a request that ends it."""
+
 
 @dataclass
 class RoutedRun:
@@ -67,6 +70,8 @@
         place of ``seconds`` and ``status``.
     :ivar slower: factor on the time of its work, for ``work`` to heed.
     :ivar shed_part: part of the requests that it refuses as not run.
+    :ivar crash_mark: requests whose target holds it end the worker; nothing: none do.
+    :ivar on_crash: brings that end about.
     """
 
     seconds: float = 0.02
@@ -85,6 +90,8 @@
     work: Callable[[RoutedRun], int] | None = None
     slower: float = 1.0
     shed_part: float = 0.0
+    crash_mark: bytes = b""
+    on_crash: Callable[[RoutedRun], None] | None = None
     arrivals: int = 0
     connections: int = 0
     running: int = 0
@@ -123,7 +130,9 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._sequence = 0
         self.phase = "ready"
+        self.ended = False
         self.state = RoutedWorkerState()
+        self._streams: set[Any] = set()
         self._listener = runtime.listen(address, self._accept)
 
     # What it tells its sidecar.
@@ -151,7 +160,7 @@
 
     def beat_on(self) -> None:
         """Send heartbeats for ever."""
-        while True:
+        while not self.ended:
             self.beat()
             gevent.sleep(self._heartbeat_seconds)
 
@@ -164,10 +173,18 @@
         """Take no more connections."""
         self._listener.close()
 
+    def end(self) -> None:
+        """End as a process does: its port and its connections close, and it says nothing."""
+        self.ended = True
+        self.close()
+        for stream in list(self._streams):
+            stream.close()
+
     # What it serves.
 
     def _accept(self, stream: Any, _address: Address) -> None:
         self.state.connections += 1
+        self._streams.add(stream)
         reader = RequestReader(stream, 64 * 1024)
         try:
             while True:
@@ -177,6 +194,7 @@
         except (OSError, MalformedMessageError, MessageCutError):
             pass
         finally:
+            self._streams.discard(stream)
             stream.close()
 
     def _serve(self, stream: Any, reader: RequestReader, head: RequestHead) -> bool:
@@ -205,6 +223,11 @@
             self._runtime.monotonic(),
         )
         state.runs.append(run)
+        if state.crash_mark and state.crash_mark in run.target:
+            gevent.sleep(CRASH_SECONDS)
+            assert state.on_crash is not None
+            state.on_crash(run)
+            return False
         if state.work is not None:
             status = state.work(run)
             body = state.body if status == state.status else b"failed"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import Faults
 from cranklane_lab.soak.proxy import ProxyMode
-from cranklane_lab.soak.site import CONTROLLERS, SERVICES
+from cranklane_lab.soak.site import CONTROLLERS, SERVICES, Crash
 from cranklane_lab.standins.raw_http import RawAnswer
 
 
@@ -59,6 +59,20 @@
     assert [told in line for line in seen.broken] == [True]
 
 
+def runs_of(target, *moments):
+    runs = [SimpleNamespace(request="c", target=target, at=at) for at in moments]
+    return [SimpleNamespace(state=SimpleNamespace(runs=runs))]
+
+
+@pytest.mark.parametrize(("runs_after", "broken"), [(3, 0), (4, 1)])
+def test_a_request_that_ends_workers_may_run_thrice_more_once_it_is_known(runs_after, broken):
+    seen = Observations()
+    crashes = [Crash(float(at), b"/read/crash") for at in (1, 2, 3)]
+    moments = [1, 2, 3, 5.9, *(6.1 + n for n in range(runs_after))]
+    seen.check_crashes(crashes, runs_of(b"/read/crash", *moments))
+    assert len(seen.broken) == broken
+
+
 class StandInProcess:
     alive = False
 
