A sidecar that starts asks until another has told what is held

Change: it asks in rounds until one answers, in each up to three, the next when one is silent for 0.1 s. Test: test_a_restarted_sidecar_learns_though_its_controller_knows_nobody_yet fails with one round.

--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -390,7 +390,7 @@
         self.directory.apply(delta)
         if delta.whole:
             # It starts, or control was lost: it may have missed news.
-            self._runtime.spawn(self.quarantine.learn)
+            self._runtime.spawn(self.quarantine.catch_up)
         self._log.info(
             "members",
             whole=delta.whole,
@@ -419,7 +419,7 @@
         self._own_sequence += 1
         if self.worker.instance != self._learnt_for:
             self._learnt_for = self.worker.instance
-            self._runtime.spawn(self.quarantine.learn)
+            self._runtime.spawn(self.quarantine.catch_up)
         self.destinations.state_own(
             Member(
                 incarnation=self.incarnation,
--- a/src/cranklane/sidecar/quarantine_spread.py
+++ b/src/cranklane/sidecar/quarantine_spread.py
@@ -32,7 +32,15 @@
 learns of a hold about this long after it is back."""
 
 LEARN_TRIES = 3
-"""Sidecars that are asked, one after the other, until one answers."""
+"""Sidecars that are asked in one round, until one answers."""
+
+ANSWER_SECONDS = 0.1
+"""A sidecar that has not answered within this time may be paused or cut off: another is asked."""
+
+CATCH_UP_PAUSE_SECONDS = 0.1
+CATCH_UP_ROUNDS = 100
+"""A sidecar that finds nobody to ask tries for this many rounds: after a start control may know
+few others for some seconds."""
 
 ENTRIES_IN_A_LINE = 20
 """Requests named in one log line; their number is always told."""
@@ -65,6 +73,7 @@
         self._exchange = exchange
         self._log = log
         self._waiting: list[QuarantineEntry] = []
+        self._catching_up = False
         self.table = Quarantine(runtime.monotonic, self._tell)
 
     # News of this sidecar.
@@ -133,15 +142,34 @@
             gevent.sleep(COMPARE_SECONDS)
             self.table.forget_old()
             if self.table.held():
-                self.learn(1)
-
-    def learn(self, tries: int = LEARN_TRIES) -> bool:
-        """Ask one sidecar what is held, its own service's first; return whether one answered."""
+                self._learn()
+
+    def catch_up(self) -> None:
+        """Learn what is held until one sidecar has answered; it may not know any yet."""
+        if self._catching_up:
+            return
+        self._catching_up = True
+        for _ in range(CATCH_UP_ROUNDS):
+            if self._learn():
+                break
+            gevent.sleep(CATCH_UP_PAUSE_SECONDS)
+        self._catching_up = False
+
+    def _learn(self) -> bool:
+        """Ask others what is held, its own service's first; return whether one answered.
+
+        The next one is asked when the one before it keeps silent for a moment.
+        """
         own_service = self._service()
         others = self._directory.of()
         self._runtime.random.shuffle(others)
         others.sort(key=lambda other: (other.away_since is not None, other.service != own_service))
-        return any(self._compare(other) for other in others[:tries])
+        tasks = []
+        for other in others[:LEARN_TRIES]:
+            tasks.append(self._runtime.spawn(self._compare, other))
+            if any(task.value for task in gevent.wait(tasks, ANSWER_SECONDS, count=len(tasks))):
+                return True
+        return any(task.value for task in gevent.wait(tasks))
 
     def _compare(self, other: OtherSidecar) -> bool:
         news = QuarantineNews(digest=self.table.digest(), asks=True)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -189,6 +189,28 @@
     assert play(script, **FLEET) == (503, True, 2)
 
 
+def test_a_restarted_sidecar_learns_though_its_controller_knows_nobody_yet():
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        mesh.request(mesh.machines[0], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        machine = mesh.machines[4]
+        machine.process.kill()
+        for number in range(3):
+            mesh.controllers[number].process.kill()
+        gevent.sleep(0.2)
+        for number in range(3):
+            mesh.restart_controller(number)
+        machine.process, machine.sidecar = mesh.start_sidecar(
+            machine.name, machine.service, machine.zone, machine.host
+        )
+        assert mesh.wait_for(lambda: len(machine.sidecar.directory.of()) > 0, 10.0)
+        gevent.sleep(0.2)
+        return held(machine), len(crashing.crashes)
+
+    assert play(script, **FLEET) == (True, 2)
+
+
 def test_several_such_requests_at_once_end_three_workers_each_at_most():
     def script(mesh):
         crashing = CrashingRequests(mesh)
