--- a/src/cranklane/sidecar/quarantine.py
+++ b/src/cranklane/sidecar/quarantine.py
@@ -20,6 +20,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from gevent.event import Event
+
 from cranklane.common.secret_digest import sha256
 from cranklane.records.messages import QuarantineEntry
 from cranklane.sidecar.request_identity import Identity
@@ -116,6 +118,7 @@
 
     :param clock: seconds that have passed, those of a suspension included.
     :param on_news: given the entries that other sidecars should know.
+    :ivar filled: set while there may be entries.
     """
 
     def __init__(
@@ -126,6 +129,7 @@
         # In the order in which they were seen last.
         self._entries: OrderedDict[Identity, Held] = OrderedDict()
         self._cleared: OrderedDict[Identity, frozenset[bytes]] = OrderedDict()
+        self.filled = Event()
 
     @property
     def is_empty(self) -> bool:
@@ -169,6 +173,8 @@
             kept = MOST_HOLD_SECONDS if entry.is_held else SUSPECT_SECONDS
             if now - last > kept:
                 del self._entries[entry.identity]
+        if not self._entries:
+            self.filled.clear()
 
     # What happens at this sidecar's worker.
 
@@ -200,6 +206,7 @@
         entry = self._entries.get(identity)
         if entry is None:
             self._entries[identity] = Held(identity, service, self._clock())
+            self.filled.set()
             self._drop_surplus()
         else:
             entry.seen_at = self._clock()
--- a/src/cranklane/sidecar/quarantine_spread.py
+++ b/src/cranklane/sidecar/quarantine_spread.py
@@ -137,8 +137,9 @@
     # Catching up.
 
     def compare_on(self) -> None:
-        """Compare with another sidecar now and then, for ever."""
+        """Compare with another sidecar now and then while something is held, for ever."""
         while True:
+            self.table.filled.wait()
             gevent.sleep(COMPARE_SECONDS)
             self.table.forget_old()
             if self.table.held():
--- a/src/cranklane/sidecar/worker_end.py
+++ b/src/cranklane/sidecar/worker_end.py
@@ -16,13 +16,15 @@
 from cranklane.records.messages import ForwardRequest
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.request_identity import Identity, identity_of
+from cranklane.sidecar.worker_pool import WorkerConnection, WorkerPool
 from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
 
-CONNECT_SECONDS = 0.25
+CONNECT_SECONDS = 0.05
+"""A worker on the same machine takes a connection at once, or is no proof of its end."""
 
 CLOSING_SECONDS = 0.01
 """A process that ends closes its connections and its port one after the other: a connection
-that succeeded is tried once more after this long."""
+that succeeded is looked at again after this long."""
 
 LEAVING = (WorkerState.DRAINING, WorkerState.GONE)
 """States in which an end of the worker was to be expected."""
@@ -73,7 +75,11 @@
         self._clock = runtime.monotonic
         self._worker = worker
         self._on_end = on_end
-        self._check = WorkerEndCheck(runtime, worker.address) if worker.address else None
+        self._check = (
+            WorkerEndCheck(runtime, worker.address, worker.pool)
+            if worker.address is not None and worker.pool is not None
+            else None
+        )
         # In the order of their beginning.
         self._runs: dict[int, _Run] = {}
         self._begun = 0
@@ -126,11 +132,15 @@
 
 
 class WorkerEndCheck:
-    """Finds out whether the worker has ended, once for all who ask at the same time."""
+    """Finds out whether the worker has ended, once for all who ask at the same time.
+
+    :param pool: gets the connection of a worker that has not.
+    """
 
-    def __init__(self, runtime: Runtime, address: Address) -> None:
+    def __init__(self, runtime: Runtime, address: Address, pool: WorkerPool) -> None:
         self._runtime = runtime
         self._address = address
+        self._pool = pool
         self._under_way: AsyncResult[bool] | None = None
 
     def has_ended(self) -> bool:
@@ -140,14 +150,27 @@
         self._under_way = AsyncResult()
         ended = False
         try:
-            ended = self._is_closed() or self._closes()
+            ended = self._has_ended()
         finally:
             self._under_way.set(ended)
             self._under_way = None
         return ended
 
-    def _is_closed(self) -> bool:
-        """Return whether a connection is refused."""
+    def _has_ended(self) -> bool:
+        try:
+            stream = self._runtime.connect(self._address, CONNECT_SECONDS)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        gevent.sleep(CLOSING_SECONDS)
+        if not self._runtime.has_input(stream):
+            self._pool.give_back(WorkerConnection(stream))
+            return False
+        stream.close()
+        return self._is_refused()
+
+    def _is_refused(self) -> bool:
         try:
             self._runtime.connect(self._address, CONNECT_SECONDS).close()
         except ConnectionRefusedError:
@@ -155,7 +178,3 @@
         except OSError:
             return False
         return False
-
-    def _closes(self) -> bool:
-        gevent.sleep(CLOSING_SECONDS)
-        return self._is_closed()
--- a/tests/test_worker_end.py
+++ b/tests/test_worker_end.py
@@ -79,3 +79,16 @@
         return [end.planned for end in seen]
 
     assert play(script) == [True]
+
+
+def test_looking_for_an_end_leaves_a_connection_that_is_used_again():
+    def script(mesh):
+        worker = mesh.machines[2].worker.state
+        worker.lose_answers = 1
+        mesh.request(mesh.machines[0], "/other/x")
+        gevent.sleep(0.1)
+        before = worker.connections
+        status = mesh.request(mesh.machines[0], "/other/y").status
+        return status, worker.connections - before
+
+    assert play(script) == (200, 0)
