A sidecar that missed a clearing is corrected; of copies the most suspected counts

Cause, by reading: a sidecar that was cut off while a request was cleared went on to refuse it until its hold was over, and each comparison found a difference anew; of several copies of one request at an ended worker, the last that had begun counted, not the one that was run as a suspect. Change: whoever knows of the clearing tells it in answer to the outdated entry; an operator's hold has a name of its own, so that it counts after an earlier clearing. Tests: test_a_sidecar_that_missed_a_clearing_is_corrected, test_an_operators_hold_counts_after_an_earlier_clearing_too.

--- a/src/cranklane/sidecar/gate.py
+++ b/src/cranklane/sidecar/gate.py
@@ -24,7 +24,13 @@
 from cranklane.sidecar.slots import Slots, Waiter
 from cranklane.sidecar.slowness import ratio_to
 from cranklane.sidecar.worker_condition import WorkerCondition
-from cranklane.sidecar.worker_end import LEAVING, WorkerEnd, WorkerEnds, identity_of_request
+from cranklane.sidecar.worker_end import (
+    LEAVING,
+    EndedRun,
+    WorkerEnd,
+    WorkerEnds,
+    identity_of_request,
+)
 from cranklane.sidecar.worker_exchange import WorkerExchange
 from cranklane.sidecar.worker_registry import WorkerRegistry, WorkerState
 
@@ -268,11 +274,9 @@
     def _worker_has_ended(self, end: WorkerEnd) -> None:
         self._on_worker_end(end)
         if not end.planned:
-            self._quarantine.worker_ended(
-                self._worker.service,
-                end_id(end.instance),
-                {run.identity: run.level for run in end.runs},
-            )
+            # Of copies of one request, the one that was suspected most counts.
+            levels = {run.identity: run.level for run in sorted(end.runs, key=_level_of)}
+            self._quarantine.worker_ended(self._worker.service, end_id(end.instance), levels)
 
     def _answered(self, request: ForwardRequest) -> None:
         """Take that the worker has run a request to its end: it is no cause of ends."""
@@ -318,6 +322,10 @@
     return answered or reply.reason is Reason.DEADLINE_PASSED
 
 
+def _level_of(run: EndedRun) -> int:
+    return run.level
+
+
 def _root_of(request: ForwardRequest, arrived_at: float) -> Root:
     """Return the request at the root of a request's call tree, by this process's clock."""
     return Root(
--- a/src/cranklane/sidecar/quarantine.py
+++ b/src/cranklane/sidecar/quarantine.py
@@ -236,8 +236,9 @@
     def hold(self, service: str, identity: Identity, seconds: float) -> None:
         """Hold a request, here and everywhere."""
         self.suspect(service, identity)
-        self._cleared.pop(identity, None)
         entry = self._entries[identity]
+        # Named like an end of a worker, so that it counts after an earlier clearing too.
+        entry.ends |= {end_id(f"operator at {self._clock()}")}
         entry.held_until = max(entry.held_until, self._clock() + seconds)
         self._drop_surplus()
         self._tell([identity])
@@ -256,8 +257,7 @@
         if told.cleared:
             return self._take_cleared(told)
         ends = _ends_of(told.ends)
-        if ends and ends <= self._cleared.get(told.identity, frozenset()):
-            # It was cleared after all that this tells.
+        if self._is_outdated(told):
             return False
         is_new = told.identity not in self._entries
         self.suspect(told.service, told.identity)
@@ -273,6 +273,21 @@
         self._drop_surplus()
         return is_new or bool(added) or is_longer
 
+    def _is_outdated(self, told: QuarantineEntry) -> bool:
+        """Return whether a hold was cleared after all that an entry tells of it."""
+        cleared = self._cleared.get(told.identity)
+        return told.held_ms > 0 and cleared is not None and _ends_of(told.ends) <= cleared
+
+    def corrections(self, told: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
+        """Return what a sidecar should know that still holds what was cleared."""
+        return [
+            QuarantineEntry(0, True, entry.service, entry.ends, entry.identity)
+            for entry in told
+            if not entry.cleared
+            and entry.identity not in self._entries
+            and self._is_outdated(entry)
+        ]
+
     def _take_cleared(self, told: QuarantineEntry) -> bool:
         ends = _ends_of(told.ends)
         self._remember_cleared(told.identity, ends)
--- a/src/cranklane/sidecar/quarantine_spread.py
+++ b/src/cranklane/sidecar/quarantine_spread.py
@@ -127,7 +127,7 @@
             self._send(news.service, news.entries, others)
         digest = self.table.digest()
         told = self.table.entries() if news.asks and news.digest != digest else []
-        return QuarantineNews(digest=digest, entries=told)
+        return QuarantineNews(digest=digest, entries=told + self.table.corrections(news.entries))
 
     def _take(self, entries: list[QuarantineEntry]) -> None:
         fresh = self.table.take(entries)
@@ -179,8 +179,10 @@
             return False
         self._take(answer.entries)
         if self.table.digest() != answer.digest:
-            news = QuarantineNews(digest=self.table.digest(), entries=self.table.entries())
-            self._exchange(other.address, news)
+            entries = self.table.entries() + self.table.corrections(answer.entries)
+            news = QuarantineNews(digest=self.table.digest(), entries=entries)
+            corrected = self._exchange(other.address, news)
+            self._take(corrected.entries if corrected is not None else [])
         return True
 
     def _log_entries(self, entries: list[QuarantineEntry], source: str) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -145,6 +145,31 @@
     assert other.table.is_empty and sidecar.table.is_empty
 
 
+def test_a_sidecar_that_missed_a_clearing_is_corrected(sidecar, clock):
+    other = Sidecar(clock)
+    sidecar.end("one", (GUILTY, 0))
+    sidecar.end("two", (GUILTY, 1))
+    other.table.take(sidecar.news)
+    sidecar.table.lift(GUILTY)
+    stale = other.table.entries()
+    assert sidecar.table.take(stale) == []
+    other.table.take(sidecar.table.corrections(stale))
+    assert other.table.is_empty
+
+
+def test_an_operators_hold_counts_after_an_earlier_clearing_too(sidecar, clock):
+    other = Sidecar(clock)
+    for _ in range(2):
+        clock.now += 1
+        sidecar.table.hold("s", GUILTY, 60.0)
+        other.table.take(sidecar.news)
+        assert other.table.standing(GUILTY) is Standing.HELD
+        sidecar.table.lift(GUILTY)
+        other.table.take(sidecar.news)
+        assert other.table.is_empty
+        sidecar.news.clear()
+
+
 def test_refusals_of_a_gate_do_not_hold_longer_than_the_gate_does(sidecar, clock):
     sidecar.end("one", (GUILTY, 0))
     sidecar.end("two", (GUILTY, 1))
