tests: the time until all know counts from the end of the worker

Cause: the test waited in steps of 50 ms before it began to count, so its bound was nearer to 0.1 s. Change: counted from the second end, in steps of 0.5 ms; bound 0.03 s in place of 0.05 s.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -90,13 +90,24 @@
     return bool(machine.sidecar.quarantine.table.held())
 
 
-def until_held(mesh, machines, seconds=2.0):
-    """Return the seconds until all of some sidecars hold a request."""
-    begun = mesh.world.loop.now()
+def until_held(mesh, machines, since, seconds=2.0):
+    """Return the seconds from a moment on until all of some sidecars hold a request."""
     while not all(held(machine) for machine in machines):
-        assert mesh.world.loop.now() - begun < seconds
-        gevent.sleep(0.001)
-    return mesh.world.loop.now() - begun
+        assert mesh.world.loop.now() - since < seconds
+        gevent.sleep(0.0005)
+    return mesh.world.loop.now() - since
+
+
+def second_end(mesh, crashing, seconds=5.0):
+    """Send the request, again where it is not repeated; return when it ends a second worker."""
+    until = mesh.world.loop.now() + seconds
+    while len(crashing.crashes) < 2:
+        assert mesh.world.loop.now() < until
+        if not crashing.crashes or mesh.world.loop.now() > crashing.crashes[0].at + 0.5:
+            gevent.spawn(mesh.request, mesh.machines[-1], CRASH)
+            gevent.sleep(0.06)
+        gevent.sleep(0.0005)
+    return crashing.crashes[1].at
 
 
 def cut_control(mesh):
@@ -106,24 +117,13 @@
             mesh.world.network.cut(controller.process.name, machine.process.name)
 
 
-def test_all_sidecars_know_within_tens_of_milliseconds():
+@pytest.mark.parametrize("others", [2, 65])
+def test_all_sidecars_know_within_tens_of_milliseconds(others):
     def script(mesh):
         crashing = CrashingRequests(mesh)
-        gevent.spawn(mesh.request, mesh.machines[6], CRASH)
-        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
-        return until_held(mesh, mesh.machines)
-
-    assert play(script, **FLEET) < 0.05
-
-
-def test_large_fleets_pass_the_news_on():
-    def script(mesh):
-        crashing = CrashingRequests(mesh)
-        gevent.spawn(mesh.request, mesh.machines[6], CRASH)
-        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
-        return until_held(mesh, mesh.machines)
+        return until_held(mesh, mesh.machines, second_end(mesh, crashing))
 
-    assert play(script, services=("s",) * 20 + ("t",) * 50, slots=16) < 0.05
+    assert play(script, services=("s",) * 5 + ("t",) * others, slots=16) < 0.03
 
 
 def test_the_third_end_is_the_last_while_control_is_cut_off():
@@ -167,7 +167,7 @@
         gevent.sleep(4.0)
         assert not held(away)
         mesh.world.network.heal_all()
-        return until_held(mesh, [away, paused], 10.0)
+        return until_held(mesh, [away, paused], mesh.world.loop.now(), 10.0)
 
     assert play(script, **FLEET) < 5.0
 
