Sidecars restarted together do not rely on each other's empty tables

Change: an answer tells whether its sender has learnt from others itself; one that has not does not end the asking, which goes on in growing pauses for 4 s. All sidecars are asked alike, not those of the own service first: holds are known to all. Test: test_sidecars_restarted_together_do_not_rely_on_each_other (three seeds) failed first.

--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -3236,22 +3236,24 @@
 
 
 class QuarantineNews(Record):
-    """What a sidecar knows of such requests. ``digest`` is that of all it holds; ``asks`` wants the receiver's own entries where its digest differs. The receiver passes it on to the nodes whose names come after its own, up to ``relay_to``; those of ``service``, or all where it is empty."""
+    """What a sidecar knows of such requests. ``digest`` is that of all it holds; ``asks`` wants the receiver's own entries where its digest differs; ``settled`` tells that the sender has learnt from others itself, since its start. The receiver passes it on to the nodes whose names come after its own, up to ``relay_to``; those of ``service``, or all where it is empty."""
 
     KIND: ClassVar[int] = 91
-    LAYOUT: ClassVar[Struct] = Struct("!Q?HHI")
-    __slots__ = ('digest', 'asks', 'service', 'relay_to', 'entries',)
+    LAYOUT: ClassVar[Struct] = Struct("!Q??HHI")
+    __slots__ = ('digest', 'asks', 'settled', 'service', 'relay_to', 'entries',)
 
     def __init__(
         self,
         digest: int = 0,
         asks: bool = False,
+        settled: bool = False,
         service: str = "",
         relay_to: str = "",
         entries: list[QuarantineEntry] | None = None,
     ) -> None:
         self.digest: int = digest
         self.asks: bool = asks
+        self.settled: bool = settled
         self.service: str = service
         self.relay_to: str = relay_to
         self.entries: list[QuarantineEntry] = entries if entries is not None else []
@@ -3261,7 +3263,7 @@
         relay_to = self.relay_to.encode()
         entries = pack_records(self.entries)
         try:
-            head = self.LAYOUT.pack(self.digest, self.asks, len(service), len(relay_to), len(entries))
+            head = self.LAYOUT.pack(self.digest, self.asks, self.settled, len(service), len(relay_to), len(entries))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, relay_to, entries))
@@ -3269,7 +3271,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> QuarantineNews:
         try:
-            digest, asks, service_size, relay_to_size, entries_size, = cls.LAYOUT.unpack_from(payload)
+            digest, asks, settled, service_size, relay_to_size, entries_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + service_size
             service = payload[start:end].decode()
@@ -3284,7 +3286,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"QuarantineNews of {len(payload)} bytes, not {start}")
-        return cls(digest, asks, service, relay_to, entries)
+        return cls(digest, asks, settled, service, relay_to, entries)
 
 
 class ForwardCut(Record):
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -449,10 +449,11 @@
         91,
         "QuarantineNews",
         "What a sidecar knows of such requests. ``digest`` is that of all it holds; ``asks`` "
-        "wants the receiver's own entries where its digest differs. The receiver passes it on "
+        "wants the receiver's own entries where its digest differs; ``settled`` tells that the "
+        "sender has learnt from others itself, since its start. The receiver passes it on "
         "to the nodes whose names come after its own, up to ``relay_to``; those of ``service``, "
         "or all where it is empty.",
-        "digest:u64 asks:bool service:str relay_to:str entries:[QuarantineEntry]",
+        "digest:u64 asks:bool settled:bool service:str relay_to:str entries:[QuarantineEntry]",
     ),
     Record(84, "ForwardCut", "The answer ends here, before its last byte.", "reason:u8"),
 )
--- a/src/cranklane/sidecar/quarantine_spread.py
+++ b/src/cranklane/sidecar/quarantine_spread.py
@@ -38,9 +38,11 @@
 """A sidecar that has not answered within this time may be paused or cut off: another is asked."""
 
 CATCH_UP_PAUSE_SECONDS = 0.1
-CATCH_UP_ROUNDS = 100
-"""A sidecar that finds nobody to ask tries for this many rounds: after a start control may know
-few others for some seconds."""
+"""Pause before the second round; each is longer by as much."""
+
+CATCH_UP_ROUNDS = 8
+"""Rounds of asking others that do not know either, 4 s in all: sidecars that were killed together
+start within that time, and by then one of them has met one that knows."""
 
 ENTRIES_IN_A_LINE = 20
 """Requests named in one log line; their number is always told."""
@@ -74,6 +76,7 @@
         self._log = log
         self._waiting: list[QuarantineEntry] = []
         self._catching_up = False
+        self._settled = False
         self.table = Quarantine(runtime.monotonic, self._tell)
 
     # News of this sidecar.
@@ -109,7 +112,9 @@
     ) -> None:
         relay_to = part[-1].node
         for other in part:
-            news = QuarantineNews(self.table.digest(), False, service, relay_to, entries)
+            news = QuarantineNews(
+                digest=self.table.digest(), service=service, relay_to=relay_to, entries=entries
+            )
             if self._exchange(other.address, news) is not None:
                 return
 
@@ -127,7 +132,8 @@
             self._send(news.service, news.entries, others)
         digest = self.table.digest()
         told = self.table.entries() if news.asks and news.digest != digest else []
-        return QuarantineNews(digest=digest, entries=told + self.table.corrections(news.entries))
+        told = told + self.table.corrections(news.entries)
+        return QuarantineNews(digest=digest, settled=self._settled, entries=told)
 
     def _take(self, entries: list[QuarantineEntry]) -> None:
         fresh = self.table.take(entries)
@@ -146,25 +152,31 @@
                 self._learn()
 
     def catch_up(self) -> None:
-        """Learn what is held until one sidecar has answered; it may not know any yet."""
+        """Learn what is held until a sidecar has answered that knows it.
+
+        One that has just started itself may know nothing. Where all have, nobody does.
+        """
         if self._catching_up:
             return
         self._catching_up = True
-        for _ in range(CATCH_UP_ROUNDS):
-            if self._learn():
-                break
-            gevent.sleep(CATCH_UP_PAUSE_SECONDS)
+        rounds = 0
+        while rounds < CATCH_UP_ROUNDS:
+            if self._directory.of():
+                rounds += 1
+                if self._learn():
+                    break
+            gevent.sleep(CATCH_UP_PAUSE_SECONDS * (1 + rounds))
+        self._settled = True
         self._catching_up = False
 
     def _learn(self) -> bool:
-        """Ask others what is held, its own service's first; return whether one answered.
+        """Ask others what is held; return whether one answered that has learnt it itself.
 
         The next one is asked when the one before it keeps silent for a moment.
         """
-        own_service = self._service()
         others = self._directory.of()
         self._runtime.random.shuffle(others)
-        others.sort(key=lambda other: (other.away_since is not None, other.service != own_service))
+        others.sort(key=lambda other: other.away_since is not None)
         tasks = []
         for other in others[:LEARN_TRIES]:
             tasks.append(self._runtime.spawn(self._compare, other))
@@ -173,6 +185,7 @@
         return any(task.value for task in gevent.wait(tasks))
 
     def _compare(self, other: OtherSidecar) -> bool:
+        """Exchange what is held with another; return whether it has learnt it itself."""
         news = QuarantineNews(digest=self.table.digest(), asks=True)
         answer = self._exchange(other.address, news)
         if answer is None:
@@ -183,7 +196,7 @@
             news = QuarantineNews(digest=self.table.digest(), entries=entries)
             corrected = self._exchange(other.address, news)
             self._take(corrected.entries if corrected is not None else [])
-        return True
+        return answer.settled
 
     def _log_entries(self, entries: list[QuarantineEntry], source: str) -> None:
         for event, chosen in (
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -203,6 +203,26 @@
     assert play(script, **FLEET) == (True, 2)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_sidecars_restarted_together_do_not_rely_on_each_other(seed):
+    def script(mesh):
+        crashing = CrashingRequests(mesh)
+        mesh.request(mesh.machines[0], CRASH)
+        assert mesh.wait_for(lambda: len(crashing.crashes) == 2, 2.0)
+        gevent.sleep(0.05)
+        for machine in mesh.machines[:5]:
+            machine.process.kill()
+        gevent.sleep(0.2)
+        for machine in mesh.machines[:5]:
+            machine.process, machine.sidecar = mesh.start_sidecar(
+                machine.name, machine.service, machine.zone, machine.host
+            )
+        gevent.sleep(1.5)
+        return [held(machine) for machine in mesh.machines]
+
+    assert play(script, seed=seed, **FLEET) == [True] * 7
+
+
 def test_several_such_requests_at_once_end_three_workers_each_at_most():
     def script(mesh):
         crashing = CrashingRequests(mesh)
