--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -22,6 +22,7 @@
 from cranklane_lab.scenarios.base import Run
 from cranklane_lab.scenarios.library import SMALL
 from cranklane_lab.simulation.fleet import SimulatedFleet
+from cranklane_lab.simulation.process import SimulatedProcess
 from cranklane_lab.simulation.world import simulate
 
 RUN, ANSWERED, IN_PROGRESS, UNKNOWN, CONFLICT = LedgerDecision
@@ -242,8 +243,8 @@
     assert play(script) == ("unknown", True, 1)
 
 
-def late_runs(run):
-    """Freeze the nodes once entries are made; return which of those ran after the lease."""
+def late_runs(run, stop=SimulatedProcess.freeze):
+    """Stop the nodes once entries are made; return which of those ran after the lease."""
     tasks = [gevent.spawn(sign, run, f"n{number}", f"k{number}") for number in range(20)]
     while not any(len(ledger.store) for ledger in run.fleet.ledgers):
         gevent.sleep(0.0001)
@@ -251,7 +252,7 @@
     fullest = max((ledger.store for ledger in run.fleet.ledgers), key=len)
     granted = {LedgerEntry.unpack(packed).key for packed in fullest._entries.values()}
     for pair in run.fleet.of("signing"):
-        pair.node_process.freeze(once.LEASE_SECONDS + 0.2)
+        stop(pair.node_process, once.LEASE_SECONDS + 0.2)
     gevent.joinall(tasks)
     return [
         item.key
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -14,7 +14,6 @@
 import test_replication
 import test_tenants
 from cranklane.control import confirmation
-from cranklane.node import once
 from cranklane.runtime.real import RealRuntime
 from cranklane.sidecar.tenant_quota import NEWS_SECONDS
 from cranklane_lab.simulation.process import SimulatedProcess
@@ -148,20 +147,7 @@
 
 
 def late_runs(run):
-    tasks = [gevent.spawn(test_ledger.sign, run, f"n{n}", f"k{n}") for n in range(20)]
-    while not any(len(ledger.store) for ledger in run.fleet.ledgers):
-        gevent.sleep(0.0001)
-    at = run.world.loop.now()
-    fullest = max((ledger.store for ledger in run.fleet.ledgers), key=len)
-    granted = {test_ledger.LedgerEntry.unpack(packed).key for packed in fullest._entries.values()}
-    for pair in run.fleet.of("signing"):
-        pair.node_process.suspend(once.LEASE_SECONDS + 0.2)
-    gevent.joinall(tasks)
-    return [
-        item.key
-        for item in run.recorder.runs
-        if item.key in granted and item.at > at + once.LEASE_SECONDS
-    ]
+    return test_ledger.late_runs(run, SimulatedProcess.suspend)
 
 
 def test_a_node_that_was_suspended_does_not_run_after_its_lease():
