A wait that ends at its deadline is told as such, not as a lost sidecar

Then it was told as a lost sidecar: 502 for 504, and the sidecar was taken for unreachable. Change: a wait that its own timer ended has reached the deadline.

--- a/src/cranklane/sidecar/peers.py
+++ b/src/cranklane/sidecar/peers.py
@@ -82,12 +82,15 @@
             records.set_silent_after(allowed)
             records.send(attempt.request)
             answer = self._answer(records, attempt)
-        except (ConnectionLostError, MalformedRecordError):
+        except (ConnectionLostError, MalformedRecordError) as error:
             records.close()
             if attempt.cancelled:
                 return unknown(Reason.CANCELLED)
+            # The wait is bounded by the deadline; its timer may end just before it by the clock.
+            timed_out = isinstance(error.__cause__, TimeoutError)
             waited = self._runtime.monotonic() - started_at
-            return unknown(Reason.DEADLINE_PASSED if waited >= allowed else Reason.PEER_LOST)
+            over = timed_out or waited >= allowed
+            return unknown(Reason.DEADLINE_PASSED if over else Reason.PEER_LOST)
         reply = _reply(answer)
         if answer.outcome != Outcome.ANSWERED and not attempt.request.whole:
             # Pieces of the body may still be on their way there.
