Members that nobody confirms any more are dropped with each heartbeat

They were dropped by the task that probes a sidecar that could not be reached, or with the next news of members. A request on a kept connection to a machine without power ends at its deadline, which starts no probe, so the member stayed listed (it was not chosen any more). Until a rounding error started the probe. Change: dropped before each heartbeat to control (0.5 s). Test: that one, unchanged; it passes.

--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -354,6 +354,7 @@
     def _heartbeat(self) -> Heartbeat:
         worker = self.worker
         self.condition.renew()
+        self.destinations.drop_forgotten()
         self._watch_lease()
         told = self.condition.told
         return Heartbeat(
