Sight: who holds a worker's slots, by priority of the root request

Logs could not tell apart the incident's hypotheses: which root priority held the slots of a full worker, what its gate admitted and refused of each, and the fraction that each machine lets in. A line slots_used a second and the counter cranklane_slot_milliseconds say it; explain-losses adds it up.

--- a/src/cranklane/cli/log_analysis.py
+++ b/src/cranklane/cli/log_analysis.py
@@ -9,6 +9,7 @@
 from cranklane.cli.common import fail
 from cranklane.cli.losses import format_losses, sum_losses
 from cranklane.cli.request_timeline import LogLine, read_lines, timeline_of
+from cranklane.cli.slot_use import format_slot_use, sum_slot_use
 
 
 def explain_request(request: str, logs: list[Path]) -> None:
@@ -21,12 +22,15 @@
 
 
 def explain_losses(logs: list[Path]) -> None:
-    """Report lost requests by cause, and slot time by request outcome, from sidecar logs."""
-    losses = sum_losses(_read_logs(logs))
+    """Report lost requests by cause, and the use of workers' slots, from sidecar logs."""
+    lines = _read_logs(logs)
+    losses = sum_losses(lines)
     if not losses.routes:
         raise fail(["expected logs of sidecars with requests_ended events, found no such event"])
-    for line in format_losses(losses):
-        typer.echo(line)
+    for text in format_losses(losses):
+        typer.echo(text)
+    for text in format_slot_use(sum_slot_use(lines)):
+        typer.echo(text)
 
 
 def _read_logs(logs: list[Path]) -> list[LogLine]:
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -39,7 +39,13 @@
     """Receives admission decisions and worker exits."""
 
     def admission(
-        self, request: str, reason: Reason, running: int, queued: int, slots: int, waited: float
+        self,
+        request: ForwardRequest,
+        reason: Reason,
+        running: int,
+        queued: int,
+        slots: int,
+        waited: float,
     ) -> None:
         """Handle an admission decision.
 
@@ -47,6 +53,12 @@
         :param waited: seconds from arrival to the decision.
         """
 
+    def slot_released(self, request: ForwardRequest, seconds: float) -> None:
+        """Handle the release of a slot that a request has held for a time."""
+
+    def admitted_fraction_changed(self, route: str, fraction: float) -> None:
+        """Handle a change of the fraction of a route's requests that are admitted."""
+
     def worker_exited(self, worker_exit: WorkerExit) -> None:
         """Handle an exit of the worker process."""
 
@@ -121,7 +133,8 @@
         self._condition = worker.condition
         self._call_tree = call_tree
         self._on_admission = listener.admission
-        self._limiter = OutcomeLimiter(runtime.monotonic)
+        self._on_release = listener.slot_released
+        self._limiter = OutcomeLimiter(runtime.monotonic, listener.admitted_fraction_changed)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
         self._isolated_runs = IsolatedRuns(runtime.monotonic, quarantine)
@@ -164,7 +177,7 @@
         started_at = self._clock()
         slots = self._slots
         self._on_admission(
-            request.request_id,
+            request,
             reason,
             slots.running,
             slots.queued,
@@ -231,6 +244,7 @@
         self._call_tree.end(admitted.request.request_id)
         self._exits.ended(admitted.number)
         self._slots.release(seconds)
+        self._on_release(admitted.request, seconds)
         if admitted.suspicion.isolated is not None:
             self._isolated_runs.release(admitted.suspicion.isolated, seconds)
 
--- a/src/cranklane/sidecar/admission/outcome_limiter.py
+++ b/src/cranklane/sidecar/admission/outcome_limiter.py
@@ -165,10 +165,14 @@
     """Adapts the admitted fraction of each route to the results of one worker's runs.
 
     :param clock: monotonic seconds.
+    :param on_change: called with a route and its admitted fraction when that has changed.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], on_change: Callable[[str, float], None] | None = None
+    ) -> None:
         self._clock = clock
+        self._on_change = on_change
         self._routes: dict[str, _RouteAdmission] = {}
 
     def fraction(self, route: str) -> float:
@@ -218,7 +222,10 @@
         admission.failures += failed
         age = self._clock() - admission.round_began_at
         if age >= ROUND_SECONDS and admission.runs >= MIN_SAMPLES or age >= MAX_ROUND_SECONDS:
+            fraction = admission.fraction
             self._end_round(admission)
+            if admission.fraction != fraction and self._on_change is not None:
+                self._on_change(route, admission.fraction)
 
     def _end_round(self, admission: _RouteAdmission) -> None:
         """Adjust the admitted fraction to the results of a round, and start the next one."""
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -14,6 +14,7 @@
 
 from cranklane.common.rate_limit import RateLimit
 from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.ingress.authentication import IngressRefusal
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call, CallProgress
@@ -22,6 +23,7 @@
 from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
 from cranklane.sidecar.telemetry.request_summary import End, RequestSummary, end_of
+from cranklane.sidecar.telemetry.slot_summary import SlotSummary
 from cranklane.sidecar.worker.exit import WorkerExit
 
 PROBLEM_LINES_PER_SECOND = 100.0
@@ -53,6 +55,7 @@
         self._problem_limit = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
+        self._slot_summary = SlotSummary(clock, log)
 
     def attempted(
         self, progress: CallProgress, destination: Destination, reply: Reply, seconds: float
@@ -126,26 +129,45 @@
         )
 
     def admission(
-        self, request: str, reason: Reason, running: int, queued: int, slots: int, waited: float
+        self,
+        request: ForwardRequest,
+        reason: Reason,
+        running: int,
+        queued: int,
+        slots: int,
+        waited: float,
     ) -> None:
         """Count a decision of the worker's gate; log a refusal.
 
         :param reason: reason of the refusal; NONE for an admission.
         :param waited: seconds until the decision.
         """
+        priority = request.root_priority
         self._metrics.admission(reason, waited)
+        self._slot_summary.decided(request.service, priority, reason, running, queued, slots)
         if reason is Reason.NONE or not self._problem_limit.allows():
             return
         self._log.info(
             "admission",
-            request=request,
+            request=request.request_id,
             reason=reason.label,
             running=running,
             queued=queued,
             slots=slots,
             waited_seconds=round(waited, 4),
+            priority=priority,
         )
 
+    def slot_released(self, request: ForwardRequest, seconds: float) -> None:
+        """Count a slot that a request has held for a time."""
+        priority = request.root_priority
+        self._metrics.slot_released(priority, seconds)
+        self._slot_summary.released(request.service, priority, seconds)
+
+    def admitted_fraction_changed(self, route: str, fraction: float) -> None:
+        """Record the fraction of a route's requests that the outcome limiter admits."""
+        self._slot_summary.fraction_changed(route, fraction)
+
     def quarantined(self, call: Call, identity: Identity, seconds_left: float) -> None:
         """Log that a request of this machine's callers was refused because it is quarantined."""
         if not self._problem_limit.allows():
@@ -177,6 +199,7 @@
         while True:
             gevent.sleep(SUMMARY_INTERVAL_SECONDS)
             self._summary.write()
+            self._slot_summary.write()
             problems = self._problem_limit.take_left_out()
             successes = self._success_limit.take_left_out()
             self._metrics.lines_left_out(problems + successes)
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from cranklane.common.metrics_server import GaugeRegistry
+from cranklane.common.units import MILLISECONDS
 from cranklane.outcome import Outcome, Reason
 from cranklane.sidecar.request.decision import Decision
 from cranklane.sidecar.request.slot_work import SlotWork
@@ -110,6 +111,11 @@
             "Time of workers' slots by service and by the end of the client's request it was for.",
             ("service", "end"),
         )
+        self._slot_milliseconds = _Counter(
+            "cranklane_slot_milliseconds",
+            "Time of this machine's worker's slots by the priority of the root request.",
+            ("priority",),
+        )
         self._request_seconds: defaultdict[str, _Histogram] = defaultdict(_Histogram)
         self._queue_seconds = _Histogram()
 
@@ -125,6 +131,7 @@
             self._worker_exits,
             self._left_out,
             self._work,
+            self._slot_milliseconds,
         )
         for counter in counters:
             yield counter.family()
@@ -172,6 +179,10 @@
         if waited > 0:
             self._queue_seconds.observe(waited)
 
+    def slot_released(self, priority: int, seconds: float) -> None:
+        """Add the time for which a request of a root priority has held a slot."""
+        self._slot_milliseconds.values[(priority,)] += round(seconds * MILLISECONDS)
+
     def worker_exited(self, planned: bool) -> None:
         """Count an exit of the worker's process."""
         self._worker_exits.values[("yes" if planned else "no",)] += 1
--- /dev/null
+++ b/src/cranklane/sidecar/telemetry/slot_summary.py
@@ -0,0 +1,95 @@
+"""Logs a summary line about once a second: how the worker's slots were used and refused.
+
+Counts by the priority of the root request, because the queue for slots is ordered by it. A line
+also has the fraction of each route's requests that the outcome limiter admits.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+
+from cranklane.common.units import MILLISECONDS
+from cranklane.outcome import Reason
+
+LINE_INTERVAL_SECONDS = 1.0
+"""Interval covered by a line; as for the summaries of requests, to compare the two."""
+
+
+class SlotSummary:
+    """Aggregates admission decisions and released slots into summary lines.
+
+    :param clock: returns monotonic seconds.
+    :param log: receives one line for each interval in which something was decided or released.
+    """
+
+    def __init__(self, clock: Callable[[], float], log: Any) -> None:
+        self._clock = clock
+        self._log = log
+        self._interval_began_at = clock()
+        self._decisions: defaultdict[tuple[str, int, Reason], int] = defaultdict(int)
+        self._milliseconds: defaultdict[tuple[str, int], float] = defaultdict(float)
+        self._fractions: dict[str, float] = {}
+        self._slots = 0
+        self._most_running = 0
+        self._most_queued = 0
+
+    def decided(
+        self, service: str, priority: int, reason: Reason, running: int, queued: int, slots: int
+    ) -> None:
+        """Add an admission decision; write the line first if its interval has passed.
+
+        :param priority: priority of the root request.
+        :param reason: reason for the refusal; NONE for an admission.
+        """
+        self._write_if_due()
+        self._decisions[service, priority, reason] += 1
+        self._slots = slots
+        self._most_running = max(self._most_running, running)
+        self._most_queued = max(self._most_queued, queued)
+
+    def released(self, service: str, priority: int, seconds: float) -> None:
+        """Add a slot that a request has held for a time.
+
+        :param priority: priority of the root request.
+        """
+        self._write_if_due()
+        self._milliseconds[service, priority] += seconds * MILLISECONDS
+
+    def fraction_changed(self, route: str, fraction: float) -> None:
+        """Record the fraction of a route's requests that the outcome limiter admits from now."""
+        self._fractions[route] = fraction
+
+    def write(self) -> None:
+        """Write the line for the time since the last one, unless nothing happened."""
+        now = self._clock()
+        if self._decisions or self._milliseconds:
+            self._log.info(
+                "slots_used",
+                seconds=round(now - self._interval_began_at, 3),
+                slots=self._slots,
+                most_running=self._most_running,
+                most_queued=self._most_queued,
+                decisions=[
+                    [service, priority, reason.label, count]
+                    for (service, priority, reason), count in self._decisions.items()
+                ],
+                slot_ms=[
+                    [service, priority, round(milliseconds)]
+                    for (service, priority), milliseconds in self._milliseconds.items()
+                ],
+                fractions={
+                    route: round(fraction, 3)
+                    for route, fraction in self._fractions.items()
+                    if fraction < 1.0
+                },
+            )
+        self._decisions.clear()
+        self._milliseconds.clear()
+        self._most_running = self._most_queued = 0
+        self._interval_began_at = now
+
+    def _write_if_due(self) -> None:
+        if self._clock() - self._interval_began_at >= LINE_INTERVAL_SECONDS:
+            self.write()
