--- a/src/cranklane_lab/trees/generator.py
+++ b/src/cranklane_lab/trees/generator.py
@@ -5,15 +5,12 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 from random import Random
+from typing import NamedTuple
 
 MAX_DEPTH = 5
 MAX_BOTTLENECK_CALLS = 8
 """Maximum number of bottleneck calls per root request."""
 
-TRAFFIC_SECONDS = 10.0
-SURGE_START_SECONDS, SURGE_END_SECONDS = 3.0, 7.0
-"""Start and end of the surge, in seconds from the start of the traffic."""
-
 LATE_WORTH_FRACTION = 0.3
 """Fraction of a request's worth earned by a response after its objective."""
 
@@ -24,6 +21,24 @@
     NONE = "none"
     SLOW = "slow"
     SHEDS = "sheds"
+    LEAVES = "leaves"
+    """It drains and exits, and does not come back."""
+
+
+class Timing(NamedTuple):
+    """Course of the traffic, in seconds from its start.
+
+    :ivar traffic_seconds: duration of the traffic.
+    :ivar surge_start: start of the surge and of the workers' faults.
+    :ivar surge_end: end of the surge and of the faults that end.
+    """
+
+    traffic_seconds: float = 10.0
+    surge_start: float = 3.0
+    surge_end: float = 7.0
+
+
+_DRAWN_FAULTS = (WorkerFault.NONE, WorkerFault.SLOW, WorkerFault.SHEDS)
 
 
 @dataclass(frozen=True)
@@ -70,6 +85,7 @@
     :ivar kinds: by name.
     :ivar load: mean demand at the bottleneck before the surge, as a fraction of its capacity.
     :ivar surge: factor on the request rates during the surge.
+    :ivar worker_faults: faults of the first workers of the bottleneck service, in its order.
     """
 
     seed: int
@@ -77,7 +93,8 @@
     kinds: dict[str, Kind]
     load: float
     surge: float
-    worker_fault: WorkerFault
+    worker_faults: tuple[WorkerFault, ...] = ()
+    timing: Timing = Timing()
 
     @property
     def bottleneck(self) -> Service:
@@ -116,7 +133,7 @@
 
     :param offered: number of requests by root kind.
     """
-    remaining = capacity_of(deployment.bottleneck) * TRAFFIC_SECONDS
+    remaining = capacity_of(deployment.bottleneck) * deployment.timing.traffic_seconds
     earned = 0.0
     cost = {kind.name: deployment.bottleneck_seconds(kind.name) for kind in deployment.roots()}
     by_gain = sorted(deployment.roots(), key=lambda kind: -kind.worth / max(cost[kind.name], 1e-9))
@@ -142,11 +159,25 @@
         {kind.name: kind for kind in (*kinds, *roots)},
         load=random.uniform(0.6, 1.3),
         surge=random.uniform(1.2, 1.8),
-        worker_fault=random.choice(list(WorkerFault)),
+        worker_faults=(random.choice(_DRAWN_FAULTS),),
     )
     return _with_rates(deployment, random)
 
 
+def with_rates(deployment: Deployment, shares: dict[str, float]) -> Deployment:
+    """Return a deployment with client request rates that add up to its load.
+
+    :param shares: shares of the bottleneck's load by root kind.
+    """
+    budget = deployment.load * capacity_of(deployment.bottleneck)
+    total = sum(shares.values())
+    kinds = dict(deployment.kinds)
+    for name, share in shares.items():
+        rate = share / total * budget / deployment.bottleneck_seconds(name)
+        kinds[name] = replace(kinds[name], rate=rate)
+    return replace(deployment, kinds=kinds)
+
+
 def _service(random: Random, name: str, bottleneck: bool) -> Service:
     workers = random.randint(2, 3)
     speeds = tuple(random.choice((0.7, 0.8, 1.0, 1.0, 1.4)) for _ in range(workers))
@@ -192,16 +223,15 @@
 
 def _with_rates(deployment: Deployment, random: Random) -> Deployment:
     """Set random request rates that add up to the load, objectives and deadlines."""
-    budget = deployment.load * capacity_of(deployment.bottleneck)
     weights = [random.uniform(0.5, 1.0), random.uniform(0.5, 1.0), random.uniform(0.05, 0.2)]
+    names = ("root0", "root1", "root2")
+    deployment = with_rates(deployment, dict(zip(names, weights, strict=True)))
     kinds = dict(deployment.kinds)
-    for weight, name in zip(weights, ("root0", "root1", "root2"), strict=True):
-        cost = deployment.bottleneck_seconds(name)
+    for name in names:
         unloaded = deployment.unloaded_seconds(name)
         objective = unloaded * random.uniform(3.0, 6.0)
         kinds[name] = replace(
             kinds[name],
-            rate=weight / sum(weights) * budget / cost,
             objective=objective,
             deadline=objective * random.uniform(2.0, 4.0),
         )
--- a/src/cranklane_lab/trees/play.py
+++ b/src/cranklane_lab/trees/play.py
@@ -12,12 +12,9 @@
 from cranklane_lab.simulation.mesh import HOST, Mesh, MeshMachine, route_table
 from cranklane_lab.simulation.world import World, simulate
 from cranklane_lab.standins.raw_http import exchange
-from cranklane_lab.standins.routed_worker import NAMES, RoutedRun
+from cranklane_lab.standins.routed_worker import NAMES, RoutedRun, RoutedWorker
 from cranklane_lab.trees.generator import (
     LATE_WORTH_FRACTION,
-    SURGE_END_SECONDS,
-    SURGE_START_SECONDS,
-    TRAFFIC_SECONDS,
     Deployment,
     Kind,
     WorkerFault,
@@ -30,6 +27,9 @@
 
 SLOW_FACTOR = 4.0
 SHED_FRACTION = 0.45
+DRAIN_SECONDS = 2.5
+"""Time from a worker's announcement that it leaves to its exit; longer than a run."""
+
 SETTLE_SECONDS = 2.0
 _OK = 200
 _SERVER_ERROR = 500
@@ -78,7 +78,7 @@
         self._start()
         for kind in self._deployment.roots():
             self._tasks.append(gevent.spawn(self._traffic, kind))
-        self._tasks.append(gevent.spawn(self._inject_worker_fault))
+        self._tasks.append(gevent.spawn(self._inject_worker_faults))
         gevent.joinall(list(self._tasks))
         gevent.joinall(self._tasks)
         self._count()
@@ -139,33 +139,36 @@
             NAMES.deadline.decode(): str(max(1, int(seconds * 1000))),
         }
 
-    def _inject_worker_fault(self) -> None:
+    def _inject_worker_faults(self) -> None:
         deployment = self._deployment
-        machine = next(
-            machine
+        workers = [
+            machine.worker
             for machine in self._mesh.machines
             if machine.service == deployment.bottleneck.name
-        )
-        gevent.sleep(SURGE_START_SECONDS)
-        if deployment.worker_fault is WorkerFault.SLOW:
-            machine.worker.state.work_time_factor = SLOW_FACTOR
-        if deployment.worker_fault is WorkerFault.SHEDS:
-            machine.worker.state.shed_fraction = SHED_FRACTION
-        gevent.sleep(SURGE_END_SECONDS - SURGE_START_SECONDS)
-        machine.worker.state.work_time_factor = 1.0
-        machine.worker.state.shed_fraction = 0.0
+        ]
+        timing = deployment.timing
+        gevent.sleep(timing.surge_start)
+        for worker, fault in zip(workers, deployment.worker_faults, strict=False):
+            if fault is WorkerFault.SLOW:
+                worker.state.work_time_factor = SLOW_FACTOR
+            if fault is WorkerFault.SHEDS:
+                worker.state.shed_fraction = SHED_FRACTION
+            if fault is WorkerFault.LEAVES:
+                self._tasks.append(gevent.spawn(_leave, worker))
+        gevent.sleep(timing.surge_end - timing.surge_start)
+        for worker in workers:
+            worker.state.work_time_factor = 1.0
+            worker.state.shed_fraction = 0.0
 
     def _traffic(self, kind: Kind) -> None:
         number = 0
         while True:
             elapsed = self._world.loop.now() - self._began_at
-            if elapsed >= TRAFFIC_SECONDS:
+            timing = self._deployment.timing
+            if elapsed >= timing.traffic_seconds:
                 return
-            surge = (
-                self._deployment.surge
-                if SURGE_START_SECONDS <= elapsed < SURGE_END_SECONDS
-                else 1.0
-            )
+            in_surge = timing.surge_start <= elapsed < timing.surge_end
+            surge = self._deployment.surge if in_surge else 1.0
             gevent.sleep(self._random.expovariate(kind.rate * surge))
             number += 1
             self._tasks.append(gevent.spawn(self._client, kind, f"{kind.name}-{number}"))
@@ -204,11 +207,22 @@
         )
 
 
+def _leave(worker: RoutedWorker) -> None:
+    worker.drain()
+    gevent.sleep(DRAIN_SECONDS)
+    worker.deregister()
+    worker.end()
+
+
 def play(seed: int) -> DeploymentResult:
     """Run the deployment of a seed; the result is deterministic."""
-    deployment = generate(seed)
+    return play_deployment(generate(seed))
+
+
+def play_deployment(deployment: Deployment) -> DeploymentResult:
+    """Run a deployment; the result is deterministic."""
     return simulate(
-        seed,
+        deployment.seed,
         lambda source, target: INTER_ZONE_DELAY_SECONDS,
         lambda world: _DeploymentRun(deployment, world).run(),
     )
--- a/src/cranklane_lab/trees/report.py
+++ b/src/cranklane_lab/trees/report.py
@@ -30,7 +30,7 @@
         yield (
             f"seed {result.seed:>4}  depth {len(deployment.services)}"
             f"  load {deployment.load:.2f} x {deployment.surge:.2f}"
-            f"  {deployment.worker_fault.value:<5}  earned {result.earned_fraction:.3f}"
+            f"  {deployment.worker_faults[0].value:<5}  earned {result.earned_fraction:.3f}"
             f"  in time {sum(result.in_time.values()) / offered:.3f}"
             f"  refused again {sum(result.retry_refused.values()) / offered:.3f}"
         )
