Outcome limiter: limits concurrent runs, not a fraction of arrivals

Cause: each machine let in a fraction of what arrived. The effect of a change shows a call tree's duration (0.5 to 2 s) later; the fraction grew by 0.4 a second meanwhile, and clients' retries raised the arrivals that it was a fraction of. Class: control with a delayed feedback on a quantity that others move.

Why this works: a limit on runs in progress starts a run when another ends, so the rate follows what trees finish; retries and slower trees do not raise it; one decrease per round of runs that began after the last one.

--- a/src/cranklane/cli/slot_use.py
+++ b/src/cranklane/cli/slot_use.py
@@ -26,7 +26,8 @@
     :ivar decisions: admissions and refusals, by service, root priority and reason.
     :ivar slot_ms: slot time in milliseconds, by service and root priority.
     :ivar by_second: admissions and all decisions, by Unix time in seconds, service and priority.
-    :ivar fractions: admitted fractions, by Unix time in seconds and route; one for each summary.
+    :ivar limits: limits on concurrent runs, by Unix time in seconds and route; one for each
+        summary.
     """
 
     decisions: defaultdict[tuple[str, int, str], int] = field(
@@ -36,7 +37,7 @@
     by_second: defaultdict[tuple[int, str, int], list[int]] = field(
         default_factory=lambda: defaultdict(lambda: [0, 0])
     )
-    fractions: defaultdict[tuple[int, str], list[float]] = field(
+    limits: defaultdict[tuple[int, str], list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
 
@@ -55,13 +56,13 @@
             cell[1] += count
         for service, priority, milliseconds in line.fields["slot_ms"]:
             use.slot_ms[service, priority] += milliseconds
-        for route, fraction in line.fields["fractions"].items():
-            use.fractions[second, route].append(fraction)
+        for route, limit in line.fields["limits"].items():
+            use.limits[second, route].append(limit)
     return use
 
 
 def format_slot_use(use: SlotUse) -> Iterator[str]:
-    """Yield the lines of the report: totals, admissions in each second, admitted fractions."""
+    """Yield the lines of the report: totals, admissions in each second, limits."""
     yield "Slots by service and root priority"
     for service, priority in sorted(
         {(service, priority) for service, priority, _ in use.decisions}
@@ -69,13 +70,13 @@
         yield f"  {service:<20} priority {priority:<4}" + _format_totals(use, service, priority)
     yield "Admitted/decided by service and root priority in each second"
     yield from _format_seconds(use)
-    yield "Smallest and mean admitted fraction of limited routes in each second"
+    yield "Smallest and mean limit on concurrent runs of limited routes in each second"
     first = min((second for second, _, _ in use.by_second), default=0)
-    for second, route in sorted(use.fractions):
-        values = use.fractions[second, route]
+    for second, route in sorted(use.limits):
+        values = use.limits[second, route]
         mean = sum(values) / len(values)
         yield (
-            f"  {second - first:>6}    {route:<20} {min(values):.2f} {mean:.2f}"
+            f"  {second - first:>6}    {route:<20} {min(values):.1f} {mean:.1f}"
             f"  at {len(values)} workers"
         )
 
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -56,8 +56,8 @@
     def slot_released(self, request: ForwardRequest, seconds: float) -> None:
         """Handle the release of a slot that a request has held for a time."""
 
-    def admitted_fraction_changed(self, route: str, fraction: float) -> None:
-        """Handle a change of the fraction of a route's requests that are admitted."""
+    def limit_changed(self, route: str, limit: float) -> None:
+        """Handle a change of the limit on a route's concurrent runs; ``math.inf`` for none."""
 
     def worker_exited(self, worker_exit: WorkerExit) -> None:
         """Handle an exit of the worker process."""
@@ -134,7 +134,7 @@
         self._call_tree = call_tree
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
-        self._limiter = OutcomeLimiter(runtime.monotonic, listener.admitted_fraction_changed)
+        self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
         self._isolated_runs = IsolatedRuns(runtime.monotonic, quarantine)
@@ -202,12 +202,15 @@
             return reason
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
-        return self._slots.acquire(
+        reason = self._slots.acquire(
             request.root_priority,
             request.start_within_ms / MILLISECONDS,
             on_wait,
             request.root_age_ms / MILLISECONDS,
         )
+        if reason is not Reason.NONE:
+            self._limiter.released(request.route)
+        return reason
 
     def _expected_wait(self) -> float:
         """Return the expected queue wait of a highest-priority request, in seconds."""
@@ -243,6 +246,7 @@
         seconds = self._clock() - admitted.started_at
         self._call_tree.end(admitted.request.request_id)
         self._exits.ended(admitted.number)
+        self._limiter.released(admitted.request.route)
         self._slots.release(seconds)
         self._on_release(admitted.request, seconds)
         if admitted.suspicion.isolated is not None:
@@ -306,7 +310,7 @@
         starved = reply.downstream_starved or run_outcome.may_be_starved(
             reply, self._call_tree.correlates
         )
-        self._limiter.ended(request.route, admitted.limiter_round, starved)
+        self._limiter.ended(request.route, admitted.limiter_round, starved, run_seconds)
 
 
 def _wait_canceller(attempt: Attempt) -> Callable[[Waiter], None]:
--- a/src/cranklane/sidecar/admission/outcome_limiter.py
+++ b/src/cranklane/sidecar/admission/outcome_limiter.py
@@ -1,16 +1,22 @@
-"""Limits the admitted fraction of a route while its runs fail for lack of downstream capacity.
+"""Limits the concurrent runs of a route while its runs fail for lack of downstream capacity.
 
 Such a run wastes the work of its whole call tree, so load is shed at the root of the tree, lowest
-priority first. Each sidecar adapts to the results of its own worker, without coordination. The
-fraction decreases multiplicatively while too many runs fail and increases over time otherwise:
-fast up to most of its former value, because the fault may be over, and slowly beyond that.
+priority first. Each sidecar adapts to the results of its own worker, without coordination.
+
+The limit counts runs in progress rather than arrivals: once it is reached, a run starts when
+another one ends. The rate of new runs thus follows the rate at which call trees finish, however
+many clients retry and however slow the trees become. A run that fails early keeps its place for a
+while, so that failing faster does not admit more. The limit decreases in proportion to the failed
+runs, and grows with each run that succeeds: fast up to most of its former value, because the fault
+may be over, and slowly beyond that. Only runs that began after a decrease are counted, so that
+each decrease shows its effect before the next one.
 
 The tolerated fraction of failures is higher for more important priorities. Routes called by
 workers are exempt, because a refusal would waste the call trees that they are part of. Such a
 route is recognized by its callers: nearly all its requests originate at a single service, whereas
 client requests enter through machines of every service.
 
-Every run that began must be reported as ended.
+Every admitted request must be released, and every run that began must be reported as ended.
 """
 
 from __future__ import annotations
@@ -18,8 +24,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
-
-from cranklane.sidecar.admission.fraction_sampler import FractionSampler
+from heapq import heappop, heappush
 
 # Overload detection.
 
@@ -28,7 +33,7 @@
 priorities. Wide gaps shed a lower priority before a higher one reaches its limit."""
 
 MIN_FAILURES = 2
-"""Failed runs that a round needs to lower the fraction, so that a single failure has no effect."""
+"""Failed runs that a round needs to lower the limit, so that a single failure has no effect."""
 
 MIN_SAMPLES = 20
 """Runs needed to evaluate a round before ``MAX_ROUND_SECONDS``. With fewer runs, a single failure
@@ -40,34 +45,37 @@
 MAX_ROUND_SECONDS = 1.0
 """Duration after which a round is evaluated regardless of its number of runs."""
 
-# Decrease of the admitted fraction.
+# Decrease of the limit.
 
-MIN_FRACTION = 0.05
-"""Lower bound of the admitted fraction: some runs must probe whether the fault is over."""
+MIN_LIMIT = 2.0
+"""Lower bound of the limit in runs: some runs must probe whether the fault is over."""
 
 MAX_DECREASE_FRACTION = 0.6
 """Relative decrease after a round in which all runs failed; scaled by the fraction of failures."""
 
-DECREASE_INTERVAL_SECONDS = 0.5
-"""Minimum time between two decreases, so that runs admitted before the first one can end."""
+FAILED_RUN_SECONDS = 0.5
+"""Time from its start for which a failed run keeps its place under a limit; that of a call tree."""
 
-# Increase of the admitted fraction. Based on time rather than on runs, so that routes with few
-# requests recover as fast as others.
+# Increase of the limit, for each successful run. A limit of n gets n such runs in the duration of
+# one, so it grows by the same factor in that time whatever its size.
 
-INCREASE_PER_SECOND = 0.08
-"""Base increase of the admitted fraction while failures are tolerable."""
+FAST_INCREASE = 1.0
+"""Increase in runs below the end of the fast increase; doubles the limit in a run's duration."""
 
-PROPORTIONAL_INCREASE_PER_SECOND = 0.15
-"""Additional increase per unit of the admitted fraction; heavily limited routes grow slowly."""
-
-FAST_INCREASE_PER_SECOND = 0.4
-"""Minimum increase while the fraction is below the limit for fast increase."""
+SLOW_INCREASE = 0.05
+"""Increase in runs beyond that; adds 5% in the duration of a run."""
 
 FAST_INCREASE_CEILING_FRACTION = 0.75
-"""Limit for fast increase, as a fraction of the ceiling."""
+"""End of the fast increase, as a fraction of the ceiling."""
+
+CEILING_DECAY_FACTOR = 0.8
+"""Reduces the ceiling on a decrease that happens before the limit has recovered to it."""
 
-CEILING_DECAY_FACTOR = 0.95
-"""Reduces the ceiling on a decrease that happens before the fraction has recovered to it."""
+UNUSED_LIMIT_FACTOR = 2.0
+"""The limit is removed once it exceeds the runs of a round by this factor."""
+
+MIN_REMOVED_LIMIT = 8.0
+"""Smallest limit in runs that is removed; a round without demand says little about capacity."""
 
 # Detection of routes called by workers.
 
@@ -88,46 +96,51 @@
     return TOLERATED_FAILURE_FRACTIONS[min(priority, len(TOLERATED_FAILURE_FRACTIONS) - 1)]
 
 
-def decreased(fraction: float, failed_fraction: float) -> float:
-    """Return the admitted fraction after a round with too many failures.
+def decreased(limit: float, failed_fraction: float) -> float:
+    """Return the limit after a round with too many failures.
 
+    :param limit: concurrent runs in that round.
     :param failed_fraction: fraction of the round's runs that failed.
 
-    >>> decreased(1.0, 1.0), decreased(1.0, 0.5), decreased(0.06, 1.0)
-    (0.4, 0.7, 0.05)
+    >>> decreased(40.0, 1.0), decreased(40.0, 0.5), decreased(2.0, 1.0)
+    (16.0, 28.0, 2.0)
     """
-    return max(MIN_FRACTION, fraction * (1 - MAX_DECREASE_FRACTION * failed_fraction))
+    return max(MIN_LIMIT, limit * (1 - MAX_DECREASE_FRACTION * failed_fraction))
 
 
-def increased(fraction: float, ceiling: float, seconds: float) -> float:
-    """Return the admitted fraction after a time with a tolerable fraction of failures.
+def increased(limit: float, ceiling: float) -> float:
+    """Return the limit after a successful run.
 
-    :param ceiling: admitted fraction before the decrease.
-    :param seconds: duration of that time.
+    :param ceiling: limit before the decrease.
 
-    >>> increased(0.2, 1.0, 1.0), increased(0.2, 0.2, 0.5), increased(0.95, 1.0, 1.0)
-    (0.6000000000000001, 0.255, 1.0)
+    >>> increased(10.0, 40.0), increased(30.0, 40.0)
+    (11.0, 30.05)
     """
-    rate = INCREASE_PER_SECOND + PROPORTIONAL_INCREASE_PER_SECOND * fraction
-    if fraction < FAST_INCREASE_CEILING_FRACTION * ceiling:
-        rate = max(rate, FAST_INCREASE_PER_SECOND)
-    return min(1.0, fraction + seconds * rate)
+    is_fast = limit < FAST_INCREASE_CEILING_FRACTION * ceiling
+    return limit + (FAST_INCREASE if is_fast else SLOW_INCREASE)
 
 
-def ceiling_after_decrease(fraction: float, ceiling: float) -> float:
+def ceiling_after_decrease(limit: float, ceiling: float) -> float:
     """Return the ceiling for the recovery from a decrease.
 
-    :param fraction: admitted fraction before the decrease.
-    :param ceiling: ceiling before the decrease.
+    :param limit: concurrent runs before the decrease.
+    :param ceiling: ceiling before the decrease; ``math.inf`` if there was no limit.
 
-    >>> ceiling_after_decrease(0.9, 1.0), ceiling_after_decrease(0.4, 1.0)
-    (0.9, 0.95)
+    >>> [ceiling_after_decrease(*pair) for pair in ((36.0, 40.0), (16.0, 40.0), (16.0, math.inf))]
+    [36.0, 32.0, 16.0]
     """
-    return (
-        fraction
-        if fraction >= FAST_INCREASE_CEILING_FRACTION * ceiling
-        else ceiling * CEILING_DECAY_FACTOR
-    )
+    if ceiling == math.inf or limit >= FAST_INCREASE_CEILING_FRACTION * ceiling:
+        return limit
+    return ceiling * CEILING_DECAY_FACTOR
+
+
+def is_unused(limit: float, most_concurrent: int) -> bool:
+    """Return whether a limit is so far above the concurrent runs that it is not needed.
+
+    >>> is_unused(20.0, 10), is_unused(20.5, 10), is_unused(7.0, 1), is_unused(8.5, 1)
+    (False, True, False, True)
+    """
+    return limit > max(MIN_REMOVED_LIMIT, UNUSED_LIMIT_FACTOR * most_concurrent)
 
 
 @dataclass(slots=True)
@@ -135,12 +148,13 @@
     """Admission state of one route.
 
     :ivar max_failed_fraction: tolerated fraction of failed runs.
-    :ivar round_began_at: monotonic start time of the round that ``runs`` and ``failures`` cover,
-        in seconds.
-    :ivar fraction: admitted fraction of the requests, 0 to 1.
-    :ivar sampler: selects the admitted requests.
-    :ivar ceiling: admitted fraction before the decrease.
-    :ivar decreased_at: monotonic time of the last decrease, in seconds.
+    :ivar round_began_at: monotonic start time of the round that ``runs``, ``failures`` and
+        ``most_concurrent`` cover, in seconds.
+    :ivar limit: maximum number of concurrent runs; ``math.inf`` for no limit.
+    :ivar ceiling: limit before the decrease; ``math.inf`` without a limit.
+    :ivar concurrent: admitted requests that are not yet released.
+    :ivar most_concurrent: maximum of ``concurrent`` in the round.
+    :ivar kept_until: monotonic times in seconds until which failed runs keep their places; a heap.
     :ivar round: number of decreases; only runs that began after the last one are counted.
     :ivar called_by_workers: whether the route is exempt because one service sends its requests.
     :ivar sample_size: requests in the current sample of callers.
@@ -149,10 +163,11 @@
 
     max_failed_fraction: float
     round_began_at: float
-    fraction: float = 1.0
-    sampler: FractionSampler = field(default_factory=lambda: FractionSampler(credit=1.0))
-    ceiling: float = 1.0
-    decreased_at: float = -math.inf
+    limit: float = math.inf
+    ceiling: float = math.inf
+    concurrent: int = 0
+    most_concurrent: int = 0
+    kept_until: list[float] = field(default_factory=list)
     round: int = 0
     runs: int = 0
     failures: int = 0
@@ -162,10 +177,10 @@
 
 
 class OutcomeLimiter:
-    """Adapts the admitted fraction of each route to the results of one worker's runs.
+    """Adapts the concurrent runs of each route to the results of one worker's runs.
 
     :param clock: monotonic seconds.
-    :param on_change: called with a route and its admitted fraction when that has changed.
+    :param on_change: called with a route and its limit, at the end of a round that changed it.
     """
 
     def __init__(
@@ -175,14 +190,16 @@
         self._on_change = on_change
         self._routes: dict[str, _RouteAdmission] = {}
 
-    def fraction(self, route: str) -> float:
-        """Return the admitted fraction of a route's requests, 0 to 1."""
+    def limit(self, route: str) -> float:
+        """Return the maximum number of concurrent runs of a route; ``math.inf`` for no limit."""
         admission = self._routes.get(route)
-        return admission.fraction if admission is not None else 1.0
+        return admission.limit if admission is not None else math.inf
 
     def admits(self, route: str, priority: int, caller: str) -> bool:
         """Return whether to admit a request, and count its caller.
 
+        An admitted request counts as concurrent until :meth:`released`.
+
         :param caller: service of the machine where the request originated.
         """
         admission = self._routes.get(route)
@@ -190,9 +207,18 @@
             admission = _RouteAdmission(tolerated_failures(priority), self._clock())
             self._routes[route] = admission
         self._count_caller(admission, caller)
-        if admission.fraction >= 1.0 or admission.called_by_workers:
-            return True
-        return admission.sampler.admits(admission.fraction)
+        if admission.limit < math.inf and not admission.called_by_workers:
+            self._free_kept_places(admission)
+            if admission.concurrent + len(admission.kept_until) >= admission.limit:
+                return False
+        admission.concurrent += 1
+        admission.most_concurrent = max(admission.most_concurrent, admission.concurrent)
+        return True
+
+    def _free_kept_places(self, admission: _RouteAdmission) -> None:
+        now = self._clock()
+        while admission.kept_until and admission.kept_until[0] <= now:
+            heappop(admission.kept_until)
 
     @staticmethod
     def _count_caller(admission: _RouteAdmission, caller: str) -> None:
@@ -204,43 +230,50 @@
             admission.callers.clear()
             admission.sample_size = 0
 
+    def released(self, route: str) -> None:
+        """Record that an admitted request has no slot any more, or has got none."""
+        self._routes[route].concurrent -= 1
+
     def began(self, route: str) -> int:
         """Return the current round of a route, to pass to :meth:`ended` after the run."""
         return self._routes[route].round
 
-    def ended(self, route: str, start_round: int, failed: bool) -> None:
+    def ended(self, route: str, start_round: int, failed: bool, run_seconds: float) -> None:
         """Record the end of a run.
 
         :param start_round: round returned by :meth:`began`. A run from before the last decrease
-            is ignored, because it does not reflect the current fraction.
+            does not change the limit, because it does not reflect the current one.
         :param failed: whether it failed for lack of downstream capacity.
         """
         admission = self._routes[route]
+        if failed and run_seconds < FAILED_RUN_SECONDS:
+            kept_until = self._clock() + FAILED_RUN_SECONDS - run_seconds
+            heappush(admission.kept_until, kept_until)
         if start_round != admission.round:
             return
         admission.runs += 1
         admission.failures += failed
+        limit = admission.limit
+        if not failed and limit < math.inf:
+            admission.limit = increased(limit, admission.ceiling)
         age = self._clock() - admission.round_began_at
         if age >= ROUND_SECONDS and admission.runs >= MIN_SAMPLES or age >= MAX_ROUND_SECONDS:
-            fraction = admission.fraction
             self._end_round(admission)
-            if admission.fraction != fraction and self._on_change is not None:
-                self._on_change(route, admission.fraction)
+            if self._on_change is not None and admission.limit != limit:
+                self._on_change(route, admission.limit)
 
     def _end_round(self, admission: _RouteAdmission) -> None:
-        """Adjust the admitted fraction to the results of a round, and start the next one."""
+        """Adjust the limit to the results of a round, and start the next one."""
         failed_fraction = admission.failures / admission.runs
-        now = self._clock()
         if failed_fraction > admission.max_failed_fraction and admission.failures >= MIN_FAILURES:
-            if now - admission.decreased_at >= DECREASE_INTERVAL_SECONDS:
-                fraction, ceiling = admission.fraction, admission.ceiling
-                admission.ceiling = ceiling_after_decrease(fraction, ceiling)
-                admission.fraction = decreased(fraction, failed_fraction)
-                admission.decreased_at = now
-                admission.round += 1
-        else:
-            seconds = min(MAX_ROUND_SECONDS, now - admission.round_began_at)
-            admission.fraction = increased(admission.fraction, admission.ceiling, seconds)
-        admission.round_began_at = now
+            used = min(admission.limit, float(admission.most_concurrent))
+            admission.ceiling = ceiling_after_decrease(used, admission.ceiling)
+            admission.limit = decreased(used, failed_fraction)
+            admission.round += 1
+        elif is_unused(admission.limit, admission.most_concurrent):
+            admission.limit = admission.ceiling = math.inf
+            admission.kept_until.clear()
+        admission.round_began_at = self._clock()
+        admission.most_concurrent = admission.concurrent
         admission.runs = 0
         admission.failures = 0
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -164,9 +164,9 @@
         self._metrics.slot_released(priority, seconds)
         self._slot_summary.released(request.service, priority, seconds)
 
-    def admitted_fraction_changed(self, route: str, fraction: float) -> None:
-        """Record the fraction of a route's requests that the outcome limiter admits."""
-        self._slot_summary.fraction_changed(route, fraction)
+    def limit_changed(self, route: str, limit: float) -> None:
+        """Record the limit on a route's concurrent runs; ``math.inf`` for none."""
+        self._slot_summary.limit_changed(route, limit)
 
     def quarantined(self, call: Call, identity: Identity, seconds_left: float) -> None:
         """Log that a request of this machine's callers was refused because it is quarantined."""
--- a/src/cranklane/sidecar/telemetry/slot_summary.py
+++ b/src/cranklane/sidecar/telemetry/slot_summary.py
@@ -1,11 +1,12 @@
 """Logs a summary line about once a second: how the worker's slots were used and refused.
 
 Counts by the priority of the root request, because the queue for slots is ordered by it. A line
-also has the fraction of each route's requests that the outcome limiter admits.
+also has the limits on concurrent runs that the outcome limiter sets, by route.
 """
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
@@ -30,7 +31,7 @@
         self._interval_began_at = clock()
         self._decisions: defaultdict[tuple[str, int, Reason], int] = defaultdict(int)
         self._milliseconds: defaultdict[tuple[str, int], float] = defaultdict(float)
-        self._fractions: dict[str, float] = {}
+        self._limits: dict[str, float] = {}
         self._slots = 0
         self._most_running = 0
         self._most_queued = 0
@@ -57,9 +58,12 @@
         self._write_if_due()
         self._milliseconds[service, priority] += seconds * MILLISECONDS
 
-    def fraction_changed(self, route: str, fraction: float) -> None:
-        """Record the fraction of a route's requests that the outcome limiter admits from now."""
-        self._fractions[route] = fraction
+    def limit_changed(self, route: str, limit: float) -> None:
+        """Record the limit on a route's concurrent runs from now; ``math.inf`` for none."""
+        if limit < math.inf:
+            self._limits[route] = limit
+        else:
+            self._limits.pop(route, None)
 
     def write(self) -> None:
         """Write the line for the time since the last one, unless nothing happened."""
@@ -79,11 +83,7 @@
                     [service, priority, round(milliseconds)]
                     for (service, priority), milliseconds in self._milliseconds.items()
                 ],
-                fractions={
-                    route: round(fraction, 3)
-                    for route, fraction in self._fractions.items()
-                    if fraction < 1.0
-                },
+                limits={route: round(limit, 1) for route, limit in self._limits.items()},
             )
         self._decisions.clear()
         self._milliseconds.clear()
--- a/tests/test_slot_summary.py
+++ b/tests/test_slot_summary.py
@@ -50,12 +50,12 @@
     assert "queue_full" in report or "deadline_too_near" in report
 
 
-def test_report_has_the_admitted_fraction_of_a_limited_route():
+def test_report_has_the_limit_of_a_limited_route():
     text = (
         '{"event":"slots_used","node":"n","timestamp":"2026-01-01T00:00:01Z","seconds":1.0,'
         '"slots":4,"most_running":4,"most_queued":2,"decisions":[["s",2,"none",3]],'
-        '"slot_ms":[["s",2,1500]],"fractions":{"r":0.25}}'
+        '"slot_ms":[["s",2,1500]],"limits":{"r":2.5}}'
     )
     report = "\n".join(format_slot_use(sum_slot_use(read_lines([text]))))
     assert "priority 2         1.5 s  admitted 3" in report
-    assert "0.25 0.25  at 1 workers" in report
+    assert "2.5 2.5  at 1 workers" in report
