Workers that start again under their id are told apart by their birth

Cause: instances were told apart by id alone, so the newest sequence and the planned exit of the earlier start held for the later one. Now an instance is (id, born), decoded in sidecar/worker/api; a smaller birth counts once the present start is silent or its port was closed. On the way: Infinity and deep nesting in a heartbeat, and a spoiled deregistration, are answered 400 (they raised before).

--- a/src/cranklane/sidecar/admission/crash_evidence.py
+++ b/src/cranklane/sidecar/admission/crash_evidence.py
@@ -51,7 +51,7 @@
             return
         runs = sorted(worker_exit.runs, key=_suspicion_level_of, reverse=True)
         levels = {run.identity: run.suspicion_level for run in runs}
-        crash = crash_id(worker_exit.instance)
+        crash = crash_id(worker_exit.instance.label)
         self._quarantine.worker_crashed(self._worker.service, crash, levels)
 
     def reply_after_exit(self, request: ForwardRequest) -> Reply:
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -31,6 +31,7 @@
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import WorkerExchange
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExit, WorkerExits
+from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
 from cranklane.sidecar.worker.slowness import latency_ratio
 
@@ -84,7 +85,7 @@
     :ivar started_at: monotonic time at which it acquired its slot, in seconds.
     :ivar run: its node in the call tree.
     :ivar number: sequence number of the run at this worker.
-    :ivar instance: id of the worker process that runs it.
+    :ivar instance: the worker's start that runs it.
     :ivar limiter_round: round of the outcome limiter at its start.
     :ivar suspicion: its suspicion level, and whether it holds the isolation slot.
     """
@@ -94,7 +95,7 @@
     started_at: float
     run: Run
     number: int
-    instance: str
+    instance: WorkerInstance
     limiter_round: int
     suspicion: SuspectAdmission
 
@@ -291,7 +292,7 @@
         suspicion_level = admitted.suspicion.suspicion_level
         on_sent = partial(self._exits.began, admitted.number, request, suspicion_level)
         assert self._exchange is not None
-        reply = self._exchange.run(attempt, admitted.instance, deadline, on_sent)
+        reply = self._exchange.run(attempt, admitted.instance.id, deadline, on_sent)
         if reply.reason is Reason.WORKER_FAILED and self._exits.connection_lost(admitted.instance):
             return self._evidence.reply_after_exit(request)
         return reply
--- a/src/cranklane/sidecar/local_member.py
+++ b/src/cranklane/sidecar/local_member.py
@@ -66,7 +66,7 @@
             state=self.state,
             slots=worker.slots,
             service=worker.service,
-            instance=worker.instance,
+            instance=worker.instance.label,
             faults=reported.wire_faults,
             slowness=reported.wire_slowness,
         )
@@ -83,5 +83,5 @@
             service=self._worker.service,
             zone=self._zone,
             address=self._address,
-            instance=self._worker.instance,
+            instance=self._worker.instance.label,
         )
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -40,6 +40,7 @@
 from cranklane.sidecar.worker.api import WorkerApi
 from cranklane.sidecar.worker.condition import Condition, WorkerCondition
 from cranklane.sidecar.worker.discovery import WorkerDiscovery
+from cranklane.sidecar.worker.instances import NO_INSTANCE
 from cranklane.sidecar.worker.registry import WorkerRegistry
 
 
@@ -107,7 +108,7 @@
             self.peers.exchange,
             self._log,
         )
-        self._caught_up_instance = ""
+        self._caught_up_instance = NO_INSTANCE
 
     def _build_gate(self, call_tree: CallTree, disconnects: DisconnectWatch) -> None:
         runtime = self._runtime
@@ -239,7 +240,7 @@
     def _condition_changed(self, condition: Condition) -> None:
         self._log.info(
             "worker_condition",
-            instance=self.worker.instance,
+            instance=self.worker.instance.label,
             faults=round(condition.faults, 2),
             slowness=round(condition.slowness, 1),
         )
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -185,7 +185,7 @@
         self._metrics.worker_exited(exited.planned)
         self._log.warning(
             "worker_ended",
-            instance=exited.instance,
+            instance=exited.instance.label,
             planned=exited.planned,
             running=len(exited.runs),
             runs=[
--- a/src/cranklane/sidecar/worker/api.py
+++ b/src/cranklane/sidecar/worker/api.py
@@ -2,7 +2,8 @@
 
 ``POST /v1/instances/ID/heartbeat`` with a JSON body of ``service``, ``slots``, ``phase``
 (``ready`` or ``draining``), ``sequence`` and ``cold_remaining_ms``, and
-``POST /v1/instances/ID/deregister``. ID identifies the instance: one start of the worker's process.
+``POST /v1/instances/ID/deregister``. Both may state ``born``, the Unix time of the worker's start
+in milliseconds: ID and ``born`` identify the instance, one start of the worker's process.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from result import Err, Ok, Result
 
 from cranklane.common.small_http import SmallAnswer
+from cranklane.sidecar.worker.instances import UNKNOWN_START, WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerHeartbeat, WorkerPhase, WorkerRegistry
 
 INSTANCES_PATH = "/v1/instances/"
@@ -37,32 +39,37 @@
         if action == "heartbeat":
             return self._heartbeat(instance, body)
         if action == "deregister":
-            self._log.info("worker_deregistered", instance=instance)
-            self._worker.deregister(instance)
-            return _OK
+            return self._deregister(instance, body)
         return _NOT_FOUND
 
-    def _heartbeat(self, instance: str, body: bytes) -> SmallAnswer:
-        parsed = parse_heartbeat(instance, body)
+    def _heartbeat(self, instance_id: str, body: bytes) -> SmallAnswer:
+        parsed = parse_heartbeat(instance_id, body)
         if isinstance(parsed, Err):
-            self._log.warning("heartbeat_refused", instance=instance, problem=parsed.err_value)
-            problem = json.dumps({"problem": parsed.err_value})
-            return SmallAnswer(HTTPStatus.BAD_REQUEST, problem.encode())
+            return self._refuse("heartbeat_refused", instance_id, parsed.err_value)
         self._worker.heartbeat(parsed.ok_value)
         return _OK
 
+    def _deregister(self, instance_id: str, body: bytes) -> SmallAnswer:
+        parsed = parse_deregistration(instance_id, body)
+        if isinstance(parsed, Err):
+            return self._refuse("deregistration_refused", instance_id, parsed.err_value)
+        instance = parsed.ok_value
+        self._log.info("worker_deregistered", instance=instance.label)
+        self._worker.deregister(instance)
+        return _OK
+
+    def _refuse(self, event: str, instance_id: str, problem: str) -> SmallAnswer:
+        """Log a message of the worker that cannot be used, and return the response to it."""
+        self._log.warning(event, instance=instance_id, problem=problem)
+        return SmallAnswer(HTTPStatus.BAD_REQUEST, json.dumps({"problem": problem}).encode())
 
-def parse_heartbeat(instance: str, body: bytes) -> Result[WorkerHeartbeat, str]:
+
+def parse_heartbeat(instance_id: str, body: bytes) -> Result[WorkerHeartbeat, str]:
     """Parse a heartbeat's JSON body; return the heartbeat or a description of the error."""
     try:
-        fields = json.loads(body)
-    except ValueError as error:
-        return Err(f"the body cannot be read: {error}")
-    if not isinstance(fields, dict):
-        return Err("the body is not an object")
-    try:
+        fields = _object_of(body)
         heartbeat = WorkerHeartbeat(
-            instance=instance,
+            instance=_instance_of(instance_id, fields),
             service=_text_field(fields, "service"),
             slots=_number_field(fields, "slots"),
             phase=WorkerPhase(fields.get("phase", "ready")),
@@ -70,11 +77,40 @@
         )
         # Validated as part of the API, but not used.
         _number_field(fields, "cold_remaining_ms", 0)
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         return Err(str(error))
     return Ok(heartbeat)
 
 
+def parse_deregistration(instance_id: str, body: bytes) -> Result[WorkerInstance, str]:
+    """Parse a deregistration; return the instance or a description of the error.
+
+    The body may be empty, or an object that states the birth of the instance.
+    """
+    try:
+        fields = _object_of(body) if body.strip() else {}
+        return Ok(_instance_of(instance_id, fields))
+    except ValueError as error:
+        return Err(str(error))
+
+
+def _object_of(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"the body cannot be read: {error}") from error
+    if not isinstance(fields, dict):
+        raise ValueError("the body is not an object")
+    return fields
+
+
+def _instance_of(instance_id: str, fields: dict[str, Any]) -> WorkerInstance:
+    born = fields.get("born", UNKNOWN_START)
+    if isinstance(born, bool) or not isinstance(born, int) or born < 0:
+        raise ValueError(f"born: found {born!r}; expected a whole number of milliseconds")
+    return WorkerInstance(instance_id, born)
+
+
 def _text_field(fields: dict[str, Any], name: str) -> str:
     value = fields.get(name)
     if not isinstance(value, str) or not value:
--- a/src/cranklane/sidecar/worker/discovery.py
+++ b/src/cranklane/sidecar/worker/discovery.py
@@ -35,7 +35,7 @@
             self._probe = None
 
     def _probe_worker(self, probe: WorkerProbe, path: str) -> None:
-        if self._registry.instance:
+        if self._registry.instance.id:
             return
         probed_worker = probe.find(path)
         if probed_worker is not None:
--- a/src/cranklane/sidecar/worker/exit.py
+++ b/src/cranklane/sidecar/worker/exit.py
@@ -14,6 +14,7 @@
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.request.identity import Identity, identity_of
 from cranklane.sidecar.worker.exit_check import WorkerExitCheck
+from cranklane.sidecar.worker.instances import NO_INSTANCE, WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
 
 PLANNED_EXIT_STATES = (WorkerState.DRAINING, WorkerState.GONE)
@@ -37,12 +38,12 @@
 class WorkerExit(NamedTuple):
     """The exit of a worker instance.
 
-    :ivar instance: id of the instance.
+    :ivar instance: the instance that has exited.
     :ivar planned: whether the worker had announced its exit; otherwise it crashed.
     :ivar runs: interrupted runs in the order in which they began.
     """
 
-    instance: str
+    instance: WorkerInstance
     planned: bool
     runs: tuple[InterruptedRun, ...]
 
@@ -72,7 +73,7 @@
         )
         self._runs: dict[int, _Run] = {}
         self._run_count = 0
-        self._exited_instance = ""
+        self._exited_instance = NO_INSTANCE
 
     def next_number(self) -> int:
         """Return a number that identifies a new run."""
@@ -91,7 +92,7 @@
         """Record that a run has ended."""
         self._runs.pop(number, None)
 
-    def connection_lost(self, instance: str) -> bool:
+    def connection_lost(self, instance: WorkerInstance) -> bool:
         """Check for an exit after a connection to a worker instance was lost.
 
         :returns: whether the instance has exited, rather than only lost a connection.
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -16,7 +16,12 @@
 from cranklane.outcome import Reason
 from cranklane.runtime.interface import Address, Runtime, parse_address
 from cranklane.sidecar.admission.slots import Slots
-from cranklane.sidecar.worker.instances import InstanceHistory
+from cranklane.sidecar.worker.instances import (
+    NO_INSTANCE,
+    UNKNOWN_START,
+    InstanceHistory,
+    WorkerInstance,
+)
 from cranklane.sidecar.worker.pool import WorkerPool
 from cranklane.sidecar.worker.probe import ProbedWorker
 
@@ -29,6 +34,10 @@
 MISSED_HEARTBEATS = 3.5
 """Heartbeat intervals of silence after which the worker is lost; tolerates three missed ones."""
 
+SILENT_HEARTBEATS = 1.5
+"""Heartbeat intervals of silence after which a start with an earlier time of birth replaces the
+present one, whose clock may have been ahead. Less silence suggests a late heartbeat instead."""
+
 SUSPENSION_HEARTBEATS = 2.0
 """Heartbeat intervals between two checks from which the machine was presumably suspended. Below
 :data:`MISSED_HEARTBEATS`, so that a suspension does not make the worker lost, but above the delay
@@ -66,12 +75,12 @@
 class WorkerHeartbeat(NamedTuple):
     """A heartbeat of a worker.
 
-    :ivar instance: id of the worker's instance.
+    :ivar instance: the start of the worker that sends it.
     :ivar slots: number of concurrent requests.
     :ivar sequence: increases with each heartbeat of an instance.
     """
 
-    instance: str
+    instance: WorkerInstance
     service: str
     slots: int
     phase: WorkerPhase
@@ -86,7 +95,7 @@
     :param slots: resized to the worker's usable slots.
     :param on_change: called when the state to announce to other processes has changed.
     :ivar address: address of the worker; None if this machine has none.
-    :ivar instance: id of the worker's newest instance; empty while unknown.
+    :ivar instance: the worker's newest instance; ``NO_INSTANCE`` while unknown.
     """
 
     def __init__(
@@ -109,7 +118,7 @@
         self._instances = InstanceHistory()
         self.pool = WorkerPool(runtime, self.address) if self.address else None
         self.service = service
-        self.instance = ""
+        self.instance = NO_INSTANCE
         self.state = WorkerState.UNKNOWN
 
     @property
@@ -124,7 +133,8 @@
 
     def heartbeat(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply a heartbeat; late ones and those of superseded instances are ignored."""
-        instance = heartbeat.instance
+        instance = self._resolve(heartbeat.instance)
+        self._state_birth(instance)
         if not self._instances.advance(instance, heartbeat.sequence):
             return
         if instance != self.instance:
@@ -146,23 +156,39 @@
 
     def apply_probe(self, worker: ProbedWorker) -> None:
         """Apply the result of a probe, unless a heartbeat has arrived before."""
-        if self.instance:
+        if self.instance.id:
             return
-        self._adopt_instance(worker.instance)
+        self._adopt_instance(WorkerInstance(worker.instance))
         self._last_heartbeat_at = self._runtime.monotonic()
         self._slots.resize(usable_slots(worker.slots))
         self._set_state(WorkerState.READY)
 
-    def deregister(self, instance: str) -> None:
+    def deregister(self, stated: WorkerInstance) -> None:
         """Record that an instance is about to exit."""
-        if not self.instance:
+        instance = self._resolve(stated)
+        self._state_birth(instance)
+        if not self.instance.id:
             self._adopt_instance(instance)
         if instance == self.instance:
             self._begin_planned_exit(instance, WorkerState.GONE)
         else:
             self._instances.record_planned_exit(instance)
 
-    def _begin_planned_exit(self, instance: str, state: WorkerState) -> None:
+    def _resolve(self, instance: WorkerInstance) -> WorkerInstance:
+        """Return the instance that a message is from, if the message does not state its birth."""
+        if instance.born != UNKNOWN_START:
+            return instance
+        if instance.id == self.instance.id:
+            return self.instance
+        return self._instances.newest(instance.id)
+
+    def _state_birth(self, instance: WorkerInstance) -> None:
+        """Complete an instance that was found by a probe, which does not state its birth."""
+        if self.instance == WorkerInstance(instance.id) != instance:
+            self.instance = instance
+            self._on_change()
+
+    def _begin_planned_exit(self, instance: WorkerInstance, state: WorkerState) -> None:
         self._instances.record_planned_exit(instance)
         if self.state is WorkerState.GONE:
             return
@@ -174,12 +200,12 @@
         if self.state is WorkerState.READY:
             self._set_state(WorkerState.UNREACHABLE)
 
-    def note_unexpected_instance(self, instance: str) -> None:
-        """Record that an instance other than the known one answered."""
-        if instance and instance != self.instance:
-            self._log.warning("worker_replaced", known=self.instance, answered=instance)
+    def note_unexpected_instance(self, instance_id: str) -> None:
+        """Record that an instance of another id than the known one's answered."""
+        if instance_id and instance_id != self.instance.id:
+            self._log.warning("worker_replaced", known=self.instance.label, answered=instance_id)
             self._set_state(WorkerState.UNREACHABLE)
-            self._instances.forget_sequence(instance)
+            self._instances.forget_sequences(instance_id)
 
     def watch(self) -> None:
         """Detect missing heartbeats; never returns."""
@@ -195,18 +221,26 @@
             if is_lost(self.state, now - self._last_heartbeat_at, period):
                 self._set_state(WorkerState.LOST)
 
-    def _is_superseded(self, instance: str) -> bool:
+    def _is_superseded(self, instance: WorkerInstance) -> bool:
         """Return whether an instance is older than the current one."""
-        if not self.instance:
+        if not self.instance.id:
             return False
         if self._instances.has_planned_exit(instance):
             return True
         if self.state not in (WorkerState.READY, WorkerState.DRAINING):
             return False
-        return self._instances.is_older(instance, self.instance)
+        if self._instances.is_older(instance, self.instance):
+            return True
+        was_born_before = instance.id == self.instance.id and instance.born < self.instance.born
+        return was_born_before and not self._is_silent()
+
+    def _is_silent(self) -> bool:
+        """Return whether the current instance has missed a heartbeat."""
+        silent_seconds = self._runtime.monotonic() - self._last_heartbeat_at
+        return silent_seconds > SILENT_HEARTBEATS * self._heartbeat_seconds
 
-    def _adopt_instance(self, instance: str) -> None:
-        self._log.info("worker_instance", instance=instance, former=self.instance)
+    def _adopt_instance(self, instance: WorkerInstance) -> None:
+        self._log.info("worker_instance", instance=instance.label, former=self.instance.label)
         self.instance = instance
         self.state = WorkerState.UNKNOWN
         if self.pool is not None:
@@ -217,7 +251,10 @@
         if state is self.state:
             return
         self._log.info(
-            "worker_state", instance=self.instance, state=state.value, former=self.state.value
+            "worker_state",
+            instance=self.instance.label,
+            state=state.value,
+            former=self.state.value,
         )
         self.state = state
         self._on_change()
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -214,13 +214,18 @@
             process, service, instance, (host, _WORKER_PORT), (host, _REGISTRY_PORT), slots
         )
 
-    def restart_worker(self, machine: MeshMachine) -> None:
-        """Restart an exited worker as a new instance with the same injected faults."""
+    def restart_worker(self, machine: MeshMachine, same_id: bool = False) -> None:
+        """Restart an exited worker as a new instance with the same injected faults.
+
+        :param same_id: whether it keeps its id, so that only its birth tells the starts apart.
+        """
         former = machine.worker
         name = machine.worker_process.name
         process = self.world.process(name, machine.zone, machine.host)
         self._restarts += 1
-        instance = f"{former.instance.partition('+')[0]}+{self._restarts}"
+        instance = former.instance
+        if not same_id:
+            instance = f"{former.instance.partition('+')[0]}+{self._restarts}"
         worker = self._worker(process, former.service, instance, former.slots)
         worker.state = former.state
         worker.state.running = 0
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -17,6 +17,7 @@
 from cranklane.common.http1.message import MalformedMessageError, RequestHead, TruncatedMessageError
 from cranklane.common.http1.reader import RequestReader
 from cranklane.common.http1.writer import status_line
+from cranklane.common.units import MILLISECONDS
 from cranklane.runtime.interface import Address, Runtime
 from cranklane_lab.standins.raw_http import exchange
 
@@ -120,6 +121,8 @@
     :param address: address to serve requests on.
     :param registry: address of the sidecar's registry, which receives its heartbeats.
     :param slots: concurrency that it announces.
+    :param states_birth: whether its messages state when it started.
+    :ivar born: Unix time of its start in milliseconds; None if its messages don't state it.
     :ivar phase: ``ready`` or ``draining``.
     :ivar ended: whether it has exited.
     """
@@ -133,6 +136,7 @@
         registry: Address,
         slots: int = 4,
         heartbeat_seconds: float = HEARTBEAT_SECONDS,
+        states_birth: bool = True,
     ) -> None:
         self._runtime = runtime
         self.service = service
@@ -141,6 +145,7 @@
         self.slots = slots
         self._heartbeat_seconds = heartbeat_seconds
         self._sequence = 0
+        self.born = int(runtime.wall() * MILLISECONDS) if states_birth else None
         self.phase = "ready"
         self.ended = False
         self.state = RoutedWorkerState()
@@ -156,9 +161,13 @@
             "phase": self.phase,
             "sequence": self._sequence,
             "cold_remaining_ms": 0,
+            **self._birth(),
         }
         return self._post("heartbeat", json.dumps(body).encode())
 
+    def _birth(self) -> dict[str, int]:
+        return {} if self.born is None else {"born": self.born}
+
     def drain(self) -> int:
         """Announce that it takes no new requests; return the response's status."""
         self.phase = "draining"
@@ -166,7 +175,8 @@
 
     def deregister(self) -> int:
         """Deregister from the sidecar; return the response's status."""
-        return self._post("deregister", b"")
+        birth = self._birth()
+        return self._post("deregister", json.dumps(birth).encode() if birth else b"")
 
     def send_heartbeats(self) -> None:
         """Send heartbeats until the worker exits."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -10,6 +10,7 @@
 from cranklane.sidecar.quarantine.rules import QuarantineState
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.worker.exit import InterruptedRun, WorkerExit, identity_of_request
+from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerState
 
 
@@ -51,7 +52,7 @@
 
 def test_a_planned_exit_is_no_evidence():
     table, crashes = make_evidence(WorkerState.DRAINING)
-    crashes.worker_exited(WorkerExit("one", True, (interrupted_run(0),)))
+    crashes.worker_exited(WorkerExit(WorkerInstance("one"), True, (interrupted_run(0),)))
     assert table.is_empty
     reply = crashes.reply_after_exit(REQUEST)
     assert (reply.outcome, reply.reason) == (Outcome.UNKNOWN, Reason.WORKER_LEFT)
@@ -59,7 +60,7 @@
 
 def test_a_crash_raises_suspicion_and_a_response_clears_it():
     table, crashes = make_evidence(WorkerState.READY)
-    crashes.worker_exited(WorkerExit("one", False, (interrupted_run(0),)))
+    crashes.worker_exited(WorkerExit(WorkerInstance("one"), False, (interrupted_run(0),)))
     assert table.state(IDENTITY) is QuarantineState.SUSPECTED
     reply = crashes.reply_after_exit(REQUEST)
     assert (reply.reason, reply.retry_after_ms) == (Reason.WORKER_ENDED, 0)
@@ -70,7 +71,7 @@
 def test_reply_after_a_crash_carries_the_remaining_quarantine():
     table, crashes = make_evidence(WorkerState.READY)
     table.worker_crashed("s", crash_id("one"), {IDENTITY: 0})
-    crashes.worker_exited(WorkerExit("two", False, (interrupted_run(1),)))
+    crashes.worker_exited(WorkerExit(WorkerInstance("two"), False, (interrupted_run(1),)))
     assert table.state(IDENTITY) is QuarantineState.QUARANTINED
     assert crashes.reply_after_exit(REQUEST).retry_after_ms == 5001
 
@@ -78,5 +79,7 @@
 def test_lowest_suspicion_level_of_concurrent_copies_counts():
     table, crashes = make_evidence(WorkerState.READY)
     table.worker_crashed("s", crash_id("one"), {IDENTITY: 0})
-    crashes.worker_exited(WorkerExit("two", False, (interrupted_run(0), interrupted_run(1))))
+    crashes.worker_exited(
+        WorkerExit(WorkerInstance("two"), False, (interrupted_run(0), interrupted_run(1)))
+    )
     assert table.state(IDENTITY) is QuarantineState.SUSPECTED
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -27,7 +27,7 @@
 from cranklane.sidecar.telemetry.request_summary import Cause, End, cause_of, end_of
 from cranklane.sidecar.worker.condition import HEALTHY, Condition, should_report
 from cranklane.sidecar.worker.fault_ratio import FaultRatio
-from cranklane.sidecar.worker.instances import InstanceHistory
+from cranklane.sidecar.worker.instances import InstanceHistory, WorkerInstance
 from cranklane.sidecar.worker.pool import WorkerPool
 from cranklane.sidecar.worker.registry import WorkerState, is_lost, usable_slots, was_suspended
 from cranklane.sidecar.worker.slowness import ExpectedLatencies, Slowness
@@ -108,25 +108,28 @@
     assert usable_slots(slots) == usable
 
 
+A, B = WorkerInstance("a"), WorkerInstance("b")
+
+
 def test_a_forgotten_instance_counts_as_new():
     history = InstanceHistory()
-    assert history.advance("a", 5)
-    assert history.advance("b", 1)
-    assert history.is_older("a", "b")
-    assert not history.advance("a", 5)
-    history.forget_sequence("a")
-    assert history.advance("a", 5)
-    assert not history.is_older("a", "b")
+    assert history.advance(A, 5)
+    assert history.advance(B, 1)
+    assert history.is_older(A, B)
+    assert not history.advance(A, 5)
+    history.forget_sequences("a")
+    assert history.advance(A, 5)
+    assert not history.is_older(A, B)
 
 
 def test_the_last_64_planned_exits_are_remembered():
     history = InstanceHistory()
-    history.record_planned_exit("gone")
+    history.record_planned_exit(WorkerInstance("gone"))
     for number in range(63):
         history.record_planned_exit(str(number))
-    assert history.has_planned_exit("gone")
+    assert history.has_planned_exit(WorkerInstance("gone"))
     history.record_planned_exit("one more")
-    assert not history.has_planned_exit("gone")
+    assert not history.has_planned_exit(WorkerInstance("gone"))
 
 
 @pytest.mark.parametrize(
