--- a/src/cranklane_lab/trees/shared_bottleneck.py
+++ b/src/cranklane_lab/trees/shared_bottleneck.py
@@ -50,6 +50,8 @@
     OVERLOAD_AND_SLOW_WORKER = (0.9, 1.7, (WorkerFault.SLOW,))
     OVERLOAD_AND_LOST_WORKER = (0.8, 1.5, (WorkerFault.LEAVES,))
     OVERLOAD_SLOW_AND_LOST_WORKER = (0.8, 1.3, (WorkerFault.SLOW, WorkerFault.LEAVES))
+    FILLED_BY_HIGHEST = (1.0, 1.7, (WorkerFault.SLOW, WorkerFault.LEAVES))
+    """The highest priority alone asks for more than the bottleneck has."""
 
     def __init__(self, load: float, surge: float, faults: tuple[WorkerFault, ...]) -> None:
         self.load = load
--- a/tests/test_lowest_priority_share.py
+++ b/tests/test_lowest_priority_share.py
@@ -31,6 +31,11 @@
     assert fmean(share.served[LOWEST] / share.lowest_possible for share in shares) > 0.64
 
 
+def test_no_priority_is_starved_when_the_highest_fills_the_bottleneck():
+    shares = play_shares(SEEDS[0], Trouble.FILLED_BY_HIGHEST)
+    assert min(shares.served.values()) >= shares.served_of_all / 4
+
+
 @pytest.mark.parametrize(
     "trouble",
     [
