Names and types: start time of a worker, one value for an admission decision

Inside, the start of a worker is started_at_ms; born is the field on the wire alone. The gate's listener takes an AdmissionDecision in place of six values that stood twice (gate, decision log); it has a module of its own, gate shrinks by 30 lines. No change of behaviour.

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
@@ -21,6 +21,7 @@
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission import retry_after, run_outcome
 from cranklane.sidecar.admission.crash_evidence import CrashEvidence
+from cranklane.sidecar.admission.gate_listener import AdmissionDecision, GateListener
 from cranklane.sidecar.admission.isolated_runs import IsolatedRuns, SuspectAdmission
 from cranklane.sidecar.admission.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.admission.slots import Slots, Waiter
@@ -30,40 +31,12 @@
 from cranklane.sidecar.request.call_tree import CallTree, Root, Run
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import WorkerExchange
-from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExit, WorkerExits
+from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
 from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
 from cranklane.sidecar.worker.slowness import latency_ratio
 
 
-class GateListener(Protocol):
-    """Receives admission decisions and worker exits."""
-
-    def admission(
-        self,
-        request: ForwardRequest,
-        reason: Reason,
-        running: int,
-        queued: int,
-        slots: int,
-        waited: float,
-    ) -> None:
-        """Handle an admission decision.
-
-        :param reason: reason for the refusal; NONE for an admission.
-        :param waited: seconds from arrival to the decision.
-        """
-
-    def slot_released(self, request: ForwardRequest, seconds: float) -> None:
-        """Handle the release of a slot that a request has held for a time."""
-
-    def limit_changed(self, route: str, limit: float) -> None:
-        """Handle a change of the limit on a route's concurrent runs; ``math.inf`` for none."""
-
-    def worker_exited(self, worker_exit: WorkerExit) -> None:
-        """Handle an exit of the worker process."""
-
-
 class LocalWorker(NamedTuple):
     """State of the local worker that the gate uses.
 
@@ -177,13 +150,11 @@
                 self._isolated_runs.release(suspicion.isolated, 0.0)
         started_at = self._clock()
         slots = self._slots
+        waited_seconds = started_at - arrived_at
         self._on_admission(
-            request,
-            reason,
-            slots.running,
-            slots.queued,
-            slots.limit,
-            started_at - arrived_at,
+            AdmissionDecision(
+                request, reason, slots.running, slots.queued, slots.limit, waited_seconds
+            )
         )
         if reason is not Reason.NONE:
             retry_after_ms = suspicion.retry_after_ms or retry_after.at_worker_ms(
--- /dev/null
+++ b/src/cranklane/sidecar/admission/gate_listener.py
@@ -0,0 +1,43 @@
+"""What the gate reports of its decisions, and to whom."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from cranklane.outcome import Reason
+from cranklane.records.messages import ForwardRequest
+from cranklane.sidecar.worker.exit import WorkerExit
+
+
+class AdmissionDecision(NamedTuple):
+    """Decision on a request for the local worker.
+
+    :ivar reason: reason for the refusal; NONE for an admission.
+    :ivar running: requests that hold a slot.
+    :ivar queued: requests that wait for a slot.
+    :ivar slots: maximum number of requests that hold a slot.
+    :ivar waited_seconds: time from arrival to the decision.
+    """
+
+    request: ForwardRequest
+    reason: Reason
+    running: int
+    queued: int
+    slots: int
+    waited_seconds: float
+
+
+class GateListener(Protocol):
+    """Receives admission decisions, released slots and worker exits."""
+
+    def admission(self, decision: AdmissionDecision) -> None:
+        """Handle an admission decision."""
+
+    def slot_released(self, request: ForwardRequest, seconds: float) -> None:
+        """Handle the release of a slot that a request has held for a time."""
+
+    def limit_changed(self, route: str, limit: float) -> None:
+        """Handle a change of the limit on a route's concurrent runs; ``math.inf`` for none."""
+
+    def worker_exited(self, worker_exit: WorkerExit) -> None:
+        """Handle an exit of the worker process."""
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -15,6 +15,7 @@
 from cranklane.common.rate_limit import RateLimit
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
+from cranklane.sidecar.admission.gate_listener import AdmissionDecision
 from cranklane.sidecar.ingress.authentication import IngressRefusal
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call, CallProgress
@@ -128,34 +129,22 @@
             else None,
         )
 
-    def admission(
-        self,
-        request: ForwardRequest,
-        reason: Reason,
-        running: int,
-        queued: int,
-        slots: int,
-        waited: float,
-    ) -> None:
-        """Count a decision of the worker's gate; log a refusal.
-
-        :param reason: reason of the refusal; NONE for an admission.
-        :param waited: seconds until the decision.
-        """
-        priority = request.root_priority
-        self._metrics.admission(reason, waited)
-        self._slot_summary.decided(request.service, priority, reason, running, queued, slots)
+    def admission(self, decision: AdmissionDecision) -> None:
+        """Count a decision of the worker's gate; log a refusal."""
+        reason = decision.reason
+        self._metrics.admission(reason, decision.waited_seconds)
+        self._slot_summary.decided(decision)
         if reason is Reason.NONE or not self._problem_limit.allows():
             return
         self._log.info(
             "admission",
-            request=request.request_id,
+            request=decision.request.request_id,
             reason=reason.label,
-            running=running,
-            queued=queued,
-            slots=slots,
-            waited_seconds=round(waited, 4),
-            priority=priority,
+            running=decision.running,
+            queued=decision.queued,
+            slots=decision.slots,
+            waited_seconds=round(decision.waited_seconds, 4),
+            priority=decision.request.root_priority,
         )
 
     def slot_released(self, request: ForwardRequest, seconds: float) -> None:
--- a/src/cranklane/sidecar/telemetry/slot_summary.py
+++ b/src/cranklane/sidecar/telemetry/slot_summary.py
@@ -13,6 +13,7 @@
 
 from cranklane.common.units import MILLISECONDS
 from cranklane.outcome import Reason
+from cranklane.sidecar.admission.gate_listener import AdmissionDecision
 
 LINE_INTERVAL_SECONDS = 1.0
 """Interval covered by a line; as for the summaries of requests, to compare the two."""
@@ -36,19 +37,14 @@
         self._most_running = 0
         self._most_queued = 0
 
-    def decided(
-        self, service: str, priority: int, reason: Reason, running: int, queued: int, slots: int
-    ) -> None:
-        """Add an admission decision; write the line first if its interval has passed.
-
-        :param priority: priority of the root request.
-        :param reason: reason for the refusal; NONE for an admission.
-        """
+    def decided(self, decision: AdmissionDecision) -> None:
+        """Add an admission decision; write the line first if its interval has passed."""
         self._write_if_due()
-        self._decisions[service, priority, reason] += 1
-        self._slots = slots
-        self._most_running = max(self._most_running, running)
-        self._most_queued = max(self._most_queued, queued)
+        request = decision.request
+        self._decisions[request.service, request.root_priority, decision.reason] += 1
+        self._slots = decision.slots
+        self._most_running = max(self._most_running, decision.running)
+        self._most_queued = max(self._most_queued, decision.queued)
 
     def released(self, service: str, priority: int, seconds: float) -> None:
         """Add a slot that a request has held for a time.
--- a/src/cranklane/sidecar/worker/api.py
+++ b/src/cranklane/sidecar/worker/api.py
@@ -85,7 +85,7 @@
 def parse_deregistration(instance_id: str, body: bytes) -> Result[WorkerInstance, str]:
     """Parse a deregistration; return the instance or a description of the error.
 
-    The body may be empty, or an object that states the birth of the instance.
+    The body may be empty, or an object that states the start time of the instance.
     """
     try:
         fields = _object_of(body) if body.strip() else {}
@@ -105,10 +105,11 @@
 
 
 def _instance_of(instance_id: str, fields: dict[str, Any]) -> WorkerInstance:
-    born = fields.get("born", UNKNOWN_START)
-    if isinstance(born, bool) or not isinstance(born, int) or born < 0:
-        raise ValueError(f"born: found {born!r}; expected a whole number of milliseconds")
-    return WorkerInstance(instance_id, born)
+    started_at_ms = fields.get("born", UNKNOWN_START)
+    is_number = isinstance(started_at_ms, int) and not isinstance(started_at_ms, bool)
+    if not is_number or started_at_ms < 0:
+        raise ValueError(f"born: found {started_at_ms!r}; expected a whole number of milliseconds")
+    return WorkerInstance(instance_id, started_at_ms)
 
 
 def _text_field(fields: dict[str, Any], name: str) -> str:
--- a/src/cranklane/sidecar/worker/instances.py
+++ b/src/cranklane/sidecar/worker/instances.py
@@ -22,11 +22,11 @@
     """One start of a worker's process.
 
     :ivar id: id that the worker states in its answers; several starts may share it.
-    :ivar born: Unix time of the start in milliseconds; ``UNKNOWN_START`` if not stated.
+    :ivar started_at_ms: Unix time of the start in milliseconds; ``UNKNOWN_START`` if not stated.
     """
 
     id: str
-    born: int = UNKNOWN_START
+    started_at_ms: int = UNKNOWN_START
 
     @property
     def label(self) -> str:
@@ -35,7 +35,7 @@
         >>> WorkerInstance("i-7", 1700000000000).label, WorkerInstance("i-7").label
         ('i-7@1700000000000', 'i-7')
         """
-        return f"{self.id}@{self.born}" if self.born else self.id
+        return f"{self.id}@{self.started_at_ms}" if self.started_at_ms else self.id
 
 
 NO_INSTANCE = WorkerInstance("")
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -35,8 +35,8 @@
 """Heartbeat intervals of silence after which the worker is lost; tolerates three missed ones."""
 
 SILENT_HEARTBEATS = 1.5
-"""Heartbeat intervals of silence after which a start with an earlier time of birth replaces the
-present one, whose clock may have been ahead. Less silence suggests a late heartbeat instead."""
+"""Heartbeat intervals of silence after which an instance with an earlier start time replaces the
+current one, whose clock may have been ahead. Less silence suggests a late heartbeat instead."""
 
 SUSPENSION_HEARTBEATS = 2.0
 """Heartbeat intervals between two checks from which the machine was presumably suspended. Below
@@ -134,7 +134,7 @@
     def heartbeat(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply a heartbeat; late ones and those of superseded instances are ignored."""
         instance = self._resolve(heartbeat.instance)
-        self._state_birth(instance)
+        self._complete_instance(instance)
         if not self._instances.advance(instance, heartbeat.sequence):
             return
         if instance != self.instance:
@@ -166,7 +166,7 @@
     def deregister(self, stated: WorkerInstance) -> None:
         """Record that an instance is about to exit."""
         instance = self._resolve(stated)
-        self._state_birth(instance)
+        self._complete_instance(instance)
         if not self.instance.id:
             self._adopt_instance(instance)
         if instance == self.instance:
@@ -175,15 +175,15 @@
             self._instances.record_planned_exit(instance)
 
     def _resolve(self, instance: WorkerInstance) -> WorkerInstance:
-        """Return the instance that a message is from, if the message does not state its birth."""
-        if instance.born != UNKNOWN_START:
+        """Return the instance that a message is from; it may state the id alone."""
+        if instance.started_at_ms != UNKNOWN_START:
             return instance
         if instance.id == self.instance.id:
             return self.instance
         return self._instances.newest(instance.id)
 
-    def _state_birth(self, instance: WorkerInstance) -> None:
-        """Complete an instance that was found by a probe, which does not state its birth."""
+    def _complete_instance(self, instance: WorkerInstance) -> None:
+        """Add the start time to an instance that was found by a probe, which does not state it."""
         if self.instance == WorkerInstance(instance.id) != instance:
             self.instance = instance
             self._on_change()
@@ -231,8 +231,10 @@
             return False
         if self._instances.is_older(instance, self.instance):
             return True
-        was_born_before = instance.id == self.instance.id and instance.born < self.instance.born
-        return was_born_before and not self._is_silent()
+        current = self.instance
+        has_same_id = instance.id == current.id
+        started_earlier = has_same_id and instance.started_at_ms < current.started_at_ms
+        return started_earlier and not self._is_silent()
 
     def _is_silent(self) -> bool:
         """Return whether the current instance has missed a heartbeat."""
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -217,7 +217,7 @@
     def restart_worker(self, machine: MeshMachine, same_id: bool = False) -> None:
         """Restart an exited worker as a new instance with the same injected faults.
 
-        :param same_id: whether it keeps its id, so that only its birth tells the starts apart.
+        :param same_id: whether it keeps its id, so that only its start time tells the starts apart.
         """
         former = machine.worker
         name = machine.worker_process.name
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -121,8 +121,8 @@
     :param address: address to serve requests on.
     :param registry: address of the sidecar's registry, which receives its heartbeats.
     :param slots: concurrency that it announces.
-    :param states_birth: whether its messages state when it started.
-    :ivar born: Unix time of its start in milliseconds; None if its messages don't state it.
+    :param states_start_time: whether its messages state when it started.
+    :ivar started_at_ms: Unix time of its start in milliseconds; None if not stated.
     :ivar phase: ``ready`` or ``draining``.
     :ivar ended: whether it has exited.
     """
@@ -136,7 +136,7 @@
         registry: Address,
         slots: int = 4,
         heartbeat_seconds: float = HEARTBEAT_SECONDS,
-        states_birth: bool = True,
+        states_start_time: bool = True,
     ) -> None:
         self._runtime = runtime
         self.service = service
@@ -145,7 +145,7 @@
         self.slots = slots
         self._heartbeat_seconds = heartbeat_seconds
         self._sequence = 0
-        self.born = int(runtime.wall() * MILLISECONDS) if states_birth else None
+        self.started_at_ms = int(runtime.wall() * MILLISECONDS) if states_start_time else None
         self.phase = "ready"
         self.ended = False
         self.state = RoutedWorkerState()
@@ -161,12 +161,12 @@
             "phase": self.phase,
             "sequence": self._sequence,
             "cold_remaining_ms": 0,
-            **self._birth(),
+            **self._start_time(),
         }
         return self._post("heartbeat", json.dumps(body).encode())
 
-    def _birth(self) -> dict[str, int]:
-        return {} if self.born is None else {"born": self.born}
+    def _start_time(self) -> dict[str, int]:
+        return {} if self.started_at_ms is None else {"born": self.started_at_ms}
 
     def drain(self) -> int:
         """Announce that it takes no new requests; return the response's status."""
@@ -175,8 +175,8 @@
 
     def deregister(self) -> int:
         """Deregister from the sidecar; return the response's status."""
-        birth = self._birth()
-        return self._post("deregister", json.dumps(birth).encode() if birth else b"")
+        start_time = self._start_time()
+        return self._post("deregister", json.dumps(start_time).encode() if start_time else b"")
 
     def send_heartbeats(self) -> None:
         """Send heartbeats until the worker exits."""
--- a/tests/test_worker_instances.py
+++ b/tests/test_worker_instances.py
@@ -23,8 +23,8 @@
 from cranklane_lab.standins.routed_worker import HEARTBEAT_SECONDS
 from mesh_support import play
 
-FIRST_BORN = 1_700_000_000_000
-SECOND_BORN = FIRST_BORN + 30_000
+FIRST_START_MS = 1_700_000_000_000
+SECOND_START_MS = FIRST_START_MS + 30_000
 MARGIN_SECONDS = 0.2
 
 
@@ -46,82 +46,82 @@
             runtime, "", "s", HEARTBEAT_SECONDS, slots, lambda: None, Log()
         )
 
-    def heartbeat(self, born, sequence, phase=WorkerPhase.READY):
+    def heartbeat(self, started_at_ms, sequence, phase=WorkerPhase.READY):
         """Deliver a heartbeat; return whether it was taken from the current instance."""
-        instance = WorkerInstance("i-1", born)
+        instance = WorkerInstance("i-1", started_at_ms)
         self.registry.heartbeat(WorkerHeartbeat(instance, "s", 4, phase, sequence))
         return self.registry.instance == instance
 
 
 def test_a_start_under_the_same_id_is_used_although_its_counts_start_anew():
     time = RegistryTime()
-    assert time.heartbeat(FIRST_BORN, 20)
-    assert time.heartbeat(SECOND_BORN, 1)
+    assert time.heartbeat(FIRST_START_MS, 20)
+    assert time.heartbeat(SECOND_START_MS, 1)
     assert time.registry.state is WorkerState.READY
 
 
 @pytest.mark.parametrize("states_end", [False, True])
 def test_a_start_under_the_id_of_a_drained_one_is_used(states_end):
     time = RegistryTime()
-    time.heartbeat(FIRST_BORN, 20)
-    time.heartbeat(FIRST_BORN, 21, WorkerPhase.DRAINING)
+    time.heartbeat(FIRST_START_MS, 20)
+    time.heartbeat(FIRST_START_MS, 21, WorkerPhase.DRAINING)
     if states_end:
-        time.registry.deregister(WorkerInstance("i-1", FIRST_BORN))
-    time.heartbeat(SECOND_BORN, 1)
+        time.registry.deregister(WorkerInstance("i-1", FIRST_START_MS))
+    time.heartbeat(SECOND_START_MS, 1)
     assert time.registry.state is WorkerState.READY
 
 
 def test_a_late_heartbeat_of_the_earlier_start_is_ignored():
     time = RegistryTime()
-    time.heartbeat(FIRST_BORN, 20)
-    time.heartbeat(SECOND_BORN, 1)
-    assert not time.heartbeat(FIRST_BORN, 21, WorkerPhase.DRAINING)
+    time.heartbeat(FIRST_START_MS, 20)
+    time.heartbeat(SECOND_START_MS, 1)
+    assert not time.heartbeat(FIRST_START_MS, 21, WorkerPhase.DRAINING)
     assert time.registry.state is WorkerState.READY
 
 
 def test_a_late_first_heartbeat_of_an_earlier_start_is_ignored():
     time = RegistryTime()
-    time.heartbeat(SECOND_BORN, 1)
-    assert not time.heartbeat(FIRST_BORN, 1)
+    time.heartbeat(SECOND_START_MS, 1)
+    assert not time.heartbeat(FIRST_START_MS, 1)
 
 
 def test_a_late_end_of_the_earlier_start_does_not_end_the_new_one():
     time = RegistryTime()
-    time.heartbeat(FIRST_BORN, 20)
-    time.heartbeat(SECOND_BORN, 1)
-    time.registry.deregister(WorkerInstance("i-1", FIRST_BORN))
+    time.heartbeat(FIRST_START_MS, 20)
+    time.heartbeat(SECOND_START_MS, 1)
+    time.registry.deregister(WorkerInstance("i-1", FIRST_START_MS))
     assert time.registry.state is WorkerState.READY
 
 
 def test_a_start_whose_clock_stepped_back_is_used_once_the_earlier_one_is_silent():
     time = RegistryTime()
-    time.heartbeat(SECOND_BORN, 20)
+    time.heartbeat(SECOND_START_MS, 20)
     time.now += HEARTBEAT_SECONDS
-    assert not time.heartbeat(FIRST_BORN, 1)
+    assert not time.heartbeat(FIRST_START_MS, 1)
     time.now += HEARTBEAT_SECONDS
-    assert time.heartbeat(FIRST_BORN, 2)
+    assert time.heartbeat(FIRST_START_MS, 2)
 
 
 def test_a_start_whose_clock_stepped_back_is_used_at_once_after_an_exit():
     time = RegistryTime()
-    time.heartbeat(SECOND_BORN, 20)
+    time.heartbeat(SECOND_START_MS, 20)
     time.registry.unreachable()
-    assert time.heartbeat(FIRST_BORN, 1)
+    assert time.heartbeat(FIRST_START_MS, 1)
 
 
-def test_a_probed_worker_keeps_its_state_when_a_heartbeat_states_its_birth():
+def test_a_probed_worker_keeps_its_state_when_a_heartbeat_states_its_start():
     time = RegistryTime()
     time.registry.apply_probe(SimpleNamespace(instance="i-1", slots=4))
-    assert time.heartbeat(FIRST_BORN, 9)
+    assert time.heartbeat(FIRST_START_MS, 9)
     assert time.registry.state is WorkerState.READY
 
 
-def test_an_end_without_birth_concerns_the_current_start():
+def test_an_end_without_start_time_concerns_the_current_start():
     time = RegistryTime()
-    time.heartbeat(FIRST_BORN, 20)
+    time.heartbeat(FIRST_START_MS, 20)
     time.registry.deregister(WorkerInstance("i-1"))
     assert time.registry.state is WorkerState.GONE
-    time.heartbeat(FIRST_BORN, 21)
+    time.heartbeat(FIRST_START_MS, 21)
     assert time.registry.state is WorkerState.GONE
 
 
@@ -152,7 +152,7 @@
     "phase": "ready",
     "sequence": 1,
     "cold_remaining_ms": 0,
-    "born": FIRST_BORN,
+    "born": FIRST_START_MS,
 }
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
