A heartbeat beyond the limits of a record is refused with 400

Callers would see: a heartbeat with slots beyond 32 bits, a lone surrogate or 70,000 bytes as the service was taken, and the announcement to control raised (MalformedRecordError, UnicodeEncodeError) for as long as the value stood, in the control link's task. Cause: the decoder checked the kind of a field, not its size. Evidence: test_a_heartbeat_beyond_the_limits_of_a_record_is_refused failed four times before, passes now; test_an_accepted_heartbeat_can_be_announced packs whatever is accepted. On the way: places that failed runs keep are freed on each failure too, so that a route without limit (called by workers) does not collect them.

--- a/src/cranklane/sidecar/admission/outcome_limiter.py
+++ b/src/cranklane/sidecar/admission/outcome_limiter.py
@@ -216,6 +216,7 @@
         return True
 
     def _free_kept_places(self, admission: _RouteAdmission) -> None:
+        """Free the places of failed runs whose time has passed."""
         now = self._clock()
         while admission.kept_until and admission.kept_until[0] <= now:
             heappop(admission.kept_until)
@@ -247,8 +248,8 @@
         """
         admission = self._routes[route]
         if failed and run_seconds < FAILED_RUN_SECONDS:
-            kept_until = self._clock() + FAILED_RUN_SECONDS - run_seconds
-            heappush(admission.kept_until, kept_until)
+            self._free_kept_places(admission)
+            heappush(admission.kept_until, self._clock() + FAILED_RUN_SECONDS - run_seconds)
         if start_round != admission.round:
             return
         admission.runs += 1
--- a/src/cranklane/sidecar/worker/api.py
+++ b/src/cranklane/sidecar/worker/api.py
@@ -20,6 +20,15 @@
 
 INSTANCES_PATH = "/v1/instances/"
 
+MAX_SLOTS = 2**32 - 1
+"""Largest number of slots that a record to control can hold."""
+
+MAX_START_MS = 2**63 - 1
+"""Latest start time of a worker, in Unix milliseconds; bounds the text that identifies it."""
+
+MAX_TEXT_BYTES = 1024
+"""Longest name of a service; a record to control holds less than 64 KiB."""
+
 _OK = SmallAnswer(HTTPStatus.OK, b"{}")
 _NOT_FOUND = SmallAnswer(HTTPStatus.NOT_FOUND, b'{"problem":"no such call"}')
 
@@ -71,7 +80,7 @@
         heartbeat = WorkerHeartbeat(
             instance=_instance_of(instance_id, fields),
             service=_text_field(fields, "service"),
-            slots=_number_field(fields, "slots"),
+            slots=_slots_of(fields),
             phase=WorkerPhase(fields.get("phase", "ready")),
             sequence=_number_field(fields, "sequence"),
         )
@@ -107,8 +116,8 @@
 def _instance_of(instance_id: str, fields: dict[str, Any]) -> WorkerInstance:
     started_at_ms = fields.get("born", UNKNOWN_START)
     is_number = isinstance(started_at_ms, int) and not isinstance(started_at_ms, bool)
-    if not is_number or started_at_ms < 0:
-        raise ValueError(f"born: found {started_at_ms!r}; expected a whole number of milliseconds")
+    if not is_number or not 0 <= started_at_ms <= MAX_START_MS:
+        raise ValueError("born: expected a whole number of milliseconds, at most 2**63 - 1")
     return WorkerInstance(instance_id, started_at_ms)
 
 
@@ -116,9 +125,20 @@
     value = fields.get(name)
     if not isinstance(value, str) or not value:
         raise ValueError(f"{name}: found {value!r}; expected a text")
+    # A lone surrogate, which JSON allows, raises a UnicodeEncodeError, which is a ValueError.
+    size = len(value.encode())
+    if size > MAX_TEXT_BYTES:
+        raise ValueError(f"{name}: found {size} bytes; expected at most {MAX_TEXT_BYTES}")
     return value
 
 
+def _slots_of(fields: dict[str, Any]) -> int:
+    slots = _number_field(fields, "slots")
+    if slots > MAX_SLOTS:
+        raise ValueError(f"slots: found {slots:.3g}; expected at most {MAX_SLOTS}")
+    return slots
+
+
 def _number_field(fields: dict[str, Any], name: str, default: int | None = None) -> int:
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -184,7 +184,8 @@
 
     def _complete_instance(self, instance: WorkerInstance) -> None:
         """Add the start time to an instance that was found by a probe, which does not state it."""
-        if self.instance == WorkerInstance(instance.id) != instance:
+        lacks_start_time = self.instance == WorkerInstance(instance.id)
+        if lacks_start_time and instance.started_at_ms != UNKNOWN_START:
             self.instance = instance
             self._on_change()
 
--- a/tests/test_worker_instances.py
+++ b/tests/test_worker_instances.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from cranklane.records.messages import Heartbeat
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.worker.api import parse_deregistration, parse_heartbeat
 from cranklane.sidecar.worker.instances import WorkerInstance
@@ -146,6 +147,14 @@
     assert play(script) == [200] * 5
 
 
+def announce(parsed):
+    """Pack the record that announces the worker of an accepted heartbeat to control."""
+    if isinstance(parsed, Ok):
+        heartbeat = parsed.ok_value
+        instance = heartbeat.instance.label
+        Heartbeat(slots=heartbeat.slots, service=heartbeat.service, instance=instance).pack()
+
+
 VALID_HEARTBEAT = {
     "service": "s",
     "slots": 4,
@@ -194,6 +203,22 @@
     parse_deregistration("i-1", body)
 
 
+@given(st.sampled_from(sorted(VALID_HEARTBEAT)), JSON)
+def test_an_accepted_heartbeat_can_be_announced(name, value):
+    body = json.dumps({**VALID_HEARTBEAT, name: value}).encode()
+    announce(parse_heartbeat("i-1", body))
+
+
+@pytest.mark.parametrize(
+    "field",
+    [{"slots": 2**32}, {"service": "\ud800"}, {"service": "s" * 70_000}, {"born": 10**4000}],
+)
+def test_a_heartbeat_beyond_the_limits_of_a_record_is_refused(field):
+    parsed = parse_heartbeat("i-1", json.dumps({**VALID_HEARTBEAT, **field}).encode())
+    announce(parsed)
+    assert isinstance(parsed, Err)
+
+
 @given(st.binary(max_size=200) | JSON.map(lambda value: json.dumps(value).encode()))
 def test_no_body_raises(body):
     parse_heartbeat("i-1", body)
