--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -136,8 +136,11 @@
         gevent.spawn_later(WORKER_RESTART_SECONDS, self._restart_worker, number)
 
     def _restart_worker(self, number: int) -> None:
+        """Restart a crashed worker; every other one keeps its id."""
         previous = self.workers[number]
-        worker = self._new_worker(number, f"i-{number}+{len(self.crashes)}")
+        keeps_id = len(self.crashes) % 2 == 0
+        instance = previous.instance if keeps_id else f"i-{number}+{len(self.crashes)}"
+        worker = self._new_worker(number, instance)
         worker.state.runs = previous.state.runs
         self.workers[number] = worker
 
