--- a/src/cranklane/sidecar/admission/outcome_limiter.py
+++ b/src/cranklane/sidecar/admission/outcome_limiter.py
@@ -180,7 +180,8 @@
     """Adapts the concurrent runs of each route to the results of one worker's runs.
 
     :param clock: monotonic seconds.
-    :param on_change: called with a route and its limit, at the end of a round that changed it.
+    :param on_change: called with a route and its limit at the end of each round with a limit, and
+        when the limit is removed.
     """
 
     def __init__(
@@ -260,7 +261,8 @@
         age = self._clock() - admission.round_began_at
         if age >= ROUND_SECONDS and admission.runs >= MIN_SAMPLES or age >= MAX_ROUND_SECONDS:
             self._end_round(admission)
-            if self._on_change is not None and admission.limit != limit:
+            has_or_had_limit = min(limit, admission.limit) < math.inf
+            if has_or_had_limit and self._on_change is not None:
                 self._on_change(route, admission.limit)
 
     def _end_round(self, admission: _RouteAdmission) -> None:
