Sight: limits and departures that a worker states in its answers, retries among its requests

Lines worker_limit (instance, limit, former, time held), worker_limit_unreadable, worker_leaving; counter cranklane_worker_notices, gauge cranklane_worker_rate_limit; slots_used has the number of retries. A limit ends only with an answer to a request that started after it was stated, since answers overlap. Nothing is decided by it yet.

--- a/src/cranklane/cli/request_timeline.py
+++ b/src/cranklane/cli/request_timeline.py
@@ -25,6 +25,8 @@
         "requests_held",
         "requests_cleared",
         "worker_replaced",
+        "worker_limit",
+        "worker_leaving",
         "control_connected",
         "control_lost",
         "route_table_in_force",
--- a/src/cranklane/common/header_names.py
+++ b/src/cranklane/common/header_names.py
@@ -21,6 +21,8 @@
     :ivar integrity: on a response: integrity mark, required on every success.
     :ivar not_run: on a response: the worker did not run the request.
     :ivar load: on a response: the worker's running and queued requests and its slots.
+    :ivar rate_limit: on a response: requests per second that the worker accepts from all callers.
+    :ivar leaving: on a response: 1 if the worker is about to exit.
     :ivar key: API key of the tenant; never forwarded.
     :ivar tenant: name of the tenant, set on requests to workers.
     """
@@ -33,6 +35,8 @@
     integrity: bytes = b"Cranklane-Integrity"
     not_run: bytes = b"Cranklane-Not-Run"
     load: bytes = b"Cranklane-Load"
+    rate_limit: bytes = b"Cranklane-Rate-Limit"
+    leaving: bytes = b"Cranklane-Leaving"
     key: bytes = b"Cranklane-Api-Key"
     tenant: bytes = b"Cranklane-Tenant"
 
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -29,12 +29,14 @@
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree, Root, Run
+from cranklane.sidecar.worker.answer_notice import AnswerNotice
 from cranklane.sidecar.worker.condition import WorkerCondition
-from cranklane.sidecar.worker.exchange import WorkerExchange
+from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
 from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
 from cranklane.sidecar.worker.slowness import latency_ratio
+from cranklane.sidecar.worker.stated_limit import StatedLimit
 
 
 class LocalWorker(NamedTuple):
@@ -90,6 +92,7 @@
 
     :param call_tree: correlates the worker's downstream calls with its runs.
     :param quarantine: requests suspected of crashing workers.
+    :ivar stated_limit: limit on requests per second that the worker states in its answers.
     """
 
     def __init__(
@@ -108,7 +111,9 @@
         self._call_tree = call_tree
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
+        self._listener = listener
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
+        self.stated_limit = StatedLimit(runtime.monotonic, listener.worker_limit_changed)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
         self._isolated_runs = IsolatedRuns(runtime.monotonic, quarantine)
@@ -172,6 +177,7 @@
         reason = unavailable_reason(serves, self._worker.state)
         if reason is not Reason.NONE:
             return reason
+        self.stated_limit.follow(self._worker.instance)
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
         reason = self._slots.acquire(
@@ -261,13 +267,24 @@
         request = admitted.request
         deadline = admitted.arrived_at + request.deadline_ms / MILLISECONDS
         suspicion_level = admitted.suspicion.suspicion_level
-        on_sent = partial(self._exits.began, admitted.number, request, suspicion_level)
+        listener = RunListener(
+            sent=partial(self._exits.began, admitted.number, request, suspicion_level),
+            noticed=partial(self._apply_notice, admitted),
+        )
         assert self._exchange is not None
-        reply = self._exchange.run(attempt, admitted.instance.id, deadline, on_sent)
+        reply = self._exchange.run(attempt, admitted.instance.id, deadline, listener)
         if reply.reason is Reason.WORKER_FAILED and self._exits.connection_lost(admitted.instance):
             return self._evidence.reply_after_exit(request)
         return reply
 
+    def _apply_notice(self, admitted: AdmittedRun, notice: AnswerNotice) -> None:
+        """Apply what the worker states in the headers of an answer."""
+        self.stated_limit.answered(admitted.instance, admitted.started_at, notice)
+        if notice.problem:
+            self._listener.worker_limit_unreadable(admitted.instance, notice.problem)
+        if notice.leaving:
+            self._listener.worker_leaving(admitted.instance)
+
     def _record_outcome(self, admitted: AdmittedRun, reply: Reply, run_seconds: float) -> None:
         """Record a run's result for the worker's condition, the limiter and the caller."""
         request, run = admitted.request, admitted.run
--- a/src/cranklane/sidecar/admission/gate_listener.py
+++ b/src/cranklane/sidecar/admission/gate_listener.py
@@ -7,6 +7,8 @@
 from cranklane.outcome import Reason
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.worker.exit import WorkerExit
+from cranklane.sidecar.worker.instances import WorkerInstance
+from cranklane.sidecar.worker.stated_limit import LimitChange
 
 
 class AdmissionDecision(NamedTuple):
@@ -39,5 +41,14 @@
     def limit_changed(self, route: str, limit: float) -> None:
         """Handle a change of the limit on a route's concurrent runs; ``math.inf`` for none."""
 
+    def worker_limit_changed(self, change: LimitChange) -> None:
+        """Handle a change of the limit on requests per second that the worker states."""
+
+    def worker_limit_unreadable(self, instance: WorkerInstance, problem: str) -> None:
+        """Handle an answer whose stated limit cannot be read."""
+
+    def worker_leaving(self, instance: WorkerInstance) -> None:
+        """Handle an answer which states that the worker is about to exit."""
+
     def worker_exited(self, worker_exit: WorkerExit) -> None:
         """Handle an exit of the worker process."""
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -177,6 +177,7 @@
             table=self.adopted,
             lease=self.lease,
             slots=self.slots,
+            stated_limit=self.gate.stated_limit,
             condition=self.condition,
             quarantine=self.quarantine.table,
             is_ready=self.is_ready,
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -26,6 +26,8 @@
 from cranklane.sidecar.telemetry.request_summary import End, RequestSummary, end_of
 from cranklane.sidecar.telemetry.slot_summary import SlotSummary
 from cranklane.sidecar.worker.exit import WorkerExit
+from cranklane.sidecar.worker.instances import NO_INSTANCE, WorkerInstance
+from cranklane.sidecar.worker.stated_limit import LimitChange
 
 PROBLEM_LINES_PER_SECOND = 100.0
 """Rate limit of lines on refused, failed and late requests and attempts; bounds disk use."""
@@ -57,6 +59,7 @@
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
+        self._leaving_instance = NO_INSTANCE
 
     def attempted(
         self, progress: CallProgress, destination: Destination, reply: Reply, seconds: float
@@ -157,6 +160,33 @@
         """Record the limit on a route's concurrent runs; ``math.inf`` for none."""
         self._slot_summary.limit_changed(route, limit)
 
+    def worker_limit_changed(self, change: LimitChange) -> None:
+        """Count and log a change of the limit on requests per second that the worker states."""
+        self._metrics.worker_notice("limit" if change.rate is not None else "limit_ended")
+        if not self._problem_limit.allows():
+            return
+        self._log.info(
+            "worker_limit",
+            instance=change.instance.label,
+            limit=change.rate,
+            former=change.former,
+            held_seconds=round(change.held_seconds, 3),
+        )
+
+    def worker_limit_unreadable(self, instance: WorkerInstance, problem: str) -> None:
+        """Count and log an answer whose stated limit cannot be read; the former limit holds."""
+        self._metrics.worker_notice("limit_unreadable")
+        if self._problem_limit.allows():
+            self._log.warning("worker_limit_unreadable", instance=instance.label, problem=problem)
+
+    def worker_leaving(self, instance: WorkerInstance) -> None:
+        """Count and log the first answer of an instance which states that it is leaving."""
+        if instance == self._leaving_instance:
+            return
+        self._leaving_instance = instance
+        self._metrics.worker_notice("leaving")
+        self._log.info("worker_leaving", instance=instance.label)
+
     def quarantined(self, call: Call, identity: Identity, seconds_left: float) -> None:
         """Log that a request of this machine's callers was refused because it is quarantined."""
         if not self._problem_limit.allows():
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -11,6 +11,10 @@
 from cranklane.sidecar.table.table_lease import TableLease
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
 from cranklane.sidecar.worker.condition import WorkerCondition
+from cranklane.sidecar.worker.stated_limit import StatedLimit
+
+NO_RATE_LIMIT = -1.0
+"""Value of the gauge while the worker states no limit; 0 is a possible limit."""
 
 
 class GaugeSources(NamedTuple):
@@ -23,6 +27,7 @@
     table: AdoptedTable
     lease: TableLease
     slots: Slots
+    stated_limit: StatedLimit
     condition: WorkerCondition
     quarantine: Quarantine
     is_ready: Callable[[], bool]
@@ -40,6 +45,12 @@
     add("cranklane_running", "Requests at the worker now.", lambda: slots.running)
     add("cranklane_queued", "Requests that wait for a slot now.", lambda: slots.queued)
     add("cranklane_slots", "Slots of the worker.", lambda: slots.limit)
+    limit = sources.stated_limit
+    add(
+        "cranklane_worker_rate_limit",
+        "Requests per second that the worker accepts; -1 without a limit.",
+        lambda: NO_RATE_LIMIT if limit.rate is None else limit.rate,
+    )
     add(
         "cranklane_worker_faults",
         "Part of runs failed by the worker.",
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -103,6 +103,11 @@
             "Ends of the worker's process that were seen by the requests it ran.",
             ("planned",),
         )
+        self._worker_notices = _Counter(
+            "cranklane_worker_notices",
+            "Changes that this machine's worker stated in the headers of its answers.",
+            ("kind",),
+        )
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
@@ -129,6 +134,7 @@
             self._admissions,
             self._ingress_refusals,
             self._worker_exits,
+            self._worker_notices,
             self._left_out,
             self._work,
             self._slot_milliseconds,
@@ -187,6 +193,13 @@
         """Count an exit of the worker's process."""
         self._worker_exits.values[("yes" if planned else "no",)] += 1
 
+    def worker_notice(self, kind: str) -> None:
+        """Count a change that the worker stated in an answer.
+
+        :param kind: ``limit``, ``limit_ended``, ``limit_unreadable`` or ``leaving``.
+        """
+        self._worker_notices.values[(kind,)] += 1
+
     def lines_left_out(self, count: int) -> None:
         """Count log lines omitted by the rate limits."""
         self._left_out.values[()] += count
--- a/src/cranklane/sidecar/telemetry/slot_summary.py
+++ b/src/cranklane/sidecar/telemetry/slot_summary.py
@@ -1,7 +1,8 @@
 """Logs a summary line about once a second: how the worker's slots were used and refused.
 
 Counts by the priority of the root request, because the queue for slots is ordered by it. A line
-also has the limits on concurrent runs that the outcome limiter sets, by route.
+also has the number of retries among the requests, and the limits on concurrent runs that the
+outcome limiter sets, by route.
 """
 
 from __future__ import annotations
@@ -33,6 +34,7 @@
         self._decisions: defaultdict[tuple[str, int, Reason], int] = defaultdict(int)
         self._milliseconds: defaultdict[tuple[str, int], float] = defaultdict(float)
         self._limits: dict[str, float] = {}
+        self._retries = 0
         self._slots = 0
         self._most_running = 0
         self._most_queued = 0
@@ -42,6 +44,7 @@
         self._write_if_due()
         request = decision.request
         self._decisions[request.service, request.root_priority, decision.reason] += 1
+        self._retries += request.is_retry
         self._slots = decision.slots
         self._most_running = max(self._most_running, decision.running)
         self._most_queued = max(self._most_queued, decision.queued)
@@ -75,6 +78,7 @@
                     [service, priority, reason.label, count]
                     for (service, priority, reason), count in self._decisions.items()
                 ],
+                retries=self._retries,
                 slot_ms=[
                     [service, priority, round(milliseconds)]
                     for (service, priority), milliseconds in self._milliseconds.items()
@@ -83,7 +87,7 @@
             )
         self._decisions.clear()
         self._milliseconds.clear()
-        self._most_running = self._most_queued = 0
+        self._most_running = self._most_queued = self._retries = 0
         self._interval_began_at = now
 
     def _write_if_due(self) -> None:
--- /dev/null
+++ b/src/cranklane/sidecar/worker/answer_notice.py
@@ -0,0 +1,83 @@
+"""What a worker states about itself in the headers of its answers.
+
+A worker in need states how many requests per second it accepts from all callers together, for as
+long as its answers say so. A worker that is about to exit states that it is leaving.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from cranklane.common.header_names import HeaderNames
+from cranklane.common.http1.message import AnswerHead
+
+_DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,12})?")
+"""Bounds the digits, so that any accepted text is a finite number."""
+
+_LEAVING = b"1"
+
+
+class AnswerNotice(NamedTuple):
+    """What the headers of one answer state.
+
+    :ivar rate_limit: requests per second that the worker accepts; None if no limit is stated, or
+        one that cannot be read.
+    :ivar problem: why the stated limit cannot be read; empty if it can or none is stated.
+    :ivar leaving: whether the worker is about to exit.
+    """
+
+    rate_limit: float | None = None
+    problem: str = ""
+    leaving: bool = False
+
+
+NO_NOTICE = AnswerNotice()
+
+
+class AnswerNoticeReader:
+    """Reads the notices in the heads of a worker's answers."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self._rate_limit_name = names.rate_limit.lower()
+        self._leaving_name = names.leaving.lower()
+        # Comparing lengths first avoids lowering most names of each answer.
+        self._name_sizes = (len(self._rate_limit_name), len(self._leaving_name))
+
+    def read(self, head: AnswerHead) -> AnswerNotice:
+        """Return what an answer states; ``NO_NOTICE`` if nothing."""
+        limits: list[bytes] = []
+        leaving = False
+        sizes = self._name_sizes
+        for name, value in head.headers:
+            if len(name) not in sizes:
+                continue
+            lower_name = name.lower()
+            if lower_name == self._rate_limit_name:
+                limits.append(value)
+            elif lower_name == self._leaving_name:
+                leaving = value.strip() == _LEAVING
+        if not limits:
+            return AnswerNotice(leaving=True) if leaving else NO_NOTICE
+        parsed = parse_rate_limit(b",".join(limits))
+        if isinstance(parsed, Err):
+            return AnswerNotice(problem=parsed.err_value, leaving=leaving)
+        return AnswerNotice(parsed.ok_value, leaving=leaving)
+
+
+def parse_rate_limit(text: bytes) -> Result[float, str]:
+    """Parse a limit in requests per second; return it or a description of the error.
+
+    Repeated headers are joined by commas; the lowest of several limits counts.
+
+    >>> parse_rate_limit(b"3.9"), parse_rate_limit(b" 0 "), parse_rate_limit(b"8, 5.5")
+    (Ok(3.9), Ok(0.0), Ok(5.5))
+    >>> parse_rate_limit(b"1e3").is_err(), parse_rate_limit(b"4,nan").is_err()
+    (True, True)
+    """
+    values = [value.strip() for value in text.split(b",")]
+    if not all(_DECIMAL_NUMBER.fullmatch(value) for value in values):
+        return Err(f"expected a decimal number of at most 12 digits, found {text[:40]!r}")
+    return Ok(min(float(value) for value in values))
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
+from typing import NamedTuple
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.http1.message import (
@@ -29,6 +30,7 @@
     refusal,
     unknown,
 )
+from cranklane.sidecar.worker.answer_notice import AnswerNotice, AnswerNoticeReader
 from cranklane.sidecar.worker.body_sender import BodySender
 from cranklane.sidecar.worker.pool import WorkerConnection, WorkerPool
 
@@ -45,6 +47,17 @@
 """Responses read on a connection, including those to other requests, to find the expected one."""
 
 
+class RunListener(NamedTuple):
+    """Callbacks of one run.
+
+    :ivar sent: called just before the first byte is sent.
+    :ivar noticed: called with what the headers of the worker's answer state.
+    """
+
+    sent: Callable[[], None]
+    noticed: Callable[[AnswerNotice], None]
+
+
 class WorkerExchange:
     """Runs requests at one worker.
 
@@ -67,15 +80,13 @@
         self._not_run_name = names.not_run.lower()
         self._integrity_name = names.integrity.lower()
         self._instance_name = names.instance_answer.lower()
+        self._notices = AnswerNoticeReader(names)
 
-    def run(
-        self, attempt: Attempt, instance: str, deadline: float, on_sent: Callable[[], None]
-    ) -> Reply:
+    def run(self, attempt: Attempt, instance: str, deadline: float, listener: RunListener) -> Reply:
         """Send a request and return the reply; ``Reply.rest`` streams the rest of a large response.
 
         :param instance: the worker instance that may run the request.
         :param deadline: monotonic second at which the caller gives up.
-        :param on_sent: called just before the first byte is sent.
         """
         try:
             connection = self._pool.take(always_check=not attempt.request.idempotent)
@@ -84,7 +95,7 @@
             return refusal(Reason.WORKER_UNREACHABLE)
         attempt.when_cancelled(connection.close)
         try:
-            return self._run(attempt, connection, instance, deadline, on_sent)
+            return self._run(attempt, connection, instance, deadline, listener)
         except TimeoutError:
             connection.close()
             return unknown(Reason.DEADLINE_PASSED)
@@ -101,20 +112,23 @@
         connection: WorkerConnection,
         instance: str,
         deadline: float,
-        on_sent: Callable[[], None],
+        listener: RunListener,
     ) -> Reply:
         remaining = deadline - self._runtime.monotonic()
         if remaining <= 0 or attempt.cancelled:
             connection.close()
             return refusal(Reason.CANCELLED if attempt.cancelled else Reason.DEADLINE_PASSED)
         connection.stream.settimeout(remaining)
-        on_sent()
+        listener.sent()
         sender = self._send(attempt, connection, instance, remaining)
         head = self._matching_answer(attempt.request, connection)
         if head is None:
             connection.close()
             return unknown(Reason.ANSWER_CUT)
         connection.apply_keep_alive(head)
+        if head.status != _MISDIRECTED:
+            # Another instance than the expected one may have sent a misdirection.
+            listener.noticed(self._notices.read(head))
         if self._is_refusal(head):
             return self._read_refusal(head, connection)
         if not self._is_genuine(head):
--- a/src/cranklane/sidecar/worker/instances.py
+++ b/src/cranklane/sidecar/worker/instances.py
@@ -37,6 +37,18 @@
         """
         return f"{self.id}@{self.started_at_ms}" if self.started_at_ms else self.id
 
+    def may_be(self, other: WorkerInstance) -> bool:
+        """Return whether both may be the same start, as one of them may state its id alone.
+
+        >>> probed, first, second = (WorkerInstance("i-7", start) for start in (0, 1000, 2000))
+        >>> probed.may_be(first), first.may_be(probed), first.may_be(second)
+        (True, True, False)
+        """
+        if self.id != other.id:
+            return False
+        starts = (self.started_at_ms, other.started_at_ms)
+        return UNKNOWN_START in starts or starts[0] == starts[1]
+
 
 NO_INSTANCE = WorkerInstance("")
 """Stands for the instance of a worker that is not known yet."""
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -76,6 +76,8 @@
     :ivar shed_fraction: fraction of requests to refuse as not run.
     :ivar crash_mark: mark in the target of requests that crash the worker; empty for none.
     :ivar on_crash: called with a run that crashes the worker.
+    :ivar rate_limit: text of the limit that its answers state; empty for none.
+    :ivar leaving: whether its answers state that it is leaving.
     :ivar arrivals: number of received requests.
     :ivar connections: number of accepted connections.
     :ivar running: number of requests in flight.
@@ -101,6 +103,8 @@
     shed_fraction: float = 0.0
     crash_mark: bytes = b""
     on_crash: Callable[[RoutedRun], None] | None = None
+    rate_limit: bytes = b""
+    leaving: bool = False
     arrivals: int = 0
     connections: int = 0
     running: int = 0
@@ -334,7 +338,7 @@
         marked: bool = True,
         framed: bool = True,
     ) -> bytes:
-        lines = b"%s: %s\r\n" % (NAMES.request, request)
+        lines = b"%s: %s\r\n" % (NAMES.request, request) + self._notices()
         if not_run:
             lines += b"%s: 1\r\n%s: %s\r\n" % (
                 NAMES.not_run,
@@ -346,3 +350,12 @@
         if framed:
             lines += b"Content-Length: %d\r\n" % len(body)
         return status_line(status) + lines + b"\r\n" + body
+
+    def _notices(self) -> bytes:
+        """Return the headers in which an answer states a limit or that the worker is leaving."""
+        lines = b""
+        if self.state.rate_limit:
+            lines += b"%s: %s\r\n" % (NAMES.rate_limit, self.state.rate_limit)
+        if self.state.leaving:
+            lines += b"%s: 1\r\n" % NAMES.leaving
+        return lines
--- a/tests/test_slot_summary.py
+++ b/tests/test_slot_summary.py
@@ -59,3 +59,16 @@
     report = "\n".join(format_slot_use(sum_slot_use(read_lines([text]))))
     assert "priority 2         1.5 s  admitted 3" in report
     assert "2.5 2.5  at 1 workers" in report
+
+
+def test_summary_tells_retries_from_first_attempts():
+    def script(mesh):
+        mesh.machines[0].worker.state.fail = 1
+        mesh.machines[1].worker.state.fail = 1
+        mesh.request(mesh.machines[2], "/read/x")
+        gevent.sleep(6.0)
+
+    with captured_lines() as captured:
+        play(script)
+    summaries = [line for line in read_lines(captured) if line.event == "slots_used"]
+    assert sum(line.fields["retries"] for line in summaries) == 1
