--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -13,6 +13,7 @@
 from cranklane.runtime.interface import Address, format_address
 from cranklane.sidecar.process import Sidecar
 from cranklane.sidecar.settings import SidecarSettings
+from cranklane_lab.evidence.notice_rules import Arrival, NoticeRules
 from cranklane_lab.simulation.process import SimulatedProcess
 from cranklane_lab.simulation.world import World
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
@@ -119,6 +120,8 @@
     quota_slack: float = 0.0
     controllers: list[ControllerMachine] = field(default_factory=list)
     machines: list[MeshMachine] = field(default_factory=list)
+    notice_rules: NoticeRules | None = None
+    _origins: dict[str, tuple[str, float]] = field(default_factory=dict)
     _requests: int = 0
     _restarts: int = 0
 
@@ -303,13 +306,58 @@
         """Send one request to a machine's sidecar from a client on that machine."""
         self._requests += 1
         process = self.client_process(f"client-{self._requests}", machine.host)
+        request_id = name or f"request-{self._requests}"
         all_headers = {
             "Host": HOST,
-            NAMES.request.decode(): name or f"request-{self._requests}",
+            NAMES.request.decode(): request_id,
             NAMES.deadline.decode(): str(deadline_ms),
             **(headers or {}),
         }
-        return exchange(process, machine.callers, method, path, all_headers, body)
+        self._origins[request_id] = (machine.name, self.world.loop.now())
+        answer = exchange(process, machine.callers, method, path, all_headers, body)
+        if self.notice_rules is not None and answer is not None:
+            self._record_notices(self.notice_rules, machine.name, answer)
+        return answer
+
+    def observe_notices(self) -> NoticeRules:
+        """Observe from now on what workers state in answers, and which requests reach them."""
+        rules = self.notice_rules = NoticeRules()
+        now = self.world.loop.now
+
+        def observe(machine: MeshMachine) -> None:
+            def stated(limit: float | None) -> None:
+                rules.stated(machine.worker.label, now(), limit)
+
+            def arrived(request: str) -> None:
+                origin, sent_at = self._origins[request]
+                rules.arrived(machine.worker.label, Arrival(now(), origin, sent_at))
+
+            machine.worker.state.on_notice = stated
+            machine.worker.state.on_arrival = arrived
+
+        for machine in self.machines:
+            observe(machine)
+        return rules
+
+    def _record_notices(self, rules: NoticeRules, origin: str, answer: RawAnswer) -> None:
+        """Record what a caller on a machine was told by an answer."""
+        instance = answer.headers.get(NAMES.instance_answer.decode().lower())
+        workers = [machine.worker for machine in self.machines]
+        label = next((worker.label for worker in workers if worker.instance == instance), "")
+        now = self.world.loop.now()
+        if NAMES.rate_limit.decode().lower() in answer.headers:
+            rules.told_limit(origin, label, now)
+        if NAMES.leaving.decode().lower() in answer.headers:
+            rules.told_leaving(origin, label, now)
+
+    def restart_sidecar(self, machine: MeshMachine) -> None:
+        """Kill a machine's sidecar and start a new one."""
+        machine.process.kill()
+        if self.notice_rules is not None:
+            self.notice_rules.excuse(machine.name, self.world.loop.now())
+        machine.process, machine.sidecar = self.start_sidecar(
+            machine.name, machine.service, machine.zone, machine.host
+        )
 
     def instances_that_ran(self, name: str) -> list[str]:
         """Return the instances of the workers that ran a request."""
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -78,6 +78,8 @@
     :ivar on_crash: called with a run that crashes the worker.
     :ivar rate_limit: text of the limit that its answers state; empty for none.
     :ivar leaving: whether its answers state that it is leaving.
+    :ivar on_notice: called before each answer with the limit that it states, if any.
+    :ivar on_arrival: called with the id of each received request.
     :ivar arrivals: number of received requests.
     :ivar connections: number of accepted connections.
     :ivar running: number of requests in flight.
@@ -105,6 +107,8 @@
     on_crash: Callable[[RoutedRun], None] | None = None
     rate_limit: bytes = b""
     leaving: bool = False
+    on_notice: Callable[[float | None], None] | None = None
+    on_arrival: Callable[[str], None] | None = None
     arrivals: int = 0
     connections: int = 0
     running: int = 0
@@ -156,6 +160,11 @@
         self._streams: set[Any] = set()
         self._listener = runtime.listen(address, self._accept)
 
+    @property
+    def label(self) -> str:
+        """Text that differs between the starts of a worker."""
+        return f"{self.instance}@{self.started_at_ms}"
+
     def send_heartbeat(self) -> int:
         """Send one heartbeat; return the response's status, 0 without a response."""
         self._sequence += 1
@@ -231,6 +240,8 @@
             body += chunk
         reader.finish()
         request = head.value(NAMES.request.lower()) or b""
+        if state.on_arrival is not None:
+            state.on_arrival(request.decode())
         expected = head.value(NAMES.instance.lower())
         if expected is not None and expected != self.instance.encode():
             return self._answer(stream, request, 421, b"", not_run=True)
@@ -339,12 +350,10 @@
         framed: bool = True,
     ) -> bytes:
         lines = b"%s: %s\r\n" % (NAMES.request, request) + self._notices()
+        if not_run or self.state.rate_limit or self.state.leaving:
+            lines += b"%s: %s\r\n" % (NAMES.instance_answer, self.instance.encode())
         if not_run:
-            lines += b"%s: 1\r\n%s: %s\r\n" % (
-                NAMES.not_run,
-                NAMES.instance_answer,
-                self.instance.encode(),
-            )
+            lines += b"%s: 1\r\n" % NAMES.not_run
         elif marked:
             lines += b"%s: %s\r\n" % (NAMES.integrity, INTEGRITY)
         if framed:
@@ -354,6 +363,8 @@
     def _notices(self) -> bytes:
         """Return the headers in which an answer states a limit or that the worker is leaving."""
         lines = b""
+        if self.state.on_notice is not None:
+            self.state.on_notice(float(self.state.rate_limit) if self.state.rate_limit else None)
         if self.state.rate_limit:
             lines += b"%s: %s\r\n" % (NAMES.rate_limit, self.state.rate_limit)
         if self.state.leaving:
--- a/tests/test_mesh_workers.py
+++ b/tests/test_mesh_workers.py
@@ -34,12 +34,8 @@
 
 
 def restart_sidecar(mesh, number):
-    machine = mesh.machines[number]
-    machine.process.kill()
-    machine.process, machine.sidecar = mesh.start_sidecar(
-        machine.name, machine.service, machine.zone, machine.host
-    )
-    return machine
+    mesh.restart_sidecar(mesh.machines[number])
+    return mesh.machines[number]
 
 
 def test_a_restarted_sidecar_serves_its_worker_before_the_next_heartbeat():
