Requests to a worker are limited to the rate that it states in its answers

What callers saw: a worker that stated a limit of 3.9 requests a second got 86 in 4 s from machines that it had told (28 allowed).

Cause: the header was passed on like any other; no process decided by it. The sidecar beside the worker, through which all its requests pass, did not know that there is a limit, and the sidecars where requests begin could not know. Class: what a peer states only in its answers is read by nobody who decides.

Change: - The sidecar beside the worker starts requests at the stated rate (token bucket, few starts kept), in the order of the queue for slots; what cannot start in time is refused at once (worker_limit) with the time to come back. - Each reply while a limit holds tells its caller the limit and its next turn; turns are spaced by the limit, so that callers choose other workers before they send. A refusal marks the worker as saturated for that priority until the turn. - Callers send with their requests what they have heard. A sidecar that has just started beside the worker takes it until the worker's first answer. - A limit below one start in two seconds is not enforced, since its end shows only in an answer. A worker that sheds while it states a limit is not taken for faulty.

--- a/src/cranklane/cli/request_timeline.py
+++ b/src/cranklane/cli/request_timeline.py
@@ -45,6 +45,7 @@
 _CAUSE_BY_REASON = {
     "queue_full": "all slots of the worker were in use and its queue too long for the request",
     "deadline_too_near": "its wait for a slot exceeded the permitted time",
+    "worker_limit": "the worker accepts a limited number of requests per second, which was used up",
     "refused_early": "runs of this route fail because their downstream calls are refused",
     "draining": "the worker was draining",
     "no_members": "no worker of the service was known",
--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -93,6 +93,8 @@
     """The request may have crashed a worker and may run only in isolation."""
     RUN_ALONE = 36
     """The same request is running in isolation to test whether it crashes its worker."""
+    WORKER_LIMIT = 37
+    """The worker accepts a limited number of requests per second, which is used up."""
 
     @property
     def label(self) -> str:
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -406,12 +406,12 @@
         "of it. ``isolated``: all senders route this suspected request here, to run in isolation. "
         "``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request "
         "line and the headers, ``body`` the part of the body read so far; ``whole``: that is all "
-        "of it.",
+        "of it. ``notice``: what the sender last heard of a limit of this worker; empty if none.",
         "deadline_ms:u32 start_within_ms:u32 expected_latency_us:u32 priority:u8 root_priority:u8 "
         "root_age_ms:u32 root_objective_ms:u32 root_deadline_ms:u32 is_retry:bool "
         "idempotent:bool bodiless:bool framing:u8 whole:bool suspected:bool isolated:bool "
         "length:u64 service:str route:str tenant:str caller:str request_id:str "
-        "lines:bytes body:bytes",
+        "lines:bytes body:bytes notice:[WorkerNotice]",
     ),
     Record(
         81,
@@ -432,11 +432,20 @@
         "the run time in tenths of the expected latency. ``downstream_starved``: a call made by "
         "the run, or further downstream, found no capacity. ``failed_service`` and "
         "``failed_reason`` describe the deepest failed call, ``downstream_cost`` the slot time "
-        "of downstream calls. ``body`` is the first piece of the body; ``whole``: all of it.",
+        "of downstream calls. ``body`` is the first piece of the body; ``whole``: all of it. "
+        "``notice``: what the worker states of itself; empty if nothing.",
         "outcome:u8 reason:u8 arrived:bool whole:bool framing:u8 status:u16 retry_after_ms:u32 "
         "running:u32 queued:u32 slots:u32 faults:u8 slowness:u8 waited_ms:u32 run_time_ms:u32 "
         "downstream_starved:bool failed_reason:u8 length:u64 failed_service:str "
-        "downstream_cost:[ServiceWork] lines:bytes body:bytes",
+        "downstream_cost:[ServiceWork] lines:bytes body:bytes notice:[WorkerNotice]",
+    ),
+    Record(
+        86,
+        "WorkerNotice",
+        "What a worker states of itself in its answers. ``instance`` identifies its start. "
+        "``rate_limit`` is the number of requests per second that it accepts from all callers. "
+        "``pause_ms``, in replies, is the time until the receiver's turn to send it a request.",
+        "rate_limit:f64 pause_ms:u32 instance:str",
     ),
     Record(
         85,
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -17,9 +17,10 @@
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
-from cranklane.records.messages import ForwardRequest
+from cranklane.records.messages import ForwardRequest, WorkerNotice
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission import retry_after, run_outcome
+from cranklane.sidecar.admission.caller_turns import CallerTurns
 from cranklane.sidecar.admission.crash_evidence import CrashEvidence
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision, GateListener
 from cranklane.sidecar.admission.isolated_runs import IsolatedRuns, SuspectAdmission
@@ -36,7 +37,7 @@
 from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
 from cranklane.sidecar.worker.slowness import latency_ratio
-from cranklane.sidecar.worker.stated_limit import StatedLimit
+from cranklane.sidecar.worker.stated_limit import LimitChange, StatedLimit
 
 
 class LocalWorker(NamedTuple):
@@ -113,7 +114,8 @@
         self._on_release = listener.slot_released
         self._listener = listener
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
-        self.stated_limit = StatedLimit(runtime.monotonic, listener.worker_limit_changed)
+        self.stated_limit = StatedLimit(runtime.monotonic, self._limit_changed)
+        self._turns = CallerTurns(runtime.monotonic)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
         self._isolated_runs = IsolatedRuns(runtime.monotonic, quarantine)
@@ -141,8 +143,19 @@
         """
         reply = self._admit_and_run(attempt, on_admitted)
         reply.load = self.load
+        reply.notice = self._notice()
+        if reply.reason is Reason.WORKER_LIMIT and reply.notice is not None:
+            reply.retry_after_ms = max(retry_after.MIN_QUEUE_MS, reply.notice.pause_ms)
         return reply
 
+    def _notice(self) -> WorkerNotice | None:
+        """Return what the worker states, for the caller that gets a reply now."""
+        rate = self.stated_limit.rate
+        if rate is None:
+            return None
+        pause_ms = self._turns.next_pause_ms(rate)
+        return WorkerNotice(rate, pause_ms, self._worker.instance.label)
+
     def _admit_and_run(self, attempt: Attempt, on_admitted: Callable[[], None] | None) -> Reply:
         request = attempt.request
         arrived_at = self._clock()
@@ -178,6 +191,9 @@
         if reason is not Reason.NONE:
             return reason
         self.stated_limit.follow(self._worker.instance)
+        for notice in request.notice:
+            instance = WorkerInstance.from_label(notice.instance)
+            self.stated_limit.heard_by_caller(instance, notice.rate_limit)
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
         reason = self._slots.acquire(
@@ -285,6 +301,10 @@
         if notice.leaving:
             self._listener.worker_leaving(admitted.instance)
 
+    def _limit_changed(self, change: LimitChange) -> None:
+        self._slots.limit_starts(change.rate)
+        self._listener.worker_limit_changed(change)
+
     def _record_outcome(self, admitted: AdmittedRun, reply: Reply, run_seconds: float) -> None:
         """Record a run's result for the worker's condition, the limiter and the caller."""
         request, run = admitted.request, admitted.run
@@ -295,7 +315,9 @@
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, run_seconds)
-        self._condition.run_ended(run_outcome.is_worker_fault(run, reply), slowness)
+        sheds_by_limit = reply.reason is Reason.WORKER_SHED and self.stated_limit.rate is not None
+        is_fault = run_outcome.is_worker_fault(run, reply) and not sheds_by_limit
+        self._condition.run_ended(is_fault, slowness)
         starved = reply.downstream_starved or run_outcome.may_be_starved(
             reply, self._call_tree.correlates
         )
--- a/src/cranklane/sidecar/admission/retry_after.py
+++ b/src/cranklane/sidecar/admission/retry_after.py
@@ -10,6 +10,10 @@
 quarantine                      remaining time of the quarantine
 any other at the worker's gate  expected queue wait of a highest-priority request,
                                 :data:`MIN_QUEUE_MS` to :data:`MAX_QUEUE_MS`
+all workers saturated           time until the first is not, at least
+                                :data:`DEFAULT_MS`
+worker's limit per second       time until the caller's next turn, at least
+                                :data:`MIN_QUEUE_MS`
 tenant over its rate            time to work off the excess requests,
                                 :data:`MIN_QUOTA_MS` to :data:`MAX_QUOTA_MS`
 stale table or unknown run      :data:`UNCERTAIN_MS`
@@ -72,6 +76,17 @@
     return max(MIN_QUEUE_MS, wait_ms)
 
 
+def all_saturated_ms(seconds: float) -> int:
+    """Return the delay for a request whose service has only saturated workers, in milliseconds.
+
+    :param seconds: time until one of them is not saturated.
+
+    >>> all_saturated_ms(0.02), all_saturated_ms(1.5)
+    (200, 1500)
+    """
+    return max(DEFAULT_MS, int(seconds * MILLISECONDS))
+
+
 def over_quota_ms(permille: int) -> int:
     """Return the delay for a request of a tenant over its rate, in milliseconds.
 
--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -1,5 +1,8 @@
 """Concurrency slots of one worker and the queue of requests waiting for them.
 
+If the worker accepts a limited number of requests per second, each start also takes a start of
+``start_rate``, in the same order.
+
 The queue is ordered by the priority of the call tree's root request. Within a priority it is
 ordered by arrival time, adjusted by two terms. Requests with a short wait limit move forward,
 ahead of those that can wait or have waited until near their own limit. Older call trees move
@@ -18,9 +21,11 @@
 from dataclasses import dataclass
 from itertools import count
 
+import gevent
 from gevent.event import Event
 
 from cranklane.outcome import Reason
+from cranklane.sidecar.admission.start_rate import StartRate
 
 HURRY_WEIGHT = 6.0
 """Seconds by which a request moves back in the queue per second of its wait limit. A weight of 1
@@ -77,6 +82,7 @@
     """Grants a worker's slots to requests and queues the rest.
 
     :param clock: monotonic seconds.
+    :param spawn: starts a task, given its function and arguments.
     :ivar limit: maximum number of concurrent requests.
     :ivar running: requests that hold a slot.
     :ivar queued: requests that wait for a slot. A refused or timed-out waiter is counted until its
@@ -84,8 +90,13 @@
     :ivar slot_seconds: moving average of the slot occupancy time.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], spawn: Callable[..., object] = gevent.spawn
+    ) -> None:
         self._clock = clock
+        self._spawn = spawn
+        self._start_rate = StartRate(clock)
+        self._grant_is_scheduled = False
         # Sorted by rank, for binary search.
         self._waiting: list[tuple[Rank, int, Waiter]] = []
         self._numbers = count()
@@ -96,12 +107,23 @@
 
     def expected_wait(self, rank: Rank) -> float:
         """Return the expected wait for a rank in seconds; ``math.inf`` without slots."""
+        return max(self._wait_for_slot(rank), self._wait_for_start(rank))
+
+    def _wait_for_slot(self, rank: Rank) -> float:
         if self.running < self.limit:
             return 0.0
         if self.limit <= 0:
             return math.inf
-        ahead = bisect_right(self._waiting, (rank,))
-        return (ahead + 1) * self.slot_seconds / self.limit
+        return (self._ahead(rank) + 1) * self.slot_seconds / self.limit
+
+    def _wait_for_start(self, rank: Rank) -> float:
+        if not self._start_rate.is_limited:
+            return 0.0
+        return self._start_rate.seconds_to(self._ahead(rank) + 1)
+
+    def _ahead(self, rank: Rank) -> int:
+        """Return the number of queued requests that start before a rank."""
+        return bisect_right(self._waiting, (rank,))
 
     def rank(self, priority: int, wait_seconds: float, root_age: float = 0.0) -> Rank:
         """Return the queue rank of a request that arrives now.
@@ -127,12 +149,14 @@
         :param root_age: age of the call tree's root request in seconds.
         :returns: NONE after acquiring the slot, else the reason for the refusal.
         """
-        if self.running < self.limit and self.queued == 0:
+        if self.running < self.limit and self.queued == 0 and self._start_rate.take():
             self.running += 1
             return Reason.NONE
         rank = self.rank(priority, wait_seconds, root_age)
-        if self.expected_wait(rank) > wait_seconds:
+        if self._wait_for_slot(rank) > wait_seconds:
             return Reason.QUEUE_FULL
+        if self._wait_for_start(rank) > wait_seconds:
+            return Reason.WORKER_LIMIT
         waiter = Waiter()
         insort(self._waiting, (rank, next(self._numbers), waiter))
         self.queued += 1
@@ -142,7 +166,8 @@
         if waiter.granted:
             return Reason.NONE
         if waiter.refused is Reason.NONE:
-            waiter.refused = Reason.DEADLINE_TOO_NEAR
+            waits_for_start = self._start_rate.is_limited and self.running < self.limit
+            waiter.refused = Reason.WORKER_LIMIT if waits_for_start else Reason.DEADLINE_TOO_NEAR
         self.queued -= 1
         self._remove_ended()
         return waiter.refused
@@ -161,6 +186,11 @@
         self.limit = limit
         self._grant()
 
+    def limit_starts(self, rate: float | None) -> None:
+        """Limit the starts per second; None removes the limit."""
+        self._start_rate.set(rate)
+        self._grant()
+
     def refuse_waiting(self, reason: Reason) -> None:
         """Refuse all queued requests."""
         for _, _, waiter in self._waiting:
@@ -168,7 +198,11 @@
 
     def _grant(self) -> None:
         while self.running < self.limit and self._waiting:
-            waiter = self._waiting.pop(0)[2]
+            waiter = self._waiting[0][2]
+            if waiter.refused is Reason.NONE and not self._start_rate.take():
+                self._schedule_grant()
+                return
+            self._waiting.pop(0)
             if waiter.refused is not Reason.NONE:
                 continue
             waiter.granted = True
@@ -176,6 +210,17 @@
             self.running += 1
             waiter.event.set()
 
+    def _schedule_grant(self) -> None:
+        """Grant again when the next start is available."""
+        if not self._grant_is_scheduled:
+            self._grant_is_scheduled = True
+            self._spawn(self._grant_later, self._start_rate.seconds_to(1))
+
+    def _grant_later(self, seconds: float) -> None:
+        gevent.sleep(seconds)
+        self._grant_is_scheduled = False
+        self._grant()
+
     def _remove_ended(self) -> None:
         """Remove the entries of ended waits if they exceed the bound."""
         if len(self._waiting) > 2 * self.queued + MAX_ENDED_ENTRIES:
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -31,7 +31,7 @@
 )
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
 from cranklane.sidecar.ingress.request_decision import decision_of, decision_of_refused
-from cranklane.sidecar.request.attempt import AT_CAPACITY, Reply, refusal
+from cranklane.sidecar.request.attempt import WITHOUT_CAPACITY, Reply, refusal
 from cranklane.sidecar.request.call import Call, CallProgress
 from cranklane.sidecar.request.call_tree import CallFailure, CallTree, Run
 from cranklane.sidecar.request.decision import Decision
@@ -180,7 +180,7 @@
         finally:
             self._disconnects.remove(connection.stream)
         if run is not None:
-            starved = reply.downstream_starved or reply.reason in AT_CAPACITY
+            starved = reply.downstream_starved or reply.reason in WITHOUT_CAPACITY
             run.record_call_end(_failure_of(progress.call, reply), starved, progress.work)
         return reply
 
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -72,7 +72,7 @@
 
     def _build_worker(self) -> None:
         runtime, settings = self._runtime, self.settings
-        self.slots = Slots(runtime.monotonic)
+        self.slots = Slots(runtime.monotonic, runtime.spawn)
         self.worker = WorkerRegistry(
             runtime,
             settings.worker,
--- a/src/cranklane/sidecar/request/attempt.py
+++ b/src/cranklane/sidecar/request/attempt.py
@@ -7,7 +7,7 @@
 
 from cranklane.common.http1.message import Framing
 from cranklane.outcome import Outcome, Reason
-from cranklane.records.messages import ForwardRequest
+from cranklane.records.messages import ForwardRequest, WorkerNotice
 from cranklane.sidecar.request.call_tree import CallFailure
 from cranklane.sidecar.request.slot_work import SlotWork
 from cranklane.sidecar.worker.condition import HEALTHY, Condition
@@ -19,7 +19,10 @@
 """Maximum size of a body that is buffered for retries; limits the memory per request."""
 
 AT_CAPACITY = (Reason.QUEUE_FULL, Reason.DEADLINE_TOO_NEAR)
-"""Reasons of refusals for lack of capacity at the worker."""
+"""Reasons of refusals for lack of slots at the worker."""
+
+WITHOUT_CAPACITY = (*AT_CAPACITY, Reason.WORKER_LIMIT)
+"""Reasons of refusals for lack of capacity of any kind at the worker."""
 
 
 class Attempt:
@@ -80,6 +83,7 @@
     :ivar failure: the downstream call that made the run fail, if any.
     :ivar downstream_cost: slot time used by the run's calls; None if unknown.
     :ivar rest: the remaining chunks of the body; raises TruncatedAnswerError if truncated.
+    :ivar notice: what the worker states of itself; None if nothing.
     """
 
     outcome: Outcome
@@ -98,6 +102,7 @@
     downstream_starved: bool = False
     failure: CallFailure | None = None
     downstream_cost: SlotWork | None = None
+    notice: WorkerNotice | None = None
 
 
 def refusal(reason: Reason, arrived: bool = False, retry_after_ms: int = 0) -> Reply:
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -8,7 +8,9 @@
 
 from dataclasses import dataclass, field
 
+from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
+from cranklane.records.messages import WorkerNotice
 from cranklane.runtime.interface import Address
 from cranklane.sidecar.request.attempt import Load
 from cranklane.sidecar.routing.ejection import Failure, ejection_seconds
@@ -41,6 +43,9 @@
         candidates are ejected.
     :ivar saturated_until: end of the saturation, which applies to requests of
         ``saturated_priority`` and lower priorities.
+    :ivar paused_until: until then, other workers are preferred: this one accepts a limited number
+        of requests per second, and the next turn of this sidecar comes then.
+    :ivar notice: what the worker was last heard to state of itself; None if nothing.
     :ivar confirmed_at: None while control lists the destination; otherwise the time at which
         control stopped listing it, or of the last response after that.
     :ivar removed: True once the destination has been removed from ``Destinations``.
@@ -66,6 +71,8 @@
     ejected_until: float = 0.0
     saturated_until: float = 0.0
     saturated_priority: int = 0
+    paused_until: float = 0.0
+    notice: WorkerNotice | None = None
     confirmed_at: float | None = None
     removed: bool = False
 
@@ -114,16 +121,24 @@
             self.control_condition = condition
             self.update_condition(now, condition)
 
-    def record_capacity_refusal(self, now: float, priority: int) -> None:
+    def record_notice(self, now: float, notice: WorkerNotice | None) -> None:
+        """Set what the worker states of itself, and the next turn of this sidecar."""
+        self.notice = notice
+        self.paused_until = now + notice.pause_ms / MILLISECONDS if notice is not None else 0.0
+
+    def record_capacity_refusal(
+        self, now: float, priority: int, seconds: float = SATURATED_SECONDS
+    ) -> None:
         """Mark the destination as saturated after it refused a request for lack of capacity.
 
         :param priority: priority of the root request; 0 is the highest.
+        :param seconds: duration of the saturation.
         """
         already_saturated = self.saturated_until > now
         self.saturated_priority = (
             min(self.saturated_priority, priority) if already_saturated else priority
         )
-        self.saturated_until = now + SATURATED_SECONDS
+        self.saturated_until = now + seconds
 
     def is_saturated(self, now: float, priority: int) -> bool:
         """Return whether it recently refused a request of this or a higher priority."""
--- a/src/cranklane/sidecar/routing/destinations.py
+++ b/src/cranklane/sidecar/routing/destinations.py
@@ -6,16 +6,21 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
 from gevent.event import Event
 
 from cranklane.distribution.member_state import MemberState
-from cranklane.records.messages import Member, MemberDelta
+from cranklane.records.messages import Member, MemberDelta, WorkerNotice
 from cranklane.runtime.interface import parse_address
 from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.routing.retry_budget import FleetSize
 from cranklane.sidecar.worker.condition import Condition
+from cranklane.sidecar.worker.instances import WorkerInstance
+
+MAX_NOTICES = 4096
+"""Limit on the remembered notices of workers; bounds memory."""
 
 
 class Destinations:
@@ -32,6 +37,9 @@
         self._by_node: dict[str, Destination] = {}
         # Lists are replaced, never modified: callers of members() compare them by identity.
         self._by_service: dict[str, list[Destination]] = {}
+        # What workers were last heard to state, by the id of the instance. Outlives destinations,
+        # which are replaced when a sidecar restarts.
+        self._notices: OrderedDict[str, WorkerNotice] = OrderedDict()
         self._updated = Event()
         self._max_size = 0
         self._grown_at = clock()
@@ -124,6 +132,7 @@
             slots=member.slots,
         )
         destination.update_control_condition(self._clock(), _condition_of(member))
+        destination.notice = self._known_notice(member.instance)
         self._by_node[member.node] = destination
         self._by_service[member.service] = [*self._by_service.get(member.service, ()), destination]
         if len(self._by_node) > self._max_size:
@@ -141,6 +150,27 @@
             ]
             self._by_service[destination.service] = remaining
 
+    def record_notice(self, destination: Destination, notice: WorkerNotice | None) -> None:
+        """Record what the worker of a destination states of itself; None if nothing."""
+        if notice is None and destination.notice is None:
+            return
+        destination.record_notice(self._clock(), notice)
+        instance_id = WorkerInstance.from_label(destination.instance).id
+        if notice is None:
+            self._notices.pop(instance_id, None)
+            return
+        self._notices[instance_id] = notice
+        while len(self._notices) > MAX_NOTICES:
+            self._notices.popitem(last=False)
+
+    def _known_notice(self, label: str) -> WorkerNotice | None:
+        """Return what an instance was last heard to state, or None."""
+        instance = WorkerInstance.from_label(label)
+        notice = self._notices.get(instance.id)
+        if notice is not None and WorkerInstance.from_label(notice.instance).may_be(instance):
+            return notice
+        return None
+
     def members(self, service: str) -> Sequence[Destination]:
         """Return the workers of a service; a new object after each addition or removal."""
         return self._by_service.get(service, ())
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -100,7 +100,10 @@
                     # All candidates have been tried.
                     break
                 if self._choice.all_saturated(call.service, call.root.priority):
-                    result = refusal(Reason.QUEUE_FULL, retry_after_ms=retry_after.DEFAULT_MS)
+                    delay_ms = retry_after.all_saturated_ms(
+                        self._choice.seconds_saturated(call.service)
+                    )
+                    result = refusal(Reason.QUEUE_FULL, retry_after_ms=delay_ms)
                     break
                 if self._wait_for_first_member(progress):
                     continue
@@ -165,7 +168,10 @@
         call = progress.call
         progress.tried.add(destination.node)
         now = self._runtime.monotonic()
-        attempt = Attempt(self._request(progress, now), call.rest)
+        request = self._request(progress, now)
+        if destination.notice is not None:
+            request.notice = [destination.notice]
+        attempt = Attempt(request, call.rest)
         progress.current = attempt
         if progress.cancelled:
             return refusal(Reason.CANCELLED)
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -44,6 +44,8 @@
         :param seconds: duration of the attempt.
         """
         now = self._runtime.monotonic()
+        if reply.notice is not None or reply.outcome is Outcome.ANSWERED:
+            self._destinations.record_notice(destination, reply.notice)
         if reply.arrived and measures_latency(reply):
             run_time = reply.run_time_ms / MILLISECONDS or seconds
             ratio = self.latencies.ratio(call.route.name, run_time)
@@ -54,6 +56,9 @@
         destination.update_load(now, reply.load)
         if reply.reason is Reason.QUEUE_FULL:
             destination.record_capacity_refusal(now, call.root.priority)
+        if reply.reason is Reason.WORKER_LIMIT:
+            seconds = reply.retry_after_ms / MILLISECONDS
+            destination.record_capacity_refusal(now, call.root.priority, seconds)
         if reply.reason is Reason.DRAINING:
             # The reply comes before control's update.
             destination.state = MemberState.DRAINING
--- a/src/cranklane/sidecar/routing/forward_records.py
+++ b/src/cranklane/sidecar/routing/forward_records.py
@@ -37,6 +37,7 @@
         if answer.failed_service
         else None,
         _decode_slot_work(answer.downstream_cost) if answer.downstream_cost else None,
+        answer.notice[0] if answer.notice else None,
     )
 
 
@@ -75,4 +76,5 @@
         length=reply.length,
         lines=reply.lines,
         body=reply.body,
+        notice=[reply.notice] if reply.notice else None,
     )
--- a/src/cranklane/sidecar/routing/worker_choice.py
+++ b/src/cranklane/sidecar/routing/worker_choice.py
@@ -1,7 +1,8 @@
 """Load balancing: selects the worker for each request.
 
 1. Candidates are the workers that are live, untried, unsaturated and unexpired.
-2. Ejected candidates are excluded unless all are ejected.
+2. Ejected candidates are excluded unless all are ejected; then those that limit their requests
+   and whose next turn is still to come are excluded, unless all remaining ones do.
 3. The candidate with the lowest cost (``cost``) is selected; ties are broken at random.
 
 For services with more than ``SUBSET_SIZE`` workers, this applies first to a fixed subset. If
@@ -105,6 +106,16 @@
         live = [worker for worker in self._destinations.members(service) if worker.state is _LIVE]
         return bool(live) and all(worker.is_saturated(now, priority) for worker in live)
 
+    def seconds_saturated(self, service: str) -> float:
+        """Return the time until a live worker's saturation ends; 0 without live workers."""
+        now = self._clock()
+        ends = [
+            worker.saturated_until - now
+            for worker in self._destinations.members(service)
+            if worker.state is _LIVE
+        ]
+        return max(0.0, min(ends, default=0.0))
+
     def _best(
         self, members: Sequence[Destination], tried: set[str], priority: int, now: float
     ) -> Destination | None:
@@ -119,9 +130,10 @@
         ]
         if not candidates:
             return None
-        healthy = [worker for worker in candidates if worker.ejected_until <= now]
+        candidates = [worker for worker in candidates if worker.ejected_until <= now] or candidates
+        candidates = [worker for worker in candidates if worker.paused_until <= now] or candidates
         zone, random = self._zone, self._random.random
-        return min(healthy or candidates, key=lambda worker: (cost(worker, zone, now), random()))
+        return min(candidates, key=lambda worker: (cost(worker, zone, now), random()))
 
     def _subset_of(self, service: str) -> list[Destination]:
         """Return the subset of a large service's workers that this sidecar prefers.
--- a/src/cranklane/sidecar/worker/instances.py
+++ b/src/cranklane/sidecar/worker/instances.py
@@ -37,6 +37,18 @@
         """
         return f"{self.id}@{self.started_at_ms}" if self.started_at_ms else self.id
 
+    @classmethod
+    def from_label(cls, label: str) -> WorkerInstance:
+        """Return the instance that a label was made of.
+
+        >>> WorkerInstance.from_label("i-7@1700"), WorkerInstance.from_label("i-7")
+        (WorkerInstance(id='i-7', started_at_ms=1700), WorkerInstance(id='i-7', started_at_ms=0))
+        """
+        instance_id, separator, start = label.rpartition("@")
+        if separator and start.isascii() and start.isdigit():
+            return cls(instance_id, int(start))
+        return cls(label)
+
     def may_be(self, other: WorkerInstance) -> bool:
         """Return whether both may be the same start, as one of them may state its id alone.
 
--- a/src/cranklane/sidecar/worker/stated_limit.py
+++ b/src/cranklane/sidecar/worker/stated_limit.py
@@ -2,6 +2,9 @@
 
 Answers overlap: one that began before the worker stated a limit may end after it, without the
 limit. So a limit ends only with an answer to a request that started after the limit was stated.
+
+A process that has just started knows of no limit before the worker's first answer. Until then it
+takes the limit that callers have heard before.
 """
 
 from __future__ import annotations
@@ -41,6 +44,7 @@
         self._clock = clock
         self._on_change = on_change
         self._instance = NO_INSTANCE
+        self._has_answered = False
         self._stated_at = 0.0
         self._changed_at = 0.0
         self.rate: float | None = None
@@ -51,6 +55,7 @@
             return
         if not instance.may_be(self._instance):
             self._set(None)
+            self._has_answered = False
         self._instance = instance
 
     def answered(self, instance: WorkerInstance, started_at: float, notice: AnswerNotice) -> None:
@@ -61,12 +66,20 @@
         """
         if not instance.may_be(self._instance):
             return
+        self._has_answered = True
         if notice.rate_limit is not None:
             self._stated_at = self._clock()
             self._set(notice.rate_limit)
         elif not notice.problem and started_at >= self._stated_at:
             self._set(None)
 
+    def heard_by_caller(self, instance: WorkerInstance, rate: float) -> None:
+        """Apply a limit that a caller heard from an instance, unless its answers are known here."""
+        if self._has_answered or not instance.may_be(self._instance):
+            return
+        self._stated_at = self._clock()
+        self._set(rate)
+
     def _set(self, rate: float | None) -> None:
         if rate == self.rate:
             return
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -13,7 +13,7 @@
 import pytest
 
 FILE_NAME = "KNOWN-RED.txt"
-MAX_ENTRIES = 4
+MAX_ENTRIES = 3
 """Limit on tolerated failures, which keeps known faults from piling up."""
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -68,6 +68,12 @@
     def all_saturated(self, service, priority):
         return self.saturated
 
+    def seconds_saturated(self, service):
+        return 0.0
+
+    def record_notice(self, destination, notice):
+        pass
+
     def wait_for_update(self, seconds):
         self.waits += 1
         return False
