A worker that states its departure in its answers gets no more requests from machines told of it

A worker that says Server-Leaving in its answers and in no heartbeat went on getting its share: 466 requests between 2.5 and 15 s later in a simulated mesh; none is allowed.

Cause and class: as for the stated limit, what a worker states only in its answers was read by nobody who decides.

Change: an answer that states the departure begins the worker's planned exit at its own sidecar (announced to control, queued requests refused and retried elsewhere, later heartbeats of the same start ignored). Each reply of a sidecar whose worker leaves tells the caller so. Callers keep it for that start of the worker, whatever control or a restarted sidecar says afterwards; a new start under the same id is used. A health check that finds the worker after a restart may state a limit too, and is heeded if it does.

--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2884,7 +2884,7 @@
 
 
 class ForwardRequest(Record):
-    """Forwards a request to another sidecar, whose worker is to run it. Times in milliseconds count from the time of sending: ``deadline_ms`` until the caller gives up, ``start_within_ms`` until the latest useful start. ``expected_latency_us`` is the sender's estimate of the route's run time over all workers; 0: unknown. ``root_priority``, ``root_age_ms``, ``root_objective_ms`` and ``root_deadline_ms`` describe the root request of the call tree; the last two are the time left until its objective and its deadline. ``is_retry``: this run, or one above it in the tree, is a retry. ``suspected``: the worker that ran the request before crashed, possibly because of it. ``isolated``: all senders route this suspected request here, to run in isolation. ``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request line and the headers, ``body`` the part of the body read so far; ``whole``: that is all of it. ``notice``: what the sender last heard of a limit of this worker; empty if none."""
+    """Forwards a request to another sidecar, whose worker is to run it. Times in milliseconds count from the time of sending: ``deadline_ms`` until the caller gives up, ``start_within_ms`` until the latest useful start. ``expected_latency_us`` is the sender's estimate of the route's run time over all workers; 0: unknown. ``root_priority``, ``root_age_ms``, ``root_objective_ms`` and ``root_deadline_ms`` describe the root request of the call tree; the last two are the time left until its objective and its deadline. ``is_retry``: this run, or one above it in the tree, is a retry. ``suspected``: the worker that ran the request before crashed, possibly because of it. ``isolated``: all senders route this suspected request here, to run in isolation. ``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request line and the headers, ``body`` the part of the body read so far; ``whole``: that is all of it. ``notice``: what this worker last stated to the sender; empty if nothing."""
 
     KIND: ClassVar[int] = 80
     LAYOUT: ClassVar[Struct] = Struct("!IIIBBIII???B???QHHHHHIII")
@@ -3158,18 +3158,22 @@
 
 
 class WorkerNotice(Record):
-    """What a worker states of itself in its answers. ``instance`` identifies its start. ``rate_limit`` is the number of requests per second that it accepts from all callers. ``pause_ms``, in replies, is the time until the receiver's turn to send it a request."""
+    """What a worker states of itself in its answers. ``instance`` identifies its start. ``limited``: it accepts ``rate_limit`` requests per second from all callers together. ``leaving``: it is about to exit. ``pause_ms``, in replies, is the time until the receiver's turn to send it a request."""
 
     KIND: ClassVar[int] = 86
-    LAYOUT: ClassVar[Struct] = Struct("!dIH")
-    __slots__ = ('rate_limit', 'pause_ms', 'instance',)
+    LAYOUT: ClassVar[Struct] = Struct("!??dIH")
+    __slots__ = ('leaving', 'limited', 'rate_limit', 'pause_ms', 'instance',)
 
     def __init__(
         self,
+        leaving: bool = False,
+        limited: bool = False,
         rate_limit: float = 0.0,
         pause_ms: int = 0,
         instance: str = "",
     ) -> None:
+        self.leaving: bool = leaving
+        self.limited: bool = limited
         self.rate_limit: float = rate_limit
         self.pause_ms: int = pause_ms
         self.instance: str = instance
@@ -3177,7 +3181,7 @@
     def pack(self) -> bytes:
         instance = self.instance.encode()
         try:
-            head = self.LAYOUT.pack(self.rate_limit, self.pause_ms, len(instance))
+            head = self.LAYOUT.pack(self.leaving, self.limited, self.rate_limit, self.pause_ms, len(instance))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, instance))
@@ -3185,7 +3189,7 @@
     @classmethod
     def unpack(cls, payload: bytes) -> WorkerNotice:
         try:
-            rate_limit, pause_ms, instance_size, = cls.LAYOUT.unpack_from(payload)
+            leaving, limited, rate_limit, pause_ms, instance_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + instance_size
             instance = payload[start:end].decode()
@@ -3194,7 +3198,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"WorkerNotice of {len(payload)} bytes, not {start}")
-        return cls(rate_limit, pause_ms, instance)
+        return cls(leaving, limited, rate_limit, pause_ms, instance)
 
 
 class ServiceWork(Record):
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -406,7 +406,7 @@
         "of it. ``isolated``: all senders route this suspected request here, to run in isolation. "
         "``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request "
         "line and the headers, ``body`` the part of the body read so far; ``whole``: that is all "
-        "of it. ``notice``: what the sender last heard of a limit of this worker; empty if none.",
+        "of it. ``notice``: what this worker last stated to the sender; empty if nothing.",
         "deadline_ms:u32 start_within_ms:u32 expected_latency_us:u32 priority:u8 root_priority:u8 "
         "root_age_ms:u32 root_objective_ms:u32 root_deadline_ms:u32 is_retry:bool "
         "idempotent:bool bodiless:bool framing:u8 whole:bool suspected:bool isolated:bool "
@@ -443,9 +443,10 @@
         86,
         "WorkerNotice",
         "What a worker states of itself in its answers. ``instance`` identifies its start. "
-        "``rate_limit`` is the number of requests per second that it accepts from all callers. "
+        "``limited``: it accepts ``rate_limit`` requests per second from all callers together. "
+        "``leaving``: it is about to exit. "
         "``pause_ms``, in replies, is the time until the receiver's turn to send it a request.",
-        "rate_limit:f64 pause_ms:u32 instance:str",
+        "leaving:bool limited:bool rate_limit:f64 pause_ms:u32 instance:str",
     ),
     Record(
         85,
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -151,10 +151,14 @@
     def _notice(self) -> WorkerNotice | None:
         """Return what the worker states, for the caller that gets a reply now."""
         rate = self.stated_limit.rate
-        if rate is None:
+        leaving = self._worker.state in PLANNED_EXIT_STATES
+        if rate is None and not leaving:
             return None
-        pause_ms = self._turns.next_pause_ms(rate)
-        return WorkerNotice(rate, pause_ms, self._worker.instance.label)
+        notice = WorkerNotice(leaving=leaving, instance=self._worker.instance.label)
+        if rate is not None:
+            notice.limited, notice.rate_limit = True, rate
+            notice.pause_ms = self._turns.next_pause_ms(rate)
+        return notice
 
     def _admit_and_run(self, attempt: Attempt, on_admitted: Callable[[], None] | None) -> Reply:
         request = attempt.request
@@ -192,8 +196,9 @@
             return reason
         self.stated_limit.follow(self._worker.instance)
         for notice in request.notice:
-            instance = WorkerInstance.from_label(notice.instance)
-            self.stated_limit.heard_by_caller(instance, notice.rate_limit)
+            if notice.limited:
+                instance = WorkerInstance.from_label(notice.instance)
+                self.stated_limit.heard_by_caller(instance, notice.rate_limit)
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
         reason = self._slots.acquire(
@@ -285,7 +290,7 @@
         suspicion_level = admitted.suspicion.suspicion_level
         listener = RunListener(
             sent=partial(self._exits.began, admitted.number, request, suspicion_level),
-            noticed=partial(self._apply_notice, admitted),
+            noticed=partial(self._apply_notice, admitted.instance, admitted.started_at),
         )
         assert self._exchange is not None
         reply = self._exchange.run(attempt, admitted.instance.id, deadline, listener)
@@ -293,13 +298,26 @@
             return self._evidence.reply_after_exit(request)
         return reply
 
-    def _apply_notice(self, admitted: AdmittedRun, notice: AnswerNotice) -> None:
-        """Apply what the worker states in the headers of an answer."""
-        self.stated_limit.answered(admitted.instance, admitted.started_at, notice)
+    def worker_probed(self, notice: AnswerNotice) -> None:
+        """Apply what the worker states in the answer to a health check that found it."""
+        instance = self._worker.instance
+        self.stated_limit.follow(instance)
+        self._apply_notice(instance, self._clock(), notice)
+
+    def _apply_notice(
+        self, instance: WorkerInstance, started_at: float, notice: AnswerNotice
+    ) -> None:
+        """Apply what the worker states in the headers of an answer.
+
+        :param instance: the instance that answered.
+        :param started_at: monotonic second at which the run of the answered request started.
+        """
+        self.stated_limit.answered(instance, started_at, notice)
         if notice.problem:
-            self._listener.worker_limit_unreadable(admitted.instance, notice.problem)
+            self._listener.worker_limit_unreadable(instance, notice.problem)
         if notice.leaving:
-            self._listener.worker_leaving(admitted.instance)
+            self._listener.worker_leaving(instance)
+            self._worker.leaving(instance)
 
     def _limit_changed(self, change: LimitChange) -> None:
         self._slots.limit_starts(change.rate)
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -83,7 +83,6 @@
             self._log,
         )
         self.condition = WorkerCondition(runtime.monotonic, self._condition_changed)
-        self._discovery = WorkerDiscovery(runtime, self.worker, self._names, self._log)
         incarnation = int(runtime.wall() * MILLISECONDS)
         self.local_member = LocalMember(settings, incarnation, self.worker, self.condition)
 
@@ -120,6 +119,9 @@
             self.quarantine.table,
             self.decisions,
         )
+        self._discovery = WorkerDiscovery(
+            runtime, self.worker, self._names, self.gate.worker_probed, self._log
+        )
         self.peer_server = PeerServer(
             runtime, self.gate, disconnects, self.quarantine.received, self._log
         )
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -125,6 +125,13 @@
         """Set what the worker states of itself, and the next turn of this sidecar."""
         self.notice = notice
         self.paused_until = now + notice.pause_ms / MILLISECONDS if notice is not None else 0.0
+        if notice is not None and notice.leaving:
+            self.state = MemberState.DRAINING
+
+    def set_state(self, state: MemberState) -> None:
+        """Set the state that control lists; a worker that stated its departure stays draining."""
+        leaving = self.notice is not None and self.notice.leaving
+        self.state = MemberState.DRAINING if leaving else state
 
     def record_capacity_refusal(
         self, now: float, priority: int, seconds: float = SATURATED_SECONDS
--- a/src/cranklane/sidecar/routing/destinations.py
+++ b/src/cranklane/sidecar/routing/destinations.py
@@ -115,7 +115,7 @@
         existing.confirmed_at = None
         existing.incarnation = member.incarnation
         existing.sequence = member.sequence
-        existing.state = MemberState(member.state)
+        existing.set_state(MemberState(member.state))
         existing.slots = member.slots
         existing.update_control_condition(self._clock(), _condition_of(member))
 
@@ -133,6 +133,7 @@
         )
         destination.update_control_condition(self._clock(), _condition_of(member))
         destination.notice = self._known_notice(member.instance)
+        destination.set_state(destination.state)
         self._by_node[member.node] = destination
         self._by_service[member.service] = [*self._by_service.get(member.service, ()), destination]
         if len(self._by_node) > self._max_size:
@@ -152,7 +153,13 @@
 
     def record_notice(self, destination: Destination, notice: WorkerNotice | None) -> None:
         """Record what the worker of a destination states of itself; None if nothing."""
-        if notice is None and destination.notice is None:
+        known = destination.notice
+        if known is not None and known.leaving:
+            # A departure is final for its instance.
+            return
+        if notice is None and known is None:
+            return
+        if notice is not None and not _may_be_same(notice.instance, destination.instance):
             return
         destination.record_notice(self._clock(), notice)
         instance_id = WorkerInstance.from_label(destination.instance).id
@@ -165,9 +172,8 @@
 
     def _known_notice(self, label: str) -> WorkerNotice | None:
         """Return what an instance was last heard to state, or None."""
-        instance = WorkerInstance.from_label(label)
-        notice = self._notices.get(instance.id)
-        if notice is not None and WorkerInstance.from_label(notice.instance).may_be(instance):
+        notice = self._notices.get(WorkerInstance.from_label(label).id)
+        if notice is not None and _may_be_same(notice.instance, label):
             return notice
         return None
 
@@ -185,5 +191,10 @@
         return sum(worker.state is MemberState.LIVE for worker in self._by_service.get(service, ()))
 
 
+def _may_be_same(label: str, other: str) -> bool:
+    """Return whether two labels may belong to the same instance of a worker."""
+    return WorkerInstance.from_label(label).may_be(WorkerInstance.from_label(other))
+
+
 def _condition_of(member: Member) -> Condition:
     return Condition.from_wire(member.faults, member.slowness)
--- a/src/cranklane/sidecar/worker/discovery.py
+++ b/src/cranklane/sidecar/worker/discovery.py
@@ -6,22 +6,33 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.runtime.interface import Runtime
+from cranklane.sidecar.worker.answer_notice import NO_NOTICE, AnswerNotice
 from cranklane.sidecar.worker.probe import WorkerProbe
 from cranklane.sidecar.worker.registry import WorkerRegistry
 
 
 class WorkerDiscovery:
-    """Probes the worker once, as soon as a route table states its health path."""
+    """Probes the worker once, as soon as a route table states its health path.
+
+    :param on_notice: called with what the answer of a worker that was found states.
+    """
 
     def __init__(
-        self, runtime: Runtime, registry: WorkerRegistry, names: HeaderNames, log: Any
+        self,
+        runtime: Runtime,
+        registry: WorkerRegistry,
+        names: HeaderNames,
+        on_notice: Callable[[AnswerNotice], None],
+        log: Any,
     ) -> None:
         self._runtime = runtime
         self._registry = registry
+        self._on_notice = on_notice
         self._log = log
         self._probe = WorkerProbe(runtime, registry.address, names) if registry.address else None
 
@@ -42,4 +53,7 @@
             self._log.info(
                 "worker_probed", instance=probed_worker.instance, slots=probed_worker.slots
             )
-            self._registry.apply_probe(probed_worker)
+            applied = self._registry.apply_probe(probed_worker)
+            # A health check may lack what the answers to requests state.
+            if applied and probed_worker.notice != NO_NOTICE:
+                self._on_notice(probed_worker.notice)
--- a/src/cranklane/sidecar/worker/probe.py
+++ b/src/cranklane/sidecar/worker/probe.py
@@ -14,6 +14,7 @@
 from cranklane.common.http1.message import AnswerHead, MalformedMessageError, TruncatedMessageError
 from cranklane.common.http1.reader import AnswerReader
 from cranklane.runtime.interface import Address, Runtime, format_address
+from cranklane.sidecar.worker.answer_notice import NO_NOTICE, AnswerNotice, AnswerNoticeReader
 from cranklane.sidecar.worker.pool import MAX_HEAD_BYTES
 
 PROBE_TIMEOUT_SECONDS = 0.5
@@ -33,10 +34,12 @@
 
     :ivar instance: id of the worker's instance.
     :ivar slots: number of concurrent requests.
+    :ivar notice: what the response states beside it.
     """
 
     instance: str
     slots: int
+    notice: AnswerNotice = NO_NOTICE
 
 
 class WorkerProbe:
@@ -47,6 +50,7 @@
         self._address = address
         self._instance_name = names.instance_answer.lower()
         self._load_name = names.load.lower()
+        self._notices = AnswerNoticeReader(names)
 
     def find(self, path: str) -> ProbedWorker | None:
         """Probe the worker, with retries; return None if it is not healthy.
@@ -88,4 +92,4 @@
         slots = load[2].strip()
         if not slots.isdigit() or int(slots) == 0:
             return None
-        return ProbedWorker(instance.decode("latin-1"), int(slots))
+        return ProbedWorker(instance.decode("latin-1"), int(slots), self._notices.read(head))
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -154,14 +154,15 @@
         else:
             self._set_state(WorkerState.READY)
 
-    def apply_probe(self, worker: ProbedWorker) -> None:
-        """Apply the result of a probe, unless a heartbeat has arrived before."""
+    def apply_probe(self, worker: ProbedWorker) -> bool:
+        """Apply the result of a probe; return False if a heartbeat has arrived before."""
         if self.instance.id:
-            return
+            return False
         self._adopt_instance(WorkerInstance(worker.instance))
         self._last_heartbeat_at = self._runtime.monotonic()
         self._slots.resize(usable_slots(worker.slots))
         self._set_state(WorkerState.READY)
+        return True
 
     def deregister(self, stated: WorkerInstance) -> None:
         """Record that an instance is about to exit."""
@@ -174,6 +175,13 @@
         else:
             self._instances.record_planned_exit(instance)
 
+    def leaving(self, instance: WorkerInstance) -> None:
+        """Record that an answer of an instance states that it is about to exit."""
+        if not instance.may_be(self.instance):
+            self._instances.record_planned_exit(instance)
+        elif not self._instances.has_planned_exit(self.instance):
+            self._begin_planned_exit(self.instance, WorkerState.DRAINING)
+
     def _resolve(self, instance: WorkerInstance) -> WorkerInstance:
         """Return the instance that a message is from; it may state the id alone."""
         if instance.started_at_ms != UNKNOWN_START:
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -78,6 +78,7 @@
     :ivar on_crash: called with a run that crashes the worker.
     :ivar rate_limit: text of the limit that its answers state; empty for none.
     :ivar leaving: whether its answers state that it is leaving.
+    :ivar states_in_health: whether answers to health checks state the same.
     :ivar on_notice: called before each answer with the limit that it states, if any.
     :ivar on_arrival: called with the id of each received request.
     :ivar arrivals: number of received requests.
@@ -107,6 +108,7 @@
     on_crash: Callable[[RoutedRun], None] | None = None
     rate_limit: bytes = b""
     leaving: bool = False
+    states_in_health: bool = False
     on_notice: Callable[[float | None], None] | None = None
     on_arrival: Callable[[str], None] | None = None
     arrivals: int = 0
@@ -271,11 +273,12 @@
         return self._finish(stream, request)
 
     def _send_health(self, stream: Any) -> bool:
-        status = 200 if self.phase == "ready" else 503
+        is_well = self.phase == "ready" and not self.state.leaving
         stream.sendall(
-            b"%s%s: %s\r\n%s: %d,0,%d\r\nContent-Length: 0\r\n\r\n"
+            b"%s%s%s: %s\r\n%s: %d,0,%d\r\nContent-Length: 0\r\n\r\n"
             % (
-                status_line(status),
+                status_line(200 if is_well else 503),
+                self._notices() if self.state.states_in_health else b"",
                 NAMES.instance_answer,
                 self.instance.encode(),
                 NAMES.load,
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -116,6 +116,18 @@
     assert play_mesh(script, seed) == []
 
 
+def test_a_restarted_sidecar_learns_the_limit_from_the_health_check():
+    def script(mesh):
+        machine = mesh.machines[4]
+        state_limit(mesh, b"7", (4,))
+        machine.worker.state.states_in_health = True
+        mesh.restart_sidecar(machine)
+        gevent.sleep(0.3)
+        return machine.sidecar.gate.stated_limit.rate, arrivals(mesh, 4)
+
+    assert play_mesh(script) == (7.0, 0)
+
+
 def test_the_limit_holds_after_a_pause_of_the_sidecar_beside_the_worker():
     def script(mesh):
         rules = mesh.observe_notices()
