--- /dev/null
+++ b/src/cranklane/sidecar/admission/admitted_run.py
@@ -0,0 +1,45 @@
+"""An admitted request and the resources that it holds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cranklane.common.units import MILLISECONDS
+from cranklane.records.messages import ForwardRequest
+from cranklane.sidecar.admission.isolated_runs import SuspectAdmission
+from cranklane.sidecar.request.call_tree import Root, Run
+from cranklane.sidecar.worker.instances import WorkerInstance
+
+
+@dataclass(slots=True)
+class AdmittedRun:
+    """An admitted request and the resources that it holds until release.
+
+    :ivar arrived_at: monotonic time of arrival, in seconds.
+    :ivar started_at: monotonic time at which it acquired its slot, in seconds.
+    :ivar run: its node in the call tree.
+    :ivar number: sequence number of the run at this worker.
+    :ivar instance: the worker's start that runs it.
+    :ivar limiter_round: round of the outcome limiter at its start.
+    :ivar suspicion: its suspicion level, and whether it holds the isolation slot.
+    """
+
+    request: ForwardRequest
+    arrived_at: float
+    started_at: float
+    run: Run
+    number: int
+    instance: WorkerInstance
+    limiter_round: int
+    suspicion: SuspectAdmission
+
+
+def root_of(request: ForwardRequest, arrived_at: float) -> Root:
+    """Return the root of a request's call tree, with times converted to this process's clock."""
+    return Root(
+        request.root_priority,
+        arrived_at - request.root_age_ms / MILLISECONDS,
+        arrived_at + request.root_objective_ms / MILLISECONDS,
+        arrived_at + request.root_deadline_ms / MILLISECONDS,
+        request.is_retry,
+    )
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -4,40 +4,37 @@
 refusal uses no worker capacity. The gate orders the admission checks (``isolated_runs``,
 ``outcome_limiter``, ``slots``) and releases the resources of each run. ``run_outcome`` and
 ``crash_evidence`` classify how a run ended; ``retry_after`` computes the delay that a refusal
-asks of its caller.
+asks of its caller; ``worker_notices`` applies what the worker states in its answers.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from typing import NamedTuple
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
-from cranklane.records.messages import ForwardRequest, WorkerNotice
+from cranklane.records.messages import ForwardRequest
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission import retry_after, run_outcome
-from cranklane.sidecar.admission.caller_turns import CallerTurns
+from cranklane.sidecar.admission.admitted_run import AdmittedRun, root_of
 from cranklane.sidecar.admission.crash_evidence import CrashEvidence
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision, GateListener
 from cranklane.sidecar.admission.isolated_runs import IsolatedRuns, SuspectAdmission
 from cranklane.sidecar.admission.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.admission.slots import Slots, Waiter
 from cranklane.sidecar.admission.streamed_answer import StreamedAnswer
+from cranklane.sidecar.admission.worker_notices import WorkerNotices
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
-from cranklane.sidecar.request.call_tree import CallTree, Root, Run
-from cranklane.sidecar.worker.answer_notice import AnswerNotice
+from cranklane.sidecar.request.call_tree import CallTree
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
-from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
 from cranklane.sidecar.worker.slowness import latency_ratio
-from cranklane.sidecar.worker.stated_limit import LimitChange, StatedLimit
 
 
 class LocalWorker(NamedTuple):
@@ -53,29 +50,6 @@
     condition: WorkerCondition
 
 
-@dataclass(slots=True)
-class AdmittedRun:
-    """An admitted request and the resources that it holds until release.
-
-    :ivar arrived_at: monotonic time of arrival, in seconds.
-    :ivar started_at: monotonic time at which it acquired its slot, in seconds.
-    :ivar run: its node in the call tree.
-    :ivar number: sequence number of the run at this worker.
-    :ivar instance: the worker's start that runs it.
-    :ivar limiter_round: round of the outcome limiter at its start.
-    :ivar suspicion: its suspicion level, and whether it holds the isolation slot.
-    """
-
-    request: ForwardRequest
-    arrived_at: float
-    started_at: float
-    run: Run
-    number: int
-    instance: WorkerInstance
-    limiter_round: int
-    suspicion: SuspectAdmission
-
-
 def unavailable_reason(serves: bool, state: WorkerState) -> Reason:
     """Return the reason why a worker cannot accept a request, or NONE.
 
@@ -93,7 +67,7 @@
 
     :param call_tree: correlates the worker's downstream calls with its runs.
     :param quarantine: requests suspected of crashing workers.
-    :ivar stated_limit: limit on requests per second that the worker states in its answers.
+    :ivar notices: what the worker states in its answers.
     """
 
     def __init__(
@@ -112,10 +86,8 @@
         self._call_tree = call_tree
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
-        self._listener = listener
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
-        self.stated_limit = StatedLimit(runtime.monotonic, self._limit_changed)
-        self._turns = CallerTurns(runtime.monotonic)
+        self.notices = WorkerNotices(runtime, registry, worker.slots, listener)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
         self._isolated_runs = IsolatedRuns(runtime.monotonic, quarantine)
@@ -143,23 +115,11 @@
         """
         reply = self._admit_and_run(attempt, on_admitted)
         reply.load = self.load
-        reply.notice = self._notice()
+        reply.notice = self.notices.for_caller()
         if reply.reason is Reason.WORKER_LIMIT and reply.notice is not None:
             reply.retry_after_ms = max(retry_after.MIN_QUEUE_MS, reply.notice.pause_ms)
         return reply
 
-    def _notice(self) -> WorkerNotice | None:
-        """Return what the worker states, for the caller that gets a reply now."""
-        rate = self.stated_limit.rate
-        leaving = self._worker.state in PLANNED_EXIT_STATES
-        if rate is None and not leaving:
-            return None
-        notice = WorkerNotice(leaving=leaving, instance=self._worker.instance.label)
-        if rate is not None:
-            notice.limited, notice.rate_limit = True, rate
-            notice.pause_ms = self._turns.next_pause_ms(rate)
-        return notice
-
     def _admit_and_run(self, attempt: Attempt, on_admitted: Callable[[], None] | None) -> Reply:
         request = attempt.request
         arrived_at = self._clock()
@@ -194,11 +154,7 @@
         reason = unavailable_reason(serves, self._worker.state)
         if reason is not Reason.NONE:
             return reason
-        self.stated_limit.follow(self._worker.instance)
-        for notice in request.notice:
-            if notice.limited:
-                instance = WorkerInstance.from_label(notice.instance)
-                self.stated_limit.heard_by_caller(instance, notice.rate_limit)
+        self.notices.request_arrived(request)
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
         reason = self._slots.acquire(
@@ -224,7 +180,7 @@
     ) -> AdmittedRun:
         """Register an admitted request with the limiter, call tree and exit tracking."""
         limiter_round = self._limiter.began(request.route)
-        root = _root_of(request, arrived_at)
+        root = root_of(request, arrived_at)
         run = self._call_tree.begin(request.request_id, root, request.tenant)
         number = self._exits.next_number()
         if suspicion.isolated is not None:
@@ -290,7 +246,7 @@
         suspicion_level = admitted.suspicion.suspicion_level
         listener = RunListener(
             sent=partial(self._exits.began, admitted.number, request, suspicion_level),
-            noticed=partial(self._apply_notice, admitted.instance, admitted.started_at),
+            noticed=partial(self.notices.answered, admitted.instance, admitted.started_at),
         )
         assert self._exchange is not None
         reply = self._exchange.run(attempt, admitted.instance.id, deadline, listener)
@@ -298,31 +254,6 @@
             return self._evidence.reply_after_exit(request)
         return reply
 
-    def worker_probed(self, notice: AnswerNotice) -> None:
-        """Apply what the worker states in the answer to a health check that found it."""
-        instance = self._worker.instance
-        self.stated_limit.follow(instance)
-        self._apply_notice(instance, self._clock(), notice)
-
-    def _apply_notice(
-        self, instance: WorkerInstance, started_at: float, notice: AnswerNotice
-    ) -> None:
-        """Apply what the worker states in the headers of an answer.
-
-        :param instance: the instance that answered.
-        :param started_at: monotonic second at which the run of the answered request started.
-        """
-        self.stated_limit.answered(instance, started_at, notice)
-        if notice.problem:
-            self._listener.worker_limit_unreadable(instance, notice.problem)
-        if notice.leaving:
-            self._listener.worker_leaving(instance)
-            self._worker.leaving(instance)
-
-    def _limit_changed(self, change: LimitChange) -> None:
-        self._slots.limit_starts(change.rate)
-        self._listener.worker_limit_changed(change)
-
     def _record_outcome(self, admitted: AdmittedRun, reply: Reply, run_seconds: float) -> None:
         """Record a run's result for the worker's condition, the limiter and the caller."""
         request, run = admitted.request, admitted.run
@@ -333,7 +264,7 @@
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, run_seconds)
-        sheds_by_limit = reply.reason is Reason.WORKER_SHED and self.stated_limit.rate is not None
+        sheds_by_limit = reply.reason is Reason.WORKER_SHED and self.notices.limit.rate is not None
         is_fault = run_outcome.is_worker_fault(run, reply) and not sheds_by_limit
         self._condition.run_ended(is_fault, slowness)
         starved = reply.downstream_starved or run_outcome.may_be_starved(
@@ -349,14 +280,3 @@
         attempt.when_cancelled(lambda: waiter.refuse(Reason.CANCELLED))
 
     return on_wait
-
-
-def _root_of(request: ForwardRequest, arrived_at: float) -> Root:
-    """Return the root of a request's call tree, with times converted to this process's clock."""
-    return Root(
-        request.root_priority,
-        arrived_at - request.root_age_ms / MILLISECONDS,
-        arrived_at + request.root_objective_ms / MILLISECONDS,
-        arrived_at + request.root_deadline_ms / MILLISECONDS,
-        request.is_retry,
-    )
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -120,7 +120,7 @@
             self.decisions,
         )
         self._discovery = WorkerDiscovery(
-            runtime, self.worker, self._names, self.gate.worker_probed, self._log
+            runtime, self.worker, self._names, self.gate.notices.probed, self._log
         )
         self.peer_server = PeerServer(
             runtime, self.gate, disconnects, self.quarantine.received, self._log
@@ -179,7 +179,7 @@
             table=self.adopted,
             lease=self.lease,
             slots=self.slots,
-            stated_limit=self.gate.stated_limit,
+            stated_limit=self.gate.notices.limit,
             condition=self.condition,
             quarantine=self.quarantine.table,
             is_ready=self.is_ready,
--- a/tests/test_answer_notice.py
+++ b/tests/test_answer_notice.py
@@ -142,7 +142,7 @@
             machine.worker.state.rate_limit = text
             mesh.request(machine, "/other/x")
             gevent.sleep(0.1)
-            seen.append(machine.sidecar.gate.stated_limit.rate)
+            seen.append(machine.sidecar.gate.notices.limit.rate)
         return seen, machine.sidecar.metrics.text().decode().splitlines()
 
     seen, lines = play(script)
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -123,7 +123,7 @@
         machine.worker.state.states_in_health = True
         mesh.restart_sidecar(machine)
         gevent.sleep(0.3)
-        return machine.sidecar.gate.stated_limit.rate, arrivals(mesh, 4)
+        return machine.sidecar.gate.notices.limit.rate, arrivals(mesh, 4)
 
     assert play_mesh(script) == (7.0, 0)
 
