--- a/src/cranklane_lab/cli.py
+++ b/src/cranklane_lab/cli.py
@@ -51,6 +51,7 @@
     seeds: Annotated[str, typer.Option(help="first and last seed, as A-B")] = "1-1",
     seconds: Annotated[float, typer.Option(min=5, help="seconds of faults for each seed")] = 40.0,
     folder: Annotated[str, typer.Option(help="where logs are kept")] = "",
+    machines: Annotated[int, typer.Option(min=5, max=200, help="sidecars of the site")] = 5,
 ) -> None:
     """Run the real programs under random faults; exit 1 if an invariant was violated."""
     import json
@@ -58,7 +59,7 @@
 
     from cranklane_lab.soak.run import run_soak
 
-    results = run_soak(_seeds(seeds), seconds, folder)
+    results = run_soak(_seeds(seeds), seconds, folder, machines)
     for result in results:
         typer.echo(json.dumps(asdict(result)))
     raise typer.Exit(1 if any(result.broken for result in results) else 0)
--- a/src/cranklane_lab/evidence/notice_rules.py
+++ b/src/cranklane_lab/evidence/notice_rules.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from cranklane_lab.standins.routed_worker import NAMES, START_HEADER
+
 WINDOW_SECONDS = 4.0
 """Length of each span in which the requests of a limited worker are counted."""
 
@@ -29,6 +31,11 @@
 """Time after which a machine that was told of a departure sends no more requests there."""
 
 
+_START = START_HEADER.decode().lower()
+_RATE_LIMIT = NAMES.rate_limit.decode().lower()
+_LEAVING = NAMES.leaving.decode().lower()
+
+
 class Arrival(NamedTuple):
     """A request that reached a worker.
 
@@ -65,13 +72,15 @@
             return
         limits.append((at, limit))
 
-    def told_limit(self, machine: str, worker: str, at: float) -> None:
-        """Record that a machine passed on an answer that states a limit."""
-        self._workers[worker].told_limit[machine].append(at)
-
-    def told_leaving(self, machine: str, worker: str, at: float) -> None:
-        """Record that a machine passed on an answer which states that its worker leaves."""
-        self._workers[worker].told_leaving[machine].append(at)
+    def passed_on(self, machine: str, headers: dict[str, str], at: float) -> None:
+        """Record the headers of an answer that a machine passed on, by lower-case names."""
+        worker = headers.get(_START)
+        if worker is None:
+            return
+        if _RATE_LIMIT in headers:
+            self._workers[worker].told_limit[machine].append(at)
+        if _LEAVING in headers:
+            self._workers[worker].told_leaving[machine].append(at)
 
     def arrived(self, worker: str, arrival: Arrival) -> None:
         """Record a request that reached a worker."""
--- a/src/cranklane_lab/fleet/processes.py
+++ b/src/cranklane_lab/fleet/processes.py
@@ -83,6 +83,10 @@
         """Request a planned stop with SIGTERM."""
         self.process.terminate()
 
+    def hang_up(self) -> None:
+        """Request a reload of the settings with SIGHUP."""
+        self.process.send_signal(signal.SIGHUP)
+
     def resident_bytes(self) -> int:
         """Return the resident memory in bytes, or 0 if unknown."""
         for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -316,7 +316,7 @@
         self._origins[request_id] = (machine.name, self.world.loop.now())
         answer = exchange(process, machine.callers, method, path, all_headers, body)
         if self.notice_rules is not None and answer is not None:
-            self._record_notices(self.notice_rules, machine.name, answer)
+            self.notice_rules.passed_on(machine.name, answer.headers, self.world.loop.now())
         return answer
 
     def observe_notices(self) -> NoticeRules:
@@ -339,17 +339,6 @@
             observe(machine)
         return rules
 
-    def _record_notices(self, rules: NoticeRules, origin: str, answer: RawAnswer) -> None:
-        """Record what a caller on a machine was told by an answer."""
-        instance = answer.headers.get(NAMES.instance_answer.decode().lower())
-        workers = [machine.worker for machine in self.machines]
-        label = next((worker.label for worker in workers if worker.instance == instance), "")
-        now = self.world.loop.now()
-        if NAMES.rate_limit.decode().lower() in answer.headers:
-            rules.told_limit(origin, label, now)
-        if NAMES.leaving.decode().lower() in answer.headers:
-            rules.told_leaving(origin, label, now)
-
     def restart_sidecar(self, machine: MeshMachine) -> None:
         """Kill a machine's sidecar and start a new one."""
         machine.process.kill()
--- a/src/cranklane_lab/soak/faults.py
+++ b/src/cranklane_lab/soak/faults.py
@@ -8,7 +8,7 @@
 import gevent
 
 from cranklane_lab.soak.proxy import ProxyMode
-from cranklane_lab.soak.site import CONTROLLERS, SERVICES, SoakSite
+from cranklane_lab.soak.site import CONTROLLERS, SoakSite
 
 SIDECAR_FAULT_GAP_SECONDS = 0.8
 """Mean time between two faults on sidecars."""
@@ -19,17 +19,32 @@
 
 STOP_TIMEOUT_SECONDS = 12.0
 
+MAX_RESTARTS_IN_SERIES = 4
+MAX_RESTART_GAP_SECONDS = 0.6
+"""Longest time between two kills of a series; shorter than a start takes to be ready."""
+
 
 class FaultInjector:
     """Injects faults into sidecars and controllers.
 
+    Several tasks may inject at once: faults on different sidecars overlap.
+
     :param on_fault: called with a description of each fault.
+    :param on_disturbed: called with a sidecar's number at the start and the end of its fault.
     """
 
-    def __init__(self, site: SoakSite, random: Random, on_fault: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        site: SoakSite,
+        random: Random,
+        on_fault: Callable[[str], None],
+        on_disturbed: Callable[[int], None] = lambda _number: None,
+    ) -> None:
         self._site = site
         self._random = random
         self._on_fault = on_fault
+        self._on_disturbed = on_disturbed
+        self._disturbed: set[int] = set()
 
     def inject_sidecar_faults(self, should_stop: Callable[[], bool]) -> None:
         """Inject faults, each into a random sidecar, until ``should_stop`` returns true."""
@@ -38,12 +53,25 @@
             self._pause_sidecar,
             self._stop_sidecar,
             self._disrupt_sidecar_link,
+            self._restart_sidecar_in_series,
+            self._signal_sidecar,
         )
         while not should_stop():
-            number = self._random.randrange(len(SERVICES))
-            self._random.choice(faults)(number)
+            number = self._random.randrange(self._site.machines)
+            fault = self._random.choice(faults)
+            if number not in self._disturbed:
+                self._disturb(number, fault)
             gevent.sleep(SIDECAR_FAULT_GAP_SECONDS * (0.5 + self._random.random()))
 
+    def _disturb(self, number: int, fault: Callable[[int], None]) -> None:
+        self._disturbed.add(number)
+        self._on_disturbed(number)
+        try:
+            fault(number)
+        finally:
+            self._on_disturbed(number)
+            self._disturbed.discard(number)
+
     def inject_controller_faults(self, should_stop: Callable[[], bool]) -> None:
         """Inject faults, each into a random controller, until ``should_stop`` returns true."""
         faults = (
@@ -83,6 +111,27 @@
             process.kill()
         self._site.start_sidecar(number)
 
+    def _restart_sidecar_in_series(self, number: int) -> None:
+        """Kill a sidecar several times, some while it starts or after a request to stop."""
+        restarts = self._random.randint(2, MAX_RESTARTS_IN_SERIES)
+        self._on_fault(f"restart sidecar-{number} {restarts} times")
+        for _ in range(restarts):
+            if self._random.random() < 0.5:
+                self._site.sidecars[number].terminate()
+                gevent.sleep(self._random.uniform(0.0, MAX_RESTART_GAP_SECONDS))
+            self._site.sidecars[number].kill()
+            self._site.start_sidecar(number)
+            gevent.sleep(self._random.uniform(0.0, MAX_RESTART_GAP_SECONDS))
+
+    def _signal_sidecar(self, number: int) -> None:
+        """Rewrite the settings file of a sidecar and signal it several times."""
+        signals = self._random.randint(1, 5)
+        self._on_fault(f"reload sidecar-{number} {signals} times")
+        for _ in range(signals):
+            self._site.change_settings(number)
+            self._site.sidecars[number].hang_up()
+            gevent.sleep(self._random.uniform(0.0, 0.1))
+
     def _disrupt_sidecar_link(self, number: int) -> None:
         self._disrupt_link(f"sidecar-{number}", 2.0)
 
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -14,16 +14,21 @@
 
 from cranklane.runtime.interface import Address
 from cranklane.runtime.real import RealRuntime
-from cranklane_lab.simulation.mesh import HOST, route_table
+from cranklane_lab.evidence.notice_rules import NoticeRules
+from cranklane_lab.simulation.mesh import route_table
+from cranklane_lab.soak.callers import Caller
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import FaultInjector
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, SoakSite
+from cranklane_lab.soak.worker_needs import WorkerNeeds
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
-from cranklane_lab.standins.routed_worker import NAMES
 
 START_TIMEOUT_SECONDS = 20.0
 RECOVERY_SECONDS = 15.0
 CALLER_COUNT = 10
+SIDECAR_FAULT_TASKS = 2
+"""Faults on sidecars that may be in progress at once."""
+
 MAX_CALLER_PAUSE_SECONDS = 0.02
 EDIT_INTERVAL_SECONDS = 0.7
 FINAL_REQUESTS = 60
@@ -66,14 +71,16 @@
 class Soak:
     """Soak run of one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(self, seed: int, seconds: float, folder: Path, machines: int) -> None:
         self._seed = seed
         self._seconds = seconds
         self._folder = folder
         self._random = Random(seed)
         self._runtime = RealRuntime()
-        self._site = SoakSite(folder)
+        self._rules = NoticeRules()
+        self._site = SoakSite(folder, self._rules, machines)
         self._observations = Observations()
+        self._caller = Caller(self._runtime, self._site, self._rules)
         self._faults: list[str] = []
         self._stopping = False
         self._request_count = 0
@@ -88,6 +95,7 @@
                 self._check_table()
                 self._observations.check_runs(self._site.workers)
                 self._observations.check_quarantine(self._site.crashes, self._site.workers)
+                self._check_notices()
         finally:
             self._stopping = True
             self._site.stop()
@@ -116,13 +124,28 @@
         gevent.sleep(2.0)
         return True
 
+    def _check_notices(self) -> None:
+        """Check the rules on workers that stated a limit or a departure."""
+        for violation in self._rules.violations():
+            self._observations.record_violation(violation)
+
+    def _excuse(self, machine: int) -> None:
+        self._rules.excuse(f"sidecar-{machine}", self._runtime.monotonic())
+
     def _run_with_faults(self) -> None:
-        injector = FaultInjector(self._site, Random(self._random.random()), self._record_fault)
+        injector = FaultInjector(
+            self._site, Random(self._random.random()), self._record_fault, self._excuse
+        )
+        needs = WorkerNeeds(self._site, Random(self._random.random()), self._record_fault)
         tasks = [gevent.spawn(self._run_caller) for _ in range(CALLER_COUNT)]
         tasks.append(gevent.spawn(self._run_operator))
         tasks += [gevent.spawn(self._run_crash_sender, number) for number in range(CRASH_TARGETS)]
         fault_tasks = [
-            gevent.spawn(injector.inject_sidecar_faults, lambda: self._stopping),
+            *(
+                gevent.spawn(injector.inject_sidecar_faults, lambda: self._stopping)
+                for _ in range(SIDECAR_FAULT_TASKS)
+            ),
+            gevent.spawn(needs.run, lambda: self._stopping),
             gevent.spawn(injector.inject_controller_faults, lambda: self._stopping),
         ]
         gevent.sleep(self._seconds)
@@ -134,7 +157,7 @@
         gevent.sleep(RECOVERY_SECONDS)
         failed = 0
         for number in range(FINAL_REQUESTS):
-            answer = self._send_request(number % len(SERVICES), "read", f"final-{number}")
+            answer = self._caller.send(number % self._site.machines, "read", f"final-{number}")
             failed += answer is None or answer.status != 200
         if failed:
             self._observations.record_violation(
@@ -155,38 +178,24 @@
 
     def _run_caller(self) -> None:
         random = Random(self._random.random())
+        caller = Caller(self._runtime, self._site, self._rules)
         while not self._stopping:
             route = random.choice(("read", "sign", "both"))
             self._request_count += 1
             request_id = f"{route}-{self._seed}-{self._request_count}"
-            answer = self._send_request(random.randrange(len(SERVICES)), route, request_id)
+            answer = caller.send(random.randrange(self._site.machines), route, request_id)
             self._observations.record_answer(request_id, route != "sign", answer)
             gevent.sleep(MAX_CALLER_PAUSE_SECONDS * random.random())
 
     def _run_crash_sender(self, target_number: int) -> None:
         """Send requests that crash workers to random machines, all with the same target."""
         random = Random(self._random.random())
+        caller = Caller(self._runtime, self._site, self._rules)
         while not self._stopping:
             gevent.sleep(MEAN_CRASH_PAUSE_SECONDS * 2 * random.random())
             request_id = f"crash-{target_number}-{random.getrandbits(32)}"
-            self._send_request(
-                random.randrange(len(SERVICES)), "read", request_id, f"crash-{target_number}"
-            )
-
-    def _send_request(
-        self, machine: int, route: str, request_id: str, path_suffix: str = "x"
-    ) -> RawAnswer | None:
-        headers = {
-            "Host": HOST,
-            NAMES.request.decode(): request_id,
-            NAMES.deadline.decode(): "4000",
-        }
-        address = self._site.callers_address(machine)
-        body = b"x" * 500 if route == "sign" else b""
-        method = "POST" if body else "GET"
-        return exchange(
-            self._runtime, address, method, f"/{route}/{path_suffix}", headers, body, 5.0
-        )
+            machine = random.randrange(self._site.machines)
+            caller.send(machine, "read", request_id, f"crash-{target_number}")
 
     def _run_operator(self) -> None:
         version = 1
@@ -248,10 +257,13 @@
         return None
 
 
-def run_soak(seeds: range, seconds: float, folder: str) -> list[SoakResult]:
+def run_soak(
+    seeds: range, seconds: float, folder: str, machines: int = len(SERVICES)
+) -> list[SoakResult]:
     """Run the seeds one after the other.
 
     :param folder: folder for logs; a new temporary folder if empty.
+    :param machines: number of sidecars, each with a worker.
     """
     base = Path(folder or tempfile.mkdtemp(prefix="cranklane-soak-"))
-    return [Soak(seed, seconds, base / f"seed-{seed}").run() for seed in seeds]
+    return [Soak(seed, seconds, base / f"seed-{seed}", machines).run() for seed in seeds]
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -11,6 +11,7 @@
 import gevent
 
 from cranklane.runtime.real import RealRuntime
+from cranklane_lab.evidence.notice_rules import Arrival, NoticeRules
 from cranklane_lab.fleet.mesh_flags import MeshPorts, as_arguments
 from cranklane_lab.fleet.processes import FleetProcess, start
 from cranklane_lab.soak.proxy import Proxy
@@ -19,6 +20,7 @@
 CONTROLLERS = 3
 TOLERATED_LOSSES = 1
 SERVICES = ("s", "s", "s", "t", "t")
+"""Services of the machines, repeated in larger sites."""
 SLOTS = 16
 WORK_SECONDS = 0.01
 
@@ -29,6 +31,11 @@
 """Time between the crash of a worker and its restart."""
 
 
+def service_of(number: int) -> str:
+    """Return the service of a machine."""
+    return SERVICES[number % len(SERVICES)]
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """Crash of a worker while it ran a request."""
@@ -40,14 +47,19 @@
 class SoakSite:
     """Processes on loopback addresses, which advertise the addresses of their proxies.
 
+    :param rules: receives what workers state and which requests reach them.
+    :ivar machines: number of sidecars, each with a worker.
     :ivar controllers: controller processes by number.
     :ivar sidecars: sidecar processes by number.
     :ivar proxies: proxies by the name of the target process.
     :ivar crashes: worker crashes in order of time.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, rules: NoticeRules, machines: int = len(SERVICES)) -> None:
         self._folder = folder
+        self._rules = rules
+        self._origins: dict[str, tuple[int, float]] = {}
+        self.machines = machines
         self._ports = MeshPorts()
         self._runtime = RealRuntime()
         self.controllers: dict[int, FleetProcess] = {}
@@ -55,6 +67,7 @@
         self.workers: list[RoutedWorker] = []
         self.proxies: dict[str, Proxy] = {}
         self.crashes: list[Crash] = []
+        self._restarts = 0
 
     def start(self) -> None:
         """Start all proxies, processes and workers."""
@@ -62,7 +75,7 @@
             self._proxy(f"controller-{number}", f"127.0.3.{number + 1}", f"127.0.1.{number + 1}")
         for number in range(CONTROLLERS):
             self.start_controller(number, first_start=True)
-        for number in range(len(SERVICES)):
+        for number in range(self.machines):
             self._proxy(f"sidecar-{number}", f"127.0.4.{number + 1}", f"127.0.2.{number + 1}")
             self.start_sidecar(number)
             self.workers.append(self._new_worker(number, f"i-{number}"))
@@ -98,12 +111,26 @@
         name = f"sidecar-{number}"
         host = f"127.0.2.{number + 1}"
         flags = {
-            **self._ports.sidecar(name, host, SERVICES[number], self._seeds()),
+            **self._ports.sidecar(name, host, service_of(number), self._seeds()),
             "advertise": f"127.0.4.{number + 1}:{self._ports.peer}",
             "heartbeat-seconds": "0.5",
+            "settings": str(self._settings_file(number)),
         }
         self.sidecars[number] = self._start(name, "sidecar", flags)
 
+    def _settings_file(self, number: int) -> Path:
+        """Return the settings file of a sidecar, which it watches; flags override its settings."""
+        path = self._folder / f"sidecar-{number}.toml"
+        if not path.exists():
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_text("")
+        return path
+
+    def change_settings(self, number: int) -> None:
+        """Rewrite a sidecar's settings file without a change of its settings."""
+        path = self._settings_file(number)
+        path.write_text(path.read_text() + "# rewritten\n")
+
     def _start(self, name: str, daemon: str, flags: dict[str, str]) -> FleetProcess:
         arguments = as_arguments(daemon, flags)
         return start(name, "cranklane.cli.entry", arguments, self._folder)
@@ -112,7 +139,7 @@
         host = f"127.0.2.{number + 1}"
         worker = RoutedWorker(
             self._runtime,
-            SERVICES[number],
+            service_of(number),
             instance,
             (host, self._ports.worker),
             (host, self._ports.registry),
@@ -121,11 +148,33 @@
         )
         worker.state.seconds = WORK_SECONDS
         worker.state.echoes = True
+        worker.state.on_notice = partial(self._record_stated, worker)
+        worker.state.on_arrival = partial(self._record_arrival, worker)
         worker.state.crash_mark = CRASH_MARK
         worker.state.on_crash = partial(self._crash_worker, number)
         self._runtime.spawn(worker.send_heartbeats)
         return worker
 
+    def record_origin(self, request: str, machine: int) -> None:
+        """Record at which machine a request begins, and that it is sent now."""
+        self._origins[request] = (machine, self._runtime.monotonic())
+
+    def _record_stated(self, worker: RoutedWorker, limit: float | None) -> None:
+        self._rules.stated(worker.label, self._runtime.monotonic(), limit)
+
+    def _record_arrival(self, worker: RoutedWorker, request: str) -> None:
+        machine, sent_at = self._origins[request]
+        arrival = Arrival(self._runtime.monotonic(), f"sidecar-{machine}", sent_at)
+        self._rules.arrived(worker.label, arrival)
+
+    def exit_worker(self, worker: RoutedWorker) -> None:
+        """End a worker that has left, and schedule its restart."""
+        if worker.ended:
+            return
+        worker.end()
+        number = self.workers.index(worker)
+        gevent.spawn_later(WORKER_RESTART_SECONDS, self._restart_worker, number)
+
     def _crash_worker(self, number: int, run: RoutedRun) -> None:
         """Crash a worker and schedule its restart."""
         worker = self.workers[number]
@@ -138,8 +187,9 @@
     def _restart_worker(self, number: int) -> None:
         """Restart a crashed worker; every other one keeps its id."""
         previous = self.workers[number]
-        keeps_id = len(self.crashes) % 2 == 0
-        instance = previous.instance if keeps_id else f"i-{number}+{len(self.crashes)}"
+        self._restarts += 1
+        keeps_id = self._restarts % 2 == 0
+        instance = previous.instance if keeps_id else f"i-{number}+{self._restarts}"
         worker = self._new_worker(number, instance)
         worker.state.runs = previous.state.runs
         self.workers[number] = worker
--- /dev/null
+++ b/src/cranklane_lab/soak/worker_needs.py
@@ -0,0 +1,58 @@
+"""Lets workers state limits and departures in their answers, at random."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import gevent
+
+from cranklane_lab.soak.site import SoakSite
+
+MEAN_PAUSE_SECONDS = 1.5
+"""Mean time between two changes of what workers state."""
+
+LIMITS = (b"0", b"0.3", b"2", b"5.5", b"12", b"30")
+
+LEAVING_SECONDS = (1.0, 4.0)
+"""Shortest and longest time from the statement of a departure to the exit."""
+
+
+class WorkerNeeds:
+    """Changes what workers state.
+
+    :param on_change: called with a description of each change.
+    """
+
+    def __init__(self, site: SoakSite, random: Random, on_change: Callable[[str], None]) -> None:
+        self._site = site
+        self._random = random
+        self._on_change = on_change
+
+    def run(self, should_stop: Callable[[], bool]) -> None:
+        """Change random workers until ``should_stop`` returns true; then end all limits."""
+        changes = (self._state_limit, self._state_limit, self._end_limit, self._leave)
+        while not should_stop():
+            number = self._random.randrange(len(self._site.workers))
+            self._random.choice(changes)(number)
+            gevent.sleep(MEAN_PAUSE_SECONDS * 2 * self._random.random())
+        for worker in self._site.workers:
+            worker.state.rate_limit = b""
+
+    def _state_limit(self, number: int) -> None:
+        limit = self._random.choice(LIMITS)
+        self._on_change(f"worker-{number} states a limit of {limit.decode()}")
+        self._site.workers[number].state.rate_limit = limit
+
+    def _end_limit(self, number: int) -> None:
+        self._on_change(f"worker-{number} states no limit")
+        self._site.workers[number].state.rate_limit = b""
+
+    def _leave(self, number: int) -> None:
+        """State a departure, which no heartbeat mentions, and exit some time later."""
+        worker = self._site.workers[number]
+        if worker.state.leaving or worker.ended:
+            return
+        self._on_change(f"worker-{number} leaves")
+        worker.state.leaving = True
+        gevent.spawn_later(self._random.uniform(*LEAVING_SECONDS), self._site.exit_worker, worker)
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -27,6 +27,9 @@
 INTEGRITY = b"whole"
 _POLL_SECONDS = 0.02
 
+START_HEADER = b"Stand-In-Start"
+"""Header of answers with a notice: the label of the worker's start."""
+
 CRASH_SECONDS = 0.05
 """Delay between the start of a crashing request and the crash."""
 
@@ -353,10 +356,12 @@
         framed: bool = True,
     ) -> bytes:
         lines = b"%s: %s\r\n" % (NAMES.request, request) + self._notices()
-        if not_run or self.state.rate_limit or self.state.leaving:
-            lines += b"%s: %s\r\n" % (NAMES.instance_answer, self.instance.encode())
         if not_run:
-            lines += b"%s: 1\r\n" % NAMES.not_run
+            lines += b"%s: 1\r\n%s: %s\r\n" % (
+                NAMES.not_run,
+                NAMES.instance_answer,
+                self.instance.encode(),
+            )
         elif marked:
             lines += b"%s: %s\r\n" % (NAMES.integrity, INTEGRITY)
         if framed:
@@ -372,4 +377,6 @@
             lines += b"%s: %s\r\n" % (NAMES.rate_limit, self.state.rate_limit)
         if self.state.leaving:
             lines += b"%s: 1\r\n" % NAMES.leaving
+        if lines:
+            lines += b"%s: %s\r\n" % (START_HEADER, self.label.encode())
         return lines
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,6 +90,7 @@
 class StandInSite:
     def __init__(self):
         self.log = []
+        self.machines = len(SERVICES)
         self.sidecars = {n: StandInProcess(self.log, f"sidecar-{n}") for n in range(len(SERVICES))}
         self.controllers = {n: StandInProcess(self.log, f"c-{n}") for n in range(CONTROLLERS)}
         self.proxies = {
@@ -101,6 +102,9 @@
     def start_sidecar(self, number):
         self.log.append(f"start sidecar-{number}")
 
+    def change_settings(self, number):
+        self.log.append(f"settings sidecar-{number}")
+
     def start_controller(self, number, empty=False):
         self.log.append(f"start c-{number} {empty}")
 
@@ -121,7 +125,7 @@
     assert (descriptions, log) == inject_faults(7, monkeypatch)
     assert descriptions != inject_faults(8, monkeypatch)[0]
     kinds = {description.split()[0] for description in descriptions}
-    assert kinds == {"kill", "pause", "stop", "link", "empty"}
+    assert kinds == {"kill", "pause", "stop", "link", "empty", "restart", "reload"}
 
 
 def test_every_fault_is_reverted(monkeypatch):
