--- a/src/cranklane/sidecar/admission/start_rate.py
+++ b/src/cranklane/sidecar/admission/start_rate.py
@@ -14,6 +14,9 @@
 MIN_BURST_STARTS = 1.0
 """Unused starts that are always kept; without one, nothing could ever start."""
 
+ROUNDING_STARTS = 1e-6
+"""Fraction of a start by which the clock's rounding may leave the bucket short after a wait."""
+
 MIN_RATE = 0.5
 """Starts per second below which a limit is not enforced: its end shows only in an answer."""
 
@@ -49,7 +52,7 @@
         if rate is None:
             return True
         self._refill(rate)
-        if self._starts < 1.0:
+        if self._starts < 1.0 - ROUNDING_STARTS:
             return False
         self._starts -= 1.0
         return True
--- a/src/cranklane/sidecar/routing/destinations.py
+++ b/src/cranklane/sidecar/routing/destinations.py
@@ -167,6 +167,7 @@
             self._notices.pop(instance_id, None)
             return
         self._notices[instance_id] = notice
+        self._notices.move_to_end(instance_id)
         while len(self._notices) > MAX_NOTICES:
             self._notices.popitem(last=False)
 
--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -55,6 +55,18 @@
     assert "it was not run" in output
 
 
+def test_cause_of_a_request_beyond_a_worker_limit_is_that_limit(tmp_path):
+    def script(mesh):
+        mesh.machines[2].worker.state.rate_limit = b"0.5"
+        mesh.request(mesh.machines[0], "/other/x")
+        assert mesh.request(mesh.machines[0], "/other/x", name="limited-one").status == 503
+
+    output = explain_request(script, tmp_path, "limited-one")
+    assert "admission reason=worker_limit" in output
+    assert "worker_limit instance=i-2" in output
+    assert "cause: the worker accepts a limited number of requests per second" in output
+
+
 def test_cause_of_an_unknown_outcome_is_the_lost_connection_to_the_worker(tmp_path):
     def script(mesh):
         configure_workers(mesh, lose_answers=9)
--- a/tests/test_start_rate.py
+++ b/tests/test_start_rate.py
@@ -59,6 +59,19 @@
     assert (rate.take(), rate.take()) == (True, False)
 
 
+@pytest.mark.parametrize("rate_per_second", [0.7, 3.9, 12.3, 41.7])
+def test_a_start_is_available_after_the_wait_for_it_at_any_time_of_the_clock(rate_per_second):
+    clock = Clock()
+    rate = StartRate(clock)
+    for uptime in (1.0, 1e4 / 3, 1e7 / 7):
+        clock.now = uptime
+        rate.set(None)
+        rate.set(rate_per_second)
+        for _ in range(200):
+            clock.now += rate.seconds_to(1)
+            assert rate.take()
+
+
 def test_starts_are_unlimited_without_a_limit():
     rate = StartRate(Clock())
     rate.set(1.0)
