A SIGHUP that arrives while a daemon starts no longer ends it

Cause: the handler of SIGHUP was installed after the ports were open; until then the signal's default ends the process. A settings change during a restart sends it just then.

Change: it is ignored from the first instruction of a daemon (the settings are read later anyway), and handled as before once the settings file is watched; without a settings file the default holds again.

--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -116,6 +116,9 @@
     reload = getattr(process, "reload", None)
     if path and reload is not None:
         _watch_settings(path, read_settings, reload)
+    else:
+        # Without a file to reload, a closed terminal ends the process.
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
     _tune_garbage_collector()
     stop_requested.wait()
     try:
--- a/src/cranklane/cli/entry.py
+++ b/src/cranklane/cli/entry.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import signal
 import sys
+from typing import Any
 
 
 def _is_daemon(arguments: list[str]) -> bool:
@@ -24,13 +26,25 @@
     return command == "control" and len(arguments) > 1 and arguments[1].startswith("--")
 
 
+def run_daemon(command: str, arguments: list[str], **process_arguments: Any) -> int:
+    """Run a daemon until a signal stops it; return the exit status.
+
+    A SIGHUP that arrives while it starts is ignored instead of ending it: the settings file is
+    read later.
+
+    :param process_arguments: additional keyword arguments for the daemon's class.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from cranklane.cli.daemon import run
+
+    return run(command, arguments, **process_arguments)
+
+
 def main() -> None:
     """Run the daemon or operator command named by the first argument."""
     arguments = sys.argv[1:]
     if _is_daemon(arguments):
-        from cranklane.cli.daemon import run
-
-        sys.exit(run(arguments[0], arguments[1:]))
+        sys.exit(run_daemon(arguments[0], arguments[1:]))
     from cranklane.cli.main import application
 
     application()
--- a/src/cranklane_lab/fleet/processes.py
+++ b/src/cranklane_lab/fleet/processes.py
@@ -84,8 +84,27 @@
         self.process.terminate()
 
     def hang_up(self) -> None:
-        """Request a reload of the settings with SIGHUP."""
-        self.process.send_signal(signal.SIGHUP)
+        """Request a reload of the settings with SIGHUP, if the program has begun to run.
+
+        Before its first instruction, nothing can keep the signal from ending the process.
+        """
+        if self.handles_hangup():
+            self.process.send_signal(signal.SIGHUP)
+
+    def handles_hangup(self) -> bool:
+        """Return whether the process ignores or catches SIGHUP."""
+        mask = 1 << (signal.SIGHUP - 1)
+        try:
+            status = Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            # The process has exited.
+            return False
+        masks = [
+            int(line.split()[1], 16)
+            for line in status.splitlines()
+            if line.startswith(("SigIgn:", "SigCgt:"))
+        ]
+        return any(handled & mask for handled in masks)
 
     def resident_bytes(self) -> int:
         """Return the resident memory in bytes, or 0 if unknown."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,9 +7,12 @@
 import socket
 import subprocess
 import sys
+import time
 from contextlib import closing
 
 from cranklane.runtime.real import RealRuntime
+from cranklane_lab.fleet.mesh_flags import as_arguments
+from cranklane_lab.fleet.processes import start
 
 
 def free_address():
@@ -18,6 +21,13 @@
         return f"127.0.0.1:{reserved.getsockname()[1]}"
 
 
+def listens(address):
+    """Return whether a process accepts connections at an address."""
+    host, _, port = address.rpartition(":")
+    with closing(socket.socket()) as probe:
+        return probe.connect_ex((host, int(port))) == 0
+
+
 def test_log_lines_are_written_until_the_process_exits():
     flags = {"name": "n", "zone": "z", "service": "s", "seeds": "127.0.0.1:1", "peer-port": "1"}
     flags |= {name: free_address() for name in ("callers", "readiness", "registry", "listen")}
@@ -36,6 +46,25 @@
     assert daemon.returncode == 0
 
 
+def test_hangup_signals_while_a_daemon_starts_do_not_end_it(tmp_path):
+    settings = tmp_path / "sidecar.toml"
+    settings.write_text("")
+    flags = {"name": "n", "zone": "z", "service": "s", "seeds": "127.0.0.1:1", "peer-port": "1"}
+    flags |= {name: free_address() for name in ("callers", "readiness", "registry", "listen")}
+    flags |= {"settings": str(settings), "stop-seconds": "1"}
+    daemon = start("daemon", "cranklane.cli.entry", as_arguments("sidecar", flags), tmp_path)
+    deadline = time.monotonic() + 30
+    signals_while_starting = 0
+    while "settings_reloaded" not in daemon.log.read_text() and time.monotonic() < deadline:
+        signals_while_starting += daemon.handles_hangup() and not listens(flags["listen"])
+        daemon.hang_up()
+        time.sleep(0.005)
+    assert signals_while_starting > 0
+    assert daemon.alive
+    daemon.terminate()
+    assert daemon.process.wait(20) == 0
+
+
 def test_connection_closed_locally_has_input():
     local, peer = socket.socketpair()
     local.close()
