--- a/src/cranklane/sidecar/admission/caller_turns.py
+++ b/src/cranklane/sidecar/admission/caller_turns.py
@@ -1,4 +1,4 @@
-"""Tells the callers of a worker with limited starts when to send their next request to it.
+"""Schedules the next requests of callers to a worker with limited starts.
 
 Each reply gets the next turn, and turns are spaced as the worker accepts requests. So callers that
 do not know of one another send together about as many requests as the worker accepts, and choose
--- a/src/cranklane/sidecar/admission/start_rate.py
+++ b/src/cranklane/sidecar/admission/start_rate.py
@@ -1,7 +1,7 @@
 """Paces the starts of requests at a worker that accepts a limited number per second.
 
 A token bucket holds the available starts. It keeps few unused ones, so that a pause of callers or
-of this process is not followed by a burst. ``slots`` takes one for each request that it starts.
+of this process is not followed by a burst. ``slots`` uses one per request.
 """
 
 from __future__ import annotations
--- a/src/cranklane/sidecar/routing/destinations.py
+++ b/src/cranklane/sidecar/routing/destinations.py
@@ -153,11 +153,11 @@
 
     def record_notice(self, destination: Destination, notice: WorkerNotice | None) -> None:
         """Record what the worker of a destination states of itself; None if nothing."""
-        known = destination.notice
-        if known is not None and known.leaving:
+        former = destination.notice
+        if former is not None and former.leaving:
             # A departure is final for its instance.
             return
-        if notice is None and known is None:
+        if notice is None and former is None:
             return
         if notice is not None and not _may_be_same(notice.instance, destination.instance):
             return
--- a/src/cranklane/sidecar/worker/answer_notice.py
+++ b/src/cranklane/sidecar/worker/answer_notice.py
@@ -1,7 +1,8 @@
 """What a worker states about itself in the headers of its answers.
 
-A worker in need states how many requests per second it accepts from all callers together, for as
-long as its answers say so. A worker that is about to exit states that it is leaving.
+A worker in need states how many requests per second it accepts from all callers together; the
+limit holds for as long as its answers state it. A worker that is about to exit states that it
+is leaving.
 """
 
 from __future__ import annotations
--- a/src/cranklane/sidecar/worker/stated_limit.py
+++ b/src/cranklane/sidecar/worker/stated_limit.py
@@ -20,7 +20,7 @@
     """A change of the limit that a worker states.
 
     :ivar rate: requests per second from now on; None if there is no limit any more.
-    :ivar former: the limit before; None if there was none.
+    :ivar former: the limit before; None without one.
     :ivar held_seconds: time since ``former`` was stated first.
     """
 
@@ -50,7 +50,7 @@
         self.rate: float | None = None
 
     def follow(self, instance: WorkerInstance) -> None:
-        """Forget the limit if it was stated by another instance than this one."""
+        """Forget the limit if another instance than this one has stated it."""
         if instance is self._instance:
             return
         if not instance.may_be(self._instance):
--- a/src/cranklane_lab/cost/run.py
+++ b/src/cranklane_lab/cost/run.py
@@ -12,8 +12,8 @@
 
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.cost.site import CostSite
-from cranklane_lab.simulation.mesh import HOST
 from cranklane_lab.standins.raw_http import RawConnection, request_bytes
+from cranklane_lab.standins.route_tables import HOST
 
 CLIENT_COUNT = 8
 WARM_UP_REQUESTS = 500
--- a/src/cranklane_lab/cost/site.py
+++ b/src/cranklane_lab/cost/site.py
@@ -11,8 +11,8 @@
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.fleet.mesh_flags import MeshPorts, as_arguments
 from cranklane_lab.fleet.processes import FleetProcess, free_port, start
-from cranklane_lab.simulation.mesh import HOST, route_table
 from cranklane_lab.standins.raw_http import exchange
+from cranklane_lab.standins.route_tables import HOST, route_table
 from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
 
 SLOTS = 64
--- a/src/cranklane_lab/evidence/notice_rules.py
+++ b/src/cranklane_lab/evidence/notice_rules.py
@@ -21,14 +21,14 @@
 EXCESS_REQUESTS = 5
 """A worker may get its limit times the ratio, and as many requests more, in each window."""
 
-TOLD_SECONDS = 0.5
-"""Time after which a machine that was told of a limit is bound by it."""
+NOTICE_DELAY_SECONDS = 0.5
+"""Time after which a notice of a limit from which it binds the machine."""
 
 CONTACT_SECONDS = 3.0
 """Time after a worker first stated a limit from which its windows are checked."""
 
 DRAIN_SECONDS = 2.0
-"""Time after which a machine that was told of a departure sends no more requests there."""
+"""Time after which a notice of a departure from which the machine sends no more requests there."""
 
 
 _START = START_HEADER.decode().lower()
@@ -54,8 +54,8 @@
 
     limits: list[tuple[float, float | None]] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
-    told_limit: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
-    told_leaving: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    informed_of_limit: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    informed_of_departure: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
 
 class NoticeRules:
@@ -78,16 +78,16 @@
         if worker is None:
             return
         if _RATE_LIMIT in headers:
-            self._workers[worker].told_limit[machine].append(at)
+            self._workers[worker].informed_of_limit[machine].append(at)
         if _LEAVING in headers:
-            self._workers[worker].told_leaving[machine].append(at)
+            self._workers[worker].informed_of_departure[machine].append(at)
 
     def arrived(self, worker: str, arrival: Arrival) -> None:
         """Record a request that reached a worker."""
         self._workers[worker].arrivals.append(arrival)
 
     def excuse(self, machine: str, at: float) -> None:
-        """Record a restart, pause or partition of a machine: it must be told again."""
+        """Record a restart, pause or partition of a machine: its notices no longer bind it."""
         self._excuses[machine].append(at)
 
     def most_excess(self) -> float:
@@ -108,19 +108,19 @@
 
     def _late_requests(self) -> list[str]:
         return [
-            f"{worker}: a request of {arrival.machine} sent {arrival.sent_at - told:.2f} s after "
-            "it was told that the worker leaves"
+            f"{worker}: a request of {arrival.machine} sent {arrival.sent_at - informed_at:.2f} s "
+            "after the notice that the worker leaves"
             for worker, observed in self._workers.items()
             for arrival in observed.arrivals
-            for told in [self._told_at(observed.told_leaving, arrival)]
-            if told is not None and arrival.sent_at - told > DRAIN_SECONDS
+            for informed_at in [self._informed_at(observed.informed_of_departure, arrival)]
+            if informed_at is not None and arrival.sent_at - informed_at > DRAIN_SECONDS
         ]
 
-    def _told_at(self, told: dict[str, list[float]], arrival: Arrival) -> float | None:
-        """Return when a machine was first told since its last excuse before an arrival."""
+    def _informed_at(self, notices: dict[str, list[float]], arrival: Arrival) -> float | None:
+        """Return the first notice to a machine between its last excuse and an arrival."""
         excuses = [at for at in self._excuses[arrival.machine] if at <= arrival.at]
         since = max(excuses, default=0.0)
-        return next((at for at in told.get(arrival.machine, ()) if at >= since), None)
+        return next((at for at in notices.get(arrival.machine, ()) if at >= since), None)
 
     def _window_ratios(self) -> list[tuple[str, float]]:
         """Return the requests in each window, relative to the allowed number, by worker."""
@@ -135,8 +135,8 @@
         times = [
             arrival.at
             for arrival in observed.arrivals
-            for told in [self._told_at(observed.told_limit, arrival)]
-            if told is not None and arrival.at - told >= TOLD_SECONDS
+            for informed_at in [self._informed_at(observed.informed_of_limit, arrival)]
+            if informed_at is not None and arrival.at - informed_at >= NOTICE_DELAY_SECONDS
         ]
         checked_from = observed.limits[0][0] + CONTACT_SECONDS
         ratios = []
--- a/src/cranklane_lab/simulation/crashes.py
+++ b/src/cranklane_lab/simulation/crashes.py
@@ -8,8 +8,9 @@
 import gevent
 from gevent.queue import Queue
 
-from cranklane_lab.simulation.mesh import Mesh, MeshMachine
-from cranklane_lab.standins.routed_worker import RoutedRun
+from cranklane_lab.simulation.mesh import Mesh
+from cranklane_lab.simulation.mesh_machines import MeshMachine
+from cranklane_lab.standins.routed_worker_state import RoutedRun
 
 RESTART_DELAY_SECONDS = 3.0
 """Delay between a worker's crash and its restart."""
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -10,104 +10,28 @@
 import gevent
 
 from cranklane.controller.process import Controller, ControllerSettings
-from cranklane.runtime.interface import Address, format_address
+from cranklane.runtime.interface import format_address
 from cranklane.sidecar.process import Sidecar
 from cranklane.sidecar.settings import SidecarSettings
 from cranklane_lab.evidence.notice_rules import Arrival, NoticeRules
+from cranklane_lab.simulation.mesh_machines import (
+    CALLERS_PORT,
+    METRICS_PORT,
+    OPERATOR_PORT,
+    PEER_PORT,
+    READINESS_PORT,
+    REGISTRY_PORT,
+    WORKER_PORT,
+    ControllerMachine,
+    MeshMachine,
+)
 from cranklane_lab.simulation.process import SimulatedProcess
 from cranklane_lab.simulation.world import World
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
-from cranklane_lab.standins.routed_worker import HEALTH_PATH, NAMES, RoutedWorker
+from cranklane_lab.standins.route_tables import HOST
+from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
 
-HOST = "shop.example"
 SEED_COUNT = 3
-_PEER_PORT = 7000
-_OPERATOR_PORT = 7001
-_CALLERS_PORT = 8000
-_READINESS_PORT = 8001
-_REGISTRY_PORT = 8002
-_METRICS_PORT = 8003
-_WORKER_PORT = 8080
-
-
-@dataclass
-class MeshMachine:
-    """A machine that runs a sidecar and its worker."""
-
-    name: str
-    service: str
-    zone: str
-    host: str
-    worker_process: SimulatedProcess
-    worker: RoutedWorker
-    process: SimulatedProcess
-    sidecar: Sidecar
-
-    @property
-    def callers(self) -> Address:
-        """Address on which the sidecar accepts requests."""
-        return self.host, _CALLERS_PORT
-
-    @property
-    def readiness(self) -> Address:
-        """Address of the sidecar's readiness endpoint."""
-        return self.host, _READINESS_PORT
-
-
-@dataclass
-class ControllerMachine:
-    """A machine that runs a controller."""
-
-    number: int
-    host: str
-    process: SimulatedProcess
-    controller: Controller
-
-    @property
-    def operators(self) -> Address:
-        """Address of the operator API."""
-        return self.host, _OPERATOR_PORT
-
-
-def route_table(
-    version: int,
-    base: int,
-    routes: dict[str, dict[str, Any]],
-    services: tuple[str, ...],
-    tenants: dict[str, dict[str, Any]] | None = None,
-) -> dict[str, Any]:
-    """Return a route table document.
-
-    :param version: version of the document.
-    :param base: version that it is based on.
-    :param routes: by name; each overrides the default route settings.
-    :param tenants: by name; None disables the API key check.
-    """
-    defaults = {
-        "host": HOST,
-        "repeat": "safe",
-        "timeout_ms": 5000,
-        "objective_ms": 1000,
-        "priority": 0,
-        "max_attempts": 2,
-    }
-    document = {
-        "version": version,
-        "base": base,
-        "routes": {name: {**defaults, **route} for name, route in routes.items()},
-        "services": {
-            name: {"health_path": HEALTH_PATH, "max_connections": 100} for name in services
-        },
-        "limits": {
-            "max_header_bytes": 8192,
-            "max_body_bytes": 1_000_000,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-    }
-    if tenants is not None:
-        document["tenants"] = tenants
-    return document
 
 
 @dataclass
@@ -131,7 +55,7 @@
         :param tolerated: losses of controllers that the group must tolerate.
         """
         hosts = [self.world.new_host() for _ in range(count)]
-        self._seeds = [format_address((host, _OPERATOR_PORT)) for host in hosts[:SEED_COUNT]]
+        self._seeds = [format_address((host, OPERATOR_PORT)) for host in hosts[:SEED_COUNT]]
         self._tolerated = tolerated
         for number, host in enumerate(hosts):
             self.controllers.append(self._controller(number, host, True))
@@ -142,11 +66,11 @@
         settings = ControllerSettings(
             name=f"controller-{number}",
             zone=zone,
-            listen=f"{host}:{_PEER_PORT}",
-            http=f"{host}:{_OPERATOR_PORT}",
+            listen=f"{host}:{PEER_PORT}",
+            http=f"{host}:{OPERATOR_PORT}",
             data="controller",
             seeds=self._seeds,
-            peer_port=_PEER_PORT,
+            peer_port=PEER_PORT,
             first_start=first,
             tolerated_losses=self._tolerated,
             quota_slack=self.quota_slack,
@@ -214,7 +138,7 @@
     def _worker(process: SimulatedProcess, service: str, instance: str, slots: int) -> RoutedWorker:
         host = process.host
         return RoutedWorker(
-            process, service, instance, (host, _WORKER_PORT), (host, _REGISTRY_PORT), slots
+            process, service, instance, (host, WORKER_PORT), (host, REGISTRY_PORT), slots
         )
 
     def restart_worker(self, machine: MeshMachine, same_id: bool = False) -> None:
@@ -249,14 +173,14 @@
             name=name,
             zone=zone,
             service=service,
-            callers=f"{host}:{_CALLERS_PORT}",
-            readiness=f"{host}:{_READINESS_PORT}",
-            registry=f"{host}:{_REGISTRY_PORT}",
-            listen=f"{host}:{_PEER_PORT}",
-            metrics=f"{host}:{_METRICS_PORT}",
+            callers=f"{host}:{CALLERS_PORT}",
+            readiness=f"{host}:{READINESS_PORT}",
+            registry=f"{host}:{REGISTRY_PORT}",
+            listen=f"{host}:{PEER_PORT}",
+            metrics=f"{host}:{METRICS_PORT}",
             seeds=self._seeds,
-            peer_port=_PEER_PORT,
-            worker=f"{host}:{_WORKER_PORT}",
+            peer_port=PEER_PORT,
+            worker=f"{host}:{WORKER_PORT}",
             revocation_seconds=self.revocation_seconds,
         )
         sidecar = Sidecar(process, settings)
--- a/src/cranklane_lab/soak/callers.py
+++ b/src/cranklane_lab/soak/callers.py
@@ -4,9 +4,9 @@
 
 from cranklane.runtime.interface import Runtime
 from cranklane_lab.evidence.notice_rules import NoticeRules
-from cranklane_lab.simulation.mesh import HOST
 from cranklane_lab.soak.site import SoakSite
 from cranklane_lab.standins.raw_http import RawAnswer, RawConnection, request_bytes
+from cranklane_lab.standins.route_tables import HOST
 from cranklane_lab.standins.routed_worker import NAMES
 
 REQUEST_TIMEOUT_SECONDS = 5.0
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -15,13 +15,13 @@
 from cranklane.runtime.interface import Address
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.evidence.notice_rules import NoticeRules
-from cranklane_lab.simulation.mesh import route_table
 from cranklane_lab.soak.callers import Caller
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import FaultInjector
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, SoakSite
 from cranklane_lab.soak.worker_needs import WorkerNeeds
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
+from cranklane_lab.standins.route_tables import route_table
 
 START_TIMEOUT_SECONDS = 20.0
 RECOVERY_SECONDS = 15.0
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -15,7 +15,8 @@
 from cranklane_lab.fleet.mesh_flags import MeshPorts, as_arguments
 from cranklane_lab.fleet.processes import FleetProcess, start
 from cranklane_lab.soak.proxy import Proxy
-from cranklane_lab.standins.routed_worker import RoutedRun, RoutedWorker
+from cranklane_lab.standins.routed_worker import RoutedWorker
+from cranklane_lab.standins.routed_worker_state import RoutedRun
 
 CONTROLLERS = 3
 TOLERATED_LOSSES = 1
--- /dev/null
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -0,0 +1,100 @@
+"""Behaviour, faults and counters of a stand-in worker behind a sidecar."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass
+class RoutedRun:
+    """A request that the worker started to run.
+
+    :ivar request: request id.
+    :ivar at: monotonic second at which it started.
+    """
+
+    request: str
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    at: float
+    cancelled: bool = False
+
+    def value(self, name: bytes) -> bytes:
+        """Return the first value of a header; empty if it is missing."""
+        return next((v for n, v in self.headers if n.lower() == name.lower()), b"")
+
+
+@dataclass
+class RoutedWorkerState:
+    """The behaviour, faults and counters of a worker.
+
+    Faults are numbers of requests still to be affected.
+
+    :ivar seconds: work time of a request.
+    :ivar status: HTTP status of a response.
+    :ivar lose_answers: fault: run the request, then close the connection.
+    :ivar cut_answers: fault: break off the response in the middle of its body.
+    :ivar surplus_answers: fault: send an extra response after the right one.
+    :ivar late_answers: fault: send a response to another request before the right one.
+    :ivar garbage_answers: fault: send bytes that aren't HTTP.
+    :ivar unframed_answers: fault: send a response without length and close the connection.
+    :ivar unmarked_answers: fault: send a response without the integrity header.
+    :ivar refuse: fault: refuse the request as not run.
+    :ivar fail: fault: run the request and respond with 500.
+    :ivar body: body of a response.
+    :ivar echoes: whether a response body names its request instead.
+    :ivar work: runs a request and returns its status; replaces ``seconds`` and ``status``.
+    :ivar work_time_factor: factor on the work time, to be applied by ``work``.
+    :ivar shed_fraction: fraction of requests to refuse as not run.
+    :ivar crash_mark: mark in the target of requests that crash the worker; empty for none.
+    :ivar on_crash: called with a run that crashes the worker.
+    :ivar rate_limit: text of the limit that its answers state; empty for none.
+    :ivar leaving: whether its answers state that it is leaving.
+    :ivar states_in_health: whether answers to health checks state the same.
+    :ivar on_notice: called before each answer with the limit that it states, if any.
+    :ivar on_arrival: called with the id of each received request.
+    :ivar arrivals: number of received requests.
+    :ivar connections: number of accepted connections.
+    :ivar running: number of requests in flight.
+    :ivar most_running: maximum of ``running`` so far.
+    :ivar runs: all started runs.
+    """
+
+    seconds: float = 0.02
+    status: int = 200
+    lose_answers: int = 0
+    cut_answers: int = 0
+    surplus_answers: int = 0
+    late_answers: int = 0
+    garbage_answers: int = 0
+    unframed_answers: int = 0
+    unmarked_answers: int = 0
+    refuse: int = 0
+    fail: int = 0
+    body: bytes = b"answer"
+    echoes: bool = False
+    work: Callable[[RoutedRun], int] | None = None
+    work_time_factor: float = 1.0
+    shed_fraction: float = 0.0
+    crash_mark: bytes = b""
+    on_crash: Callable[[RoutedRun], None] | None = None
+    rate_limit: bytes = b""
+    leaving: bool = False
+    states_in_health: bool = False
+    on_notice: Callable[[float | None], None] | None = None
+    on_arrival: Callable[[str], None] | None = None
+    arrivals: int = 0
+    connections: int = 0
+    running: int = 0
+    most_running: int = 0
+    runs: list[RoutedRun] = field(default_factory=list)
+
+    def consume_fault(self, fault: str) -> bool:
+        """Return whether a fault applies to this request, and decrement its counter."""
+        count = getattr(self, fault)
+        if count:
+            setattr(self, fault, count - 1)
+        return count > 0
--- a/src/cranklane_lab/trees/play.py
+++ b/src/cranklane_lab/trees/play.py
@@ -9,10 +9,13 @@
 
 import gevent
 
-from cranklane_lab.simulation.mesh import HOST, Mesh, MeshMachine, route_table
+from cranklane_lab.simulation.mesh import Mesh
+from cranklane_lab.simulation.mesh_machines import MeshMachine
 from cranklane_lab.simulation.world import World, simulate
 from cranklane_lab.standins.raw_http import exchange
-from cranklane_lab.standins.routed_worker import NAMES, RoutedRun, RoutedWorker
+from cranklane_lab.standins.route_tables import HOST, route_table
+from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_worker_state import RoutedRun
 from cranklane_lab.trees.generator import (
     LATE_WORTH_FRACTION,
     Deployment,
--- a/tests/mesh_support.py
+++ b/tests/mesh_support.py
@@ -4,8 +4,9 @@
 
 import gevent
 
-from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.mesh import Mesh
 from cranklane_lab.simulation.world import simulate
+from cranklane_lab.standins.route_tables import route_table
 
 ROUTES = {
     "read": {"prefix": "/read/", "service": "s"},
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -11,8 +11,9 @@
 from cranklane.sidecar.routing.destination import SATURATED_SECONDS
 from cranklane.sidecar.routing.destinations import Destinations
 from cranklane.sidecar.routing.worker_choice import WorkerChoice
-from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.mesh import Mesh
 from cranklane_lab.simulation.world import simulate
+from cranklane_lab.standins.route_tables import route_table
 
 ROUTES = {
     "pay": {"prefix": "/pay/", "service": "top", "priority": 0},
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -10,8 +10,9 @@
 from cranklane.cli.losses import format_losses, sum_losses
 from cranklane.cli.main import application
 from cranklane.cli.request_timeline import read_lines
-from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.mesh import Mesh
 from cranklane_lab.simulation.world import simulate
+from cranklane_lab.standins.route_tables import route_table
 from test_request_timeline import captured_lines
 
 ROUTES = {
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from cranklane_lab.simulation.mesh import route_table
+from cranklane_lab.standins.route_tables import route_table
 from mesh_support import ROUTES, configure_workers, play
 
 
--- a/tests/test_publisher_frames.py
+++ b/tests/test_publisher_frames.py
@@ -7,7 +7,7 @@
 from cranklane.controller.route_store import RouteTableStore
 from cranklane.distribution.membership import Membership
 from cranklane.distribution.shared_frames import SharedFrameCache
-from cranklane_lab.simulation.mesh import route_table
+from cranklane_lab.standins.route_tables import route_table
 from mesh_support import ROUTES, play
 
 SERVICES = ("s",) * 10 + ("t",) * 5
--- a/tests/test_route_rows.py
+++ b/tests/test_route_rows.py
@@ -14,8 +14,9 @@
 from cranklane.records.messages import RouteTableCommand
 from cranklane.routes.document import pack_document, read_json, read_table
 from cranklane.sidecar.table.adopted_table import AdoptedTable
-from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.mesh import Mesh
 from cranklane_lab.simulation.world import simulate
+from cranklane_lab.standins.route_tables import route_table
 
 SERVICES = ("s", "t")
 
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from cranklane_lab.simulation.mesh import route_table
+from cranklane_lab.standins.route_tables import route_table
 from mesh_support import ROUTES, play
 
 FOUR_OF_ONE_SERVICE = ("s",) * 4 + ("t",)
@@ -150,13 +150,13 @@
         network = mesh.world.network
         load = gevent.spawn(send_load, mesh, 14.0, [])
         limited = mesh.machines[0].name
-        for other in mesh.machines[1:4]:
+        for peer in mesh.machines[1:4]:
             gevent.sleep(1.5)
-            network.cut(limited, other.name)
-            network.cut(other.name, limited)
+            network.cut(limited, peer.name)
+            network.cut(peer.name, limited)
             gevent.sleep(1.5)
-            network.heal(limited, other.name)
-            network.heal(other.name, limited)
+            network.heal(limited, peer.name)
+            network.heal(peer.name, limited)
         load.join()
         gevent.sleep(2.0)
         return rules.violations()
@@ -176,15 +176,17 @@
         refusals = gate_refusals(mesh) - refusals_before
         used = sum(arrivals(mesh, number) for number in range(4)) - before
         gevent.sleep(2.0)
-        delays = [float(a.headers["retry-after"]) for a in answers if a.status == 503]
-        seen = {answer.status for answer in answers}
-        return rules.violations(), used / (4 * 8 * 8), refusals / len(answers), seen, delays
+        delays = [
+            float(refused.headers["retry-after"]) for refused in answers if refused.status == 503
+        ]
+        found = {answer.status for answer in answers}
+        return rules.violations(), used / (4 * 8 * 8), refusals / len(answers), found, delays
 
-    violations, used, refusals_per_request, seen, delays = play_mesh(script)
+    violations, used, refusals_per_request, found, delays = play_mesh(script)
     assert violations == []
     assert used > 0.85
     assert refusals_per_request < 0.3
-    assert seen == {200, 503}
+    assert found == {200, 503}
     assert min(delays) >= 0.05
     assert max(delays) <= 1.5
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -23,9 +23,10 @@
 from cranklane.sidecar.admission.tenant_quota import LOCAL_SHARE_BURST, TenantQuota
 from cranklane.sidecar.table import table_lease
 from cranklane.sidecar.table.table_lease import TableLease
-from cranklane_lab.simulation.mesh import Mesh, route_table
+from cranklane_lab.simulation.mesh import Mesh
 from cranklane_lab.simulation.world import simulate
 from cranklane_lab.standins.raw_http import exchange
+from cranklane_lab.standins.route_tables import route_table
 from cranklane_lab.standins.routed_worker import NAMES
 
 KEY = NAMES.key.decode()
