Lab: a free port is unused on all loopback addresses

Cause: free_port looked at 127.0.0.1 alone, while fleets listen on 127.0.2.x with SO_REUSEPORT, which makes a conflict invisible: heartbeats of one soak reached workers of the other.

Change: the port is tried on all addresses.

--- a/src/cranklane_lab/fleet/processes.py
+++ b/src/cranklane_lab/fleet/processes.py
@@ -15,6 +15,7 @@
 
 _PR_SET_PDEATHSIG = 1
 LOOPBACK = "127.0.0.1"
+ALL_ADDRESSES = "0.0.0.0"
 _FIRST_PORT = 10_000
 _END_PORT = 32_000
 _ports = itertools.cycle(
@@ -26,7 +27,7 @@
 
 
 def free_port() -> int:
-    """Return an unused loopback port; ports repeat only after the whole range was returned.
+    """Return a port unused on all loopback addresses; repeats only after the whole range.
 
     The range lies below the kernel's range for outgoing connections. Nodes bind with
     SO_REUSEPORT, so a port conflict would raise no error and send requests to the wrong
@@ -37,7 +38,7 @@
     for port in _ports:
         with socket.socket() as probe:
             try:
-                probe.bind((LOOPBACK, port))
+                probe.bind((ALL_ADDRESSES, port))
             except OSError:
                 continue
             return port
