--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -285,3 +285,14 @@
         return arrivals(mesh) - before
 
     assert play_mesh(script) > 30
+
+
+@pytest.mark.parametrize(("limit", "is_at_fault"), [(b"", True), (b"8", False)])
+def test_a_worker_that_refuses_requests_is_at_fault_unless_it_states_a_limit(limit, is_at_fault):
+    def script(mesh):
+        state_limit(mesh, limit)
+        mesh.machines[0].worker.state.refuse = 10_000
+        send_load(mesh, 1.0, [])
+        return mesh.machines[0].sidecar.condition.now().faults > 0.1
+
+    assert play_mesh(script) is is_at_fault
