Refusals by saturated limits name the limit; a raised limit starts what waits at the new rate

Cause 1: a request whose service has only workers saturated by their limits was refused as queue_full, which explain-request explains by full slots. Cause 2: a grant scheduled at a low limit was not scheduled anew when the limit rose, so a waiting request could wait up to 2 s longer.

Change: a saturation keeps the reason of the refusal that began it; a changed limit drops the scheduled grant. Without a stated limit nothing differs.

--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -190,6 +190,8 @@
     def limit_starts(self, rate: float | None) -> None:
         """Limit the starts per second; None removes the limit."""
         self._start_rate.set(rate)
+        # A scheduled grant is for a start at the former rate.
+        self._grant_is_scheduled = False
         self._grant()
 
     def refuse_waiting(self, reason: Reason) -> None:
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -10,6 +10,7 @@
 
 from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
+from cranklane.outcome import Reason
 from cranklane.records.messages import WorkerNotice
 from cranklane.runtime.interface import Address
 from cranklane.sidecar.request.attempt import Load
@@ -44,6 +45,7 @@
         candidates are ejected.
     :ivar saturated_until: end of the saturation, which applies to requests of
         ``saturated_priority`` and lower priorities.
+    :ivar saturated_reason: reason of the refusal that began the saturation.
     :ivar paused_until: until then, other workers are preferred: this one accepts a limited number
         of requests per second, and the next turn of this sidecar comes then.
     :ivar notice: what the worker was last heard to state of itself; None if nothing.
@@ -72,6 +74,7 @@
     ejected_until: float = 0.0
     saturated_until: float = 0.0
     saturated_priority: int = 0
+    saturated_reason: Reason = Reason.QUEUE_FULL
     paused_until: float = 0.0
     notice: WorkerNotice | None = None
     confirmed_at: float | None = None
@@ -135,17 +138,23 @@
         self.state = MemberState.DRAINING if leaving else state
 
     def record_capacity_refusal(
-        self, now: float, priority: int, seconds: float = SATURATED_SECONDS
+        self,
+        now: float,
+        priority: int,
+        reason: Reason = Reason.QUEUE_FULL,
+        seconds: float = SATURATED_SECONDS,
     ) -> None:
         """Mark the destination as saturated after it refused a request for lack of capacity.
 
         :param priority: priority of the root request; 0 is the highest.
+        :param reason: reason of the refusal.
         :param seconds: duration of the saturation.
         """
         already_saturated = self.saturated_until > now
         self.saturated_priority = (
             min(self.saturated_priority, priority) if already_saturated else priority
         )
+        self.saturated_reason = reason
         self.saturated_until = now + seconds
 
     def is_saturated(self, now: float, priority: int) -> bool:
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -100,10 +100,9 @@
                     # All candidates have been tried.
                     break
                 if self._choice.all_saturated(call.service, call.root.priority):
-                    delay_ms = retry_after.all_saturated_ms(
-                        self._choice.seconds_saturated(call.service)
-                    )
-                    result = refusal(Reason.QUEUE_FULL, retry_after_ms=delay_ms)
+                    saturation = self._choice.first_saturation(call.service)
+                    delay_ms = retry_after.all_saturated_ms(saturation.seconds)
+                    result = refusal(saturation.reason, retry_after_ms=delay_ms)
                     break
                 if self._wait_for_first_member(progress):
                     continue
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -58,7 +58,7 @@
             destination.record_capacity_refusal(now, call.root.priority)
         if reply.reason is Reason.WORKER_LIMIT:
             seconds = reply.retry_after_ms / MILLISECONDS
-            destination.record_capacity_refusal(now, call.root.priority, seconds)
+            destination.record_capacity_refusal(now, call.root.priority, reply.reason, seconds)
         if reply.reason is Reason.DRAINING:
             # The reply comes before control's update.
             destination.state = MemberState.DRAINING
--- a/src/cranklane/sidecar/routing/worker_choice.py
+++ b/src/cranklane/sidecar/routing/worker_choice.py
@@ -14,9 +14,11 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import NamedTuple
 from zlib import crc32
 
 from cranklane.distribution.member_state import MemberState
+from cranklane.outcome import Reason
 from cranklane.sidecar.request.identity import Identity
 from cranklane.sidecar.routing.cost import condition_factor, cost
 from cranklane.sidecar.routing.destination import Destination
@@ -38,6 +40,17 @@
 """Cached because enum attribute lookup is slow and this is compared for each worker."""
 
 
+class Saturation(NamedTuple):
+    """Saturation of a worker.
+
+    :ivar reason: reason of the refusal that began it.
+    :ivar seconds: remaining time.
+    """
+
+    reason: Reason
+    seconds: float
+
+
 class WorkerChoice:
     """Selects among the destinations of a service.
 
@@ -107,15 +120,12 @@
         live = [worker for worker in self._destinations.members(service) if worker.state is _LIVE]
         return bool(live) and all(worker.is_saturated(now, priority) for worker in live)
 
-    def seconds_saturated(self, service: str) -> float:
-        """Return the time until a live worker's saturation ends; 0 without live workers."""
+    def first_saturation(self, service: str) -> Saturation:
+        """Return the saturation that ends first, of a service whose live workers are saturated."""
         now = self._clock()
-        ends = [
-            worker.saturated_until - now
-            for worker in self._destinations.members(service)
-            if worker.state is _LIVE
-        ]
-        return max(0.0, min(ends, default=0.0))
+        live = (worker for worker in self._destinations.members(service) if worker.state is _LIVE)
+        first = min(live, key=lambda worker: worker.saturated_until)
+        return Saturation(first.saturated_reason, max(0.0, first.saturated_until - now))
 
     def _best(
         self, members: Sequence[Destination], tried: set[str], priority: int, now: float
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -16,6 +16,7 @@
 from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.routing.dispatcher import Dispatcher, DispatcherDependencies
 from cranklane.sidecar.routing.retry_budget import FleetSize, RetryBound, RetryBudget
+from cranklane.sidecar.routing.worker_choice import Saturation
 
 NOW = 100.0
 ROUTE = Route("r", "h", "/", True, 5000, 1000, 0, 3, ())
@@ -68,8 +69,8 @@
     def all_saturated(self, service, priority):
         return self.saturated
 
-    def seconds_saturated(self, service):
-        return 0.0
+    def first_saturation(self, service):
+        return Saturation(Reason.QUEUE_FULL, 0.0)
 
     def record_notice(self, destination, notice):
         pass
--- a/tests/test_start_rate.py
+++ b/tests/test_start_rate.py
@@ -141,6 +141,17 @@
     assert run_limited(script, 0.5) == (Reason.NONE, 0.0)
 
 
+def test_a_raised_limit_starts_a_waiting_request_at_the_new_rate():
+    def script(slots, loop):
+        task = gevent.spawn(slots.acquire, 0, 3.0, lambda _waiter: None)
+        gevent.sleep(0.1)
+        slots.limit_starts(50.0)
+        began_at = loop.now()
+        return task.get(), loop.now() - began_at <= 0.02
+
+    assert run_limited(script, 0.5) == (Reason.NONE, True)
+
+
 def test_a_waiter_that_has_given_up_uses_no_start():
     def script(slots, loop):
         waiters = []
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -180,6 +180,8 @@
             float(refused.headers["retry-after"]) for refused in answers if refused.status == 503
         ]
         found = {answer.status for answer in answers}
+        reasons = 'cranklane_requests_total{outcome="not_run",reason="queue_full"'
+        assert sum(metric(mesh, number, reasons) for number in range(5)) == 0
         return rules.violations(), used / (4 * 8 * 8), refusals / len(answers), found, delays
 
     violations, used, refusals_per_request, found, delays = play_mesh(script)
