Routes of the type upload; a refused upload whose body was started is not retried

Cause: a table with a route of the type upload was refused as a whole, so its deployment served nothing. A worker that refuses an upload after its body was started had the remainder of the body sent to a second worker, without the part already read. Change: upload is accepted and treated like unsafe. An attempt records that the unbuffered part of its body was started; such a request is not retried after a refusal.

--- a/src/cranklane/routes/document.py
+++ b/src/cranklane/routes/document.py
@@ -12,8 +12,8 @@
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
 A route sends its requests to one ``service``, or divides them by ``split``, a list of
-``{"service": ..., "weight": ...}``. ``repeat`` is ``safe``, ``unsafe`` or ``download``; requests
-of ``safe`` and ``download`` routes may be retried.
+``{"service": ..., "weight": ...}``. ``repeat`` is ``safe``, ``download``, ``unsafe`` or ``upload``;
+requests of ``safe`` and ``download`` routes may be retried. ``upload`` routes take large bodies.
 
 If a document has ``tenants``, each request needs the API key of a tenant, except on ``public``
 routes. A tenant has no limit if ``rate_per_s`` is missing or 0.
@@ -56,7 +56,7 @@
 MAX_ATTEMPTS = 1000
 """Maximum ``max_attempts`` of a route; refuses mistyped numbers."""
 
-NOT_IDEMPOTENT = "unsafe"
+NOT_IDEMPOTENT = ("unsafe", "upload")
 IDEMPOTENT = ("safe", "download")
 """Values of ``repeat`` in a document."""
 
@@ -195,8 +195,9 @@
     path = f"routes.{name}"
     fields = _Fields(path, value)
     repeat = fields.text("repeat")
-    if repeat != NOT_IDEMPOTENT and repeat not in IDEMPOTENT:
-        raise DocumentError(f"{path}.repeat: found {repeat!r}; expected safe, unsafe or download")
+    if repeat not in NOT_IDEMPOTENT and repeat not in IDEMPOTENT:
+        expected = "safe, download, unsafe or upload"
+        raise DocumentError(f"{path}.repeat: found {repeat!r}; expected {expected}")
     prefix = fields.text("prefix")
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise DocumentError(
--- a/src/cranklane/sidecar/request/attempt.py
+++ b/src/cranklane/sidecar/request/attempt.py
@@ -30,14 +30,16 @@
 
     :ivar request: the request as sent to the worker's sidecar.
     :ivar rest: reads the remaining chunks of the body; None if ``request`` has all of it.
+    :ivar rest_started: whether any of the remaining chunks may have been read.
     :ivar cancelled: whether the caller has disconnected.
     """
 
-    __slots__ = ("request", "rest", "cancelled", "_on_cancel")
+    __slots__ = ("request", "rest", "rest_started", "cancelled", "_on_cancel")
 
     def __init__(self, request: ForwardRequest, rest: BodyReader | None = None) -> None:
         self.request = request
         self.rest = rest
+        self.rest_started = False
         self.cancelled = False
         self._on_cancel: Callable[[], None] | None = None
 
--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -125,6 +125,7 @@
                 case ForwardAnswer():
                     return message
                 case ForwardContinue():
+                    attempt.rest_started = True
                     self._runtime.spawn(_send_body, records, attempt)
                 case Ping():
                     pass
--- a/src/cranklane/sidecar/routing/retry_policy.py
+++ b/src/cranklane/sidecar/routing/retry_policy.py
@@ -99,6 +99,9 @@
         if call.rest is not None:
             # Chunks of the request body have been sent and are not buffered.
             return Verdict.BODY_CONSUMED
+    if progress.current is not None and progress.current.rest_started:
+        # The worker refused the request after chunks of its body had been sent.
+        return Verdict.BODY_CONSUMED
     return _after_arrival(progress) if reply.arrived else _after_refusal(progress, reply)
 
 
--- a/src/cranklane/sidecar/worker/body_sender.py
+++ b/src/cranklane/sidecar/worker/body_sender.py
@@ -35,6 +35,7 @@
         framing = Framing(attempt.request.framing)
         try:
             self._write(framing, attempt.request.body)
+            attempt.rest_started = attempt.rest is not None
             while attempt.rest is not None:
                 data = attempt.rest()
                 if not data:
--- a/src/cranklane_lab/standins/raw_http.py
+++ b/src/cranklane_lab/standins/raw_http.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from cranklane.common.http1.message import MalformedMessageError, TruncatedMessageError
+from cranklane.common.http1.message import (
+    HeadTooLargeError,
+    MalformedMessageError,
+    TruncatedMessageError,
+)
 from cranklane.common.http1.reader import AnswerReader
 from cranklane.runtime.interface import Address, Runtime
 
@@ -47,7 +51,7 @@
         """
         try:
             head = self._reader.next_head(bodiless)
-        except (OSError, TruncatedMessageError, MalformedMessageError):
+        except (OSError, HeadTooLargeError, TruncatedMessageError, MalformedMessageError):
             return None
         answer = RawAnswer(
             head.status,
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -145,6 +145,12 @@
             return self._send_health(stream)
         state = self.state
         state.arrivals += 1
+        if state.consume_fault("refuse_unread"):
+            request = head.value(NAMES.request.lower()) or b""
+            self._answer(stream, request, 503, b"", not_run=True)
+            return False
+        while not state.reads_body:
+            gevent.sleep(_POLL_SECONDS)
         body = b""
         while chunk := reader.next_piece():
             body += chunk
@@ -183,7 +189,7 @@
     def _send_health(self, stream: Any) -> bool:
         is_well = self.phase == "ready" and not self.state.leaving
         stream.sendall(
-            b"%s%s%s: %s\r\n%s: %d,0,%d\r\nContent-Length: 0\r\n\r\n"
+            b"%s%s%s: %s\r\n%s: %d,0,%d%s\r\nContent-Length: 0\r\n\r\n"
             % (
                 status_line(200 if is_well else 503),
                 self._notices() if self.state.states_in_health else b"",
@@ -192,6 +198,7 @@
                 NAMES.load,
                 self.state.running,
                 self.slots,
+                b"," + self.state.run_time_percent if self.state.run_time_percent else b"",
             )
         )
         return True
@@ -221,6 +228,8 @@
         if state.consume_fault("garbage_answers"):
             stream.sendall(b"\x00\x01 no answer at all\r\n\r\n")
             return False
+        if state.consume_fault("endless_answers"):
+            return self._send_without_end(stream, request)
         if state.consume_fault("late_answers"):
             self._answer(stream, b"another-request", 200, b"of another request")
         if state.consume_fault("cut_answers"):
@@ -239,6 +248,21 @@
             self._answer(stream, request, 200, b"once more")
         return True
 
+    def _send_without_end(self, stream: Any, request: bytes) -> bool:
+        part = self.state.endless_part
+        if part == "body":
+            stream.sendall(self._bytes(request, 200, b"", framed=False))
+        elif part == "refusal":
+            stream.sendall(self._bytes(request, 503, b"", not_run=True, framed=False))
+        elif part == "head":
+            stream.sendall(status_line(200))
+        piece = (
+            status_line(100) + b"\r\n" if part == "interim" else b"X-Noise: %s\r\n" % (b"x" * 999)
+        )
+        while True:
+            stream.sendall(piece)
+            gevent.sleep(self.state.endless_pause)
+
     def _answer(
         self,
         stream: Any,
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -43,7 +43,13 @@
     :ivar unframed_answers: fault: send a response without length and close the connection.
     :ivar unmarked_answers: fault: send a response without the integrity header.
     :ivar refuse: fault: refuse the request as not run.
+    :ivar refuse_unread: fault: refuse the request as not run before its body is read.
+    :ivar reads_body: whether it reads the bodies of requests.
     :ivar fail: fault: run the request and respond with 500.
+    :ivar endless_answers: fault: send ``endless_part`` without end, until the caller closes.
+    :ivar endless_part: ``head``, ``interim``, ``body`` or ``refusal``.
+    :ivar endless_pause: seconds between the pieces of an endless response.
+    :ivar run_time_percent: fourth field of the load header; empty for none.
     :ivar body: body of a response.
     :ivar echoes: whether a response body names its request instead.
     :ivar work: runs a request and returns its status; replaces ``seconds`` and ``status``.
@@ -73,7 +79,13 @@
     unframed_answers: int = 0
     unmarked_answers: int = 0
     refuse: int = 0
+    refuse_unread: int = 0
+    reads_body: bool = True
     fail: int = 0
+    endless_answers: int = 0
+    endless_part: str = "head"
+    endless_pause: float = 0.001
+    run_time_percent: bytes = b""
     body: bytes = b"answer"
     echoes: bool = False
     work: Callable[[RoutedRun], int] | None = None
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -9,8 +9,9 @@
 
 from cranklane.common.http1.message import Framing
 from cranklane.outcome import Outcome, Reason
+from cranklane.records.messages import ForwardRequest
 from cranklane.routes.table import Route
-from cranklane.sidecar.request.attempt import Reply, refusal, unknown
+from cranklane.sidecar.request.attempt import Attempt, Reply, refusal, unknown
 from cranklane.sidecar.request.call import Call, CallProgress
 from cranklane.sidecar.request.call_tree import Root
 from cranklane.sidecar.routing.dispatcher import Dispatcher, DispatcherDependencies
@@ -106,6 +107,13 @@
     assert verdict_on(reply, STREAMED) is Verdict.BODY_CONSUMED
 
 
+def test_a_refusal_after_the_body_was_started_is_not_retried_with_the_rest_of_it():
+    attempt = Attempt(ForwardRequest(), STREAMED.rest)
+    assert verdict_on(SHED, STREAMED, current=attempt) is Verdict.RETRY_FROM_BUDGET
+    attempt.rest_started = True
+    assert verdict_on(SHED, STREAMED, current=attempt) is Verdict.BODY_CONSUMED
+
+
 @pytest.mark.parametrize("call", [CALL, ONCE_ONLY, STREAMED, CALLED_BY_RETRY])
 def test_a_refusal_before_a_worker_is_reached_needs_no_budget(call):
     assert verdict_on(FULL, call) is Verdict.RETRY
