Load headers with further fields; answers without end are cut in bytes and time

Cause: the load header was accepted only with exactly three fields, so a restarted sidecar did not find its worker before the next heartbeat. A response head without end raised an error that no caller handled and ended the task of the peer's connection; a head or refusal that trickles was limited per read, not in total, and held its slot. Change: load_header parses three or more fields. Reading a response is limited to the deadline of its request, a refusal's body to 64 KiB and 0.1 s, that of a foreign response to 1 MiB.

--- a/src/cranklane/common/http1/reader.py
+++ b/src/cranklane/common/http1/reader.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from math import inf
 from typing import Any
 
 import httptools
@@ -58,6 +59,8 @@
         self._error: str = ""
         self._head_bytes = 0
         self._ended = False
+        self._deadline = inf
+        self._clock: Callable[[], float] | None = None
         self._parser = self._new_parser()
 
     def _new_parser(self) -> Any:
@@ -108,6 +111,8 @@
         """Receive and parse the next bytes; return False at the end of the connection."""
         if self._ended:
             return False
+        if self._clock is not None:
+            self._limit_receive_time(self._deadline - self._clock())
         data = self._connection.recv(RECEIVE_BYTES)
         if not data:
             # Avoids another blocking receive on the ended connection.
@@ -123,6 +128,11 @@
             self._head_bytes += len(data)
         return True
 
+    def _limit_receive_time(self, remaining: float) -> None:
+        if remaining <= 0:
+            raise TimeoutError
+        self._connection.settimeout(remaining)
+
     def _next_head(self) -> _Message | None:
         """Return the next message once its head is complete; None at a clean end."""
         while not (self._messages and self._messages[0].head_done):
@@ -286,6 +296,23 @@
             self._messages[0].done = True
             return b""
 
+    def receive_until(self, deadline: float, clock: Callable[[], float]) -> None:
+        """Set the time after which reading raises TimeoutError, however fast bytes arrive.
+
+        :param deadline: monotonic second.
+        """
+        self._deadline = deadline
+        self._clock = clock
+
+    def skip_body(self, max_bytes: int) -> bool:
+        """Read and discard the body; return False once it is larger than ``max_bytes``."""
+        size = 0
+        while data := self.next_piece():
+            size += len(data)
+            if size > max_bytes:
+                return False
+        return True
+
     @property
     def surplus(self) -> bool:
         """Whether bytes were received after the end of the current response."""
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -14,6 +14,7 @@
 from cranklane.common.http1.message import (
     AnswerHead,
     Framing,
+    HeadTooLargeError,
     MalformedMessageError,
     TruncatedMessageError,
 )
@@ -47,6 +48,16 @@
 """Responses read on a connection, including those to other requests, to find the expected one. A
 worker that sends more is broken."""
 
+MAX_SURPLUS_BODY_BYTES = 1024 * 1024
+"""Largest body of a response to another request that is read to reach the expected response."""
+
+REFUSAL_BODY_SECONDS = 0.1
+"""Time allowed for the body of a refusal. The refusal is known from its head, and its caller can
+try another worker."""
+
+MAX_REFUSAL_BODY_BYTES = 64 * 1024
+"""Largest body of a refusal that is read to reuse the connection."""
+
 
 class RunListener(NamedTuple):
     """Callbacks of one run.
@@ -103,7 +114,7 @@
         except (OSError, TruncatedMessageError):
             connection.close()
             return unknown(Reason.CANCELLED if attempt.cancelled else Reason.WORKER_FAILED)
-        except (MalformedMessageError, ValueError):
+        except (HeadTooLargeError, MalformedMessageError, ValueError):
             connection.close()
             return unknown(Reason.ANSWER_CUT)
 
@@ -120,6 +131,7 @@
             connection.close()
             return refusal(Reason.CANCELLED if attempt.cancelled else Reason.DEADLINE_PASSED)
         connection.stream.settimeout(remaining)
+        connection.reader.receive_until(deadline, self._runtime.monotonic)
         listener.sent()
         sender = self._send(attempt, connection, instance, remaining)
         head = self._matching_answer(attempt.request, connection)
@@ -182,19 +194,22 @@
                 return head
             if answered_id is None:
                 return None
-            while reader.next_piece():
-                pass
+            if not reader.skip_body(MAX_SURPLUS_BODY_BYTES):
+                return None
             reader.finish()
         return None
 
     def _read_refusal(self, head: AnswerHead, connection: WorkerConnection) -> Reply:
         misdirected = head.status == _MISDIRECTED
         answering_instance = head.value(self._instance_name)
+        clock = self._runtime.monotonic
+        connection.reader.receive_until(clock() + REFUSAL_BODY_SECONDS, clock)
         try:
-            while connection.reader.next_piece():
-                pass
-            connection.reader.finish()
-            self._release(head, connection)
+            if connection.reader.skip_body(MAX_REFUSAL_BODY_BYTES):
+                connection.reader.finish()
+                self._release(head, connection)
+            else:
+                connection.close()
         except (OSError, TruncatedMessageError, MalformedMessageError):
             # The refusal is valid without its body, but the connection cannot be reused.
             connection.close()
--- a/src/cranklane/sidecar/worker/probe.py
+++ b/src/cranklane/sidecar/worker/probe.py
@@ -11,10 +11,16 @@
 import gevent
 
 from cranklane.common.header_names import HeaderNames
-from cranklane.common.http1.message import AnswerHead, MalformedMessageError, TruncatedMessageError
+from cranklane.common.http1.message import (
+    AnswerHead,
+    HeadTooLargeError,
+    MalformedMessageError,
+    TruncatedMessageError,
+)
 from cranklane.common.http1.reader import AnswerReader
 from cranklane.runtime.interface import Address, Runtime, format_address
 from cranklane.sidecar.worker.answer_notice import NO_NOTICE, AnswerNotice, AnswerNoticeReader
+from cranklane.sidecar.worker.load_header import parse_worker_load
 from cranklane.sidecar.worker.pool import MAX_HEAD_BYTES
 
 PROBE_TIMEOUT_SECONDS = 0.5
@@ -26,9 +32,6 @@
 
 RETRY_PAUSE_SECONDS = 0.2
 
-_LOAD_FIELDS = 3
-"""Fields of the worker's load header: running, waiting, slots."""
-
 
 class ProbedWorker(NamedTuple):
     """A healthy worker's response to a probe.
@@ -74,11 +77,14 @@
         except OSError:
             # The worker may still be starting; the next attempt or its heartbeat finds it.
             return None
+        clock = self._runtime.monotonic
+        reader = AnswerReader(stream, MAX_HEAD_BYTES)
+        reader.receive_until(clock() + PROBE_TIMEOUT_SECONDS, clock)
         try:
             stream.settimeout(PROBE_TIMEOUT_SECONDS)
             stream.sendall(request.encode("latin-1") + b"Connection: close\r\n\r\n")
-            return AnswerReader(stream, MAX_HEAD_BYTES).next_head()
-        except (OSError, MalformedMessageError, TruncatedMessageError):
+            return reader.next_head()
+        except (OSError, HeadTooLargeError, MalformedMessageError, TruncatedMessageError):
             # An incomplete or malformed response counts as none.
             return None
         finally:
@@ -87,10 +93,7 @@
     def _parse_answer(self, head: AnswerHead) -> ProbedWorker | None:
         """Parse a response's headers; return None unless they are those of a healthy worker."""
         instance = head.value(self._instance_name)
-        load = (head.value(self._load_name) or b"").split(b",")
-        if head.status != HTTPStatus.OK or not instance or len(load) != _LOAD_FIELDS:
-            return None
-        slots = load[2].strip()
-        if not slots.isdigit() or int(slots) == 0:
+        load = parse_worker_load(head.value(self._load_name))
+        if head.status != HTTPStatus.OK or not instance or load is None or not load.slots:
             return None
-        return ProbedWorker(instance.decode("latin-1"), int(slots), self._notices.read(head))
+        return ProbedWorker(instance.decode("latin-1"), load.slots, self._notices.read(head))
--- a/tests/test_mesh_workers.py
+++ b/tests/test_mesh_workers.py
@@ -49,6 +49,18 @@
     assert play(script) == (200, 4, 1)
 
 
+@pytest.mark.parametrize("percent", [b"250", b"0", b"-5", b"often", b"100,7"])
+def test_a_load_header_with_further_fields_still_identifies_the_worker(percent):
+    def script(mesh):
+        mesh.machines[2].worker.send_heartbeat = lambda: 0
+        mesh.machines[2].worker.state.run_time_percent = percent
+        machine = restart_sidecar(mesh, 2)
+        gevent.sleep(0.3)
+        return mesh.request(machine, "/other/x").status, machine.sidecar.slots.limit
+
+    assert play(script) == (200, 4)
+
+
 def test_a_restarted_sidecar_sends_nothing_to_a_draining_worker():
     def script(mesh):
         machine = mesh.machines[2]
