--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2884,11 +2884,11 @@
 
 
 class ForwardRequest(Record):
-    """Forwards a request to another sidecar, whose worker is to run it. Times in milliseconds count from the time of sending: ``deadline_ms`` until the caller gives up, ``start_within_ms`` until the latest useful start. ``expected_latency_us`` is the sender's estimate of the route's run time over all workers; 0: unknown. ``root_priority``, ``root_age_ms``, ``root_objective_ms`` and ``root_deadline_ms`` describe the root request of the call tree; the last two are the time left until its objective and its deadline. ``is_retry``: this run, or one above it in the tree, is a retry. ``suspected``: the worker that ran the request before crashed, possibly because of it. ``isolated``: all senders route this suspected request here, to run in isolation. ``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request line and the headers, ``body`` the part of the body read so far; ``whole``: that is all of it. ``notice``: what this worker last stated to the sender; empty if nothing."""
+    """Forwards a request to another sidecar, whose worker is to run it. Times in milliseconds count from the time of sending: ``deadline_ms`` until the caller gives up, ``start_within_ms`` until the latest useful start. ``expected_latency_us`` is the sender's estimate of the route's run time over all workers; 0: unknown. ``root_priority``, ``root_age_ms``, ``root_objective_ms`` and ``root_deadline_ms`` describe the root request of the call tree; the last two are the time left until its objective and its deadline. ``is_retry``: this run, or one above it in the tree, is a retry. ``suspected``: the worker that ran the request before crashed, possibly because of it. ``isolated``: all senders route this suspected request here, to run in isolation. ``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request line and the headers, ``body`` the part of the body read so far; ``whole``: that is all of it. ``tree`` describes the call tree (``sidecar/request/tree_ticket.py``). ``notice``: what this worker last stated to the sender; empty if nothing."""
 
     KIND: ClassVar[int] = 80
-    LAYOUT: ClassVar[Struct] = Struct("!IIIBBIII???B???QHHHHHIII")
-    __slots__ = ('deadline_ms', 'start_within_ms', 'expected_latency_us', 'priority', 'root_priority', 'root_age_ms', 'root_objective_ms', 'root_deadline_ms', 'is_retry', 'idempotent', 'bodiless', 'framing', 'whole', 'suspected', 'isolated', 'length', 'service', 'route', 'tenant', 'caller', 'request_id', 'lines', 'body', 'notice',)
+    LAYOUT: ClassVar[Struct] = Struct("!IIIBBIII???B???QHHHHHIIII")
+    __slots__ = ('deadline_ms', 'start_within_ms', 'expected_latency_us', 'priority', 'root_priority', 'root_age_ms', 'root_objective_ms', 'root_deadline_ms', 'is_retry', 'idempotent', 'bodiless', 'framing', 'whole', 'suspected', 'isolated', 'length', 'service', 'route', 'tenant', 'caller', 'request_id', 'lines', 'body', 'tree', 'notice',)
 
     def __init__(
         self,
@@ -2915,6 +2915,7 @@
         request_id: str = "",
         lines: bytes = b"",
         body: bytes = b"",
+        tree: bytes = b"",
         notice: list[WorkerNotice] | None = None,
     ) -> None:
         self.deadline_ms: int = deadline_ms
@@ -2940,6 +2941,7 @@
         self.request_id: str = request_id
         self.lines: bytes = lines
         self.body: bytes = body
+        self.tree: bytes = tree
         self.notice: list[WorkerNotice] = notice if notice is not None else []
 
     def pack(self) -> bytes:
@@ -2950,17 +2952,18 @@
         request_id = self.request_id.encode()
         lines = self.lines
         body = self.body
+        tree = self.tree
         notice = pack_records(self.notice)
         try:
-            head = self.LAYOUT.pack(self.deadline_ms, self.start_within_ms, self.expected_latency_us, self.priority, self.root_priority, self.root_age_ms, self.root_objective_ms, self.root_deadline_ms, self.is_retry, self.idempotent, self.bodiless, self.framing, self.whole, self.suspected, self.isolated, self.length, len(service), len(route), len(tenant), len(caller), len(request_id), len(lines), len(body), len(notice))
+            head = self.LAYOUT.pack(self.deadline_ms, self.start_within_ms, self.expected_latency_us, self.priority, self.root_priority, self.root_age_ms, self.root_objective_ms, self.root_deadline_ms, self.is_retry, self.idempotent, self.bodiless, self.framing, self.whole, self.suspected, self.isolated, self.length, len(service), len(route), len(tenant), len(caller), len(request_id), len(lines), len(body), len(tree), len(notice))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, service, route, tenant, caller, request_id, lines, body, notice))
+        return b''.join((head, service, route, tenant, caller, request_id, lines, body, tree, notice))
 
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardRequest:
         try:
-            deadline_ms, start_within_ms, expected_latency_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, is_retry, idempotent, bodiless, framing, whole, suspected, isolated, length, service_size, route_size, tenant_size, caller_size, request_id_size, lines_size, body_size, notice_size, = cls.LAYOUT.unpack_from(payload)
+            deadline_ms, start_within_ms, expected_latency_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, is_retry, idempotent, bodiless, framing, whole, suspected, isolated, length, service_size, route_size, tenant_size, caller_size, request_id_size, lines_size, body_size, tree_size, notice_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + service_size
             service = payload[start:end].decode()
@@ -2983,6 +2986,9 @@
             end = start + body_size
             body = payload[start:end]
             start = end
+            end = start + tree_size
+            tree = payload[start:end]
+            start = end
             end = start + notice_size
             notice = unpack_records(WorkerNotice.unpack, payload[start:end])
             start = end
@@ -2990,7 +2996,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardRequest of {len(payload)} bytes, not {start}")
-        return cls(deadline_ms, start_within_ms, expected_latency_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, is_retry, idempotent, bodiless, framing, whole, suspected, isolated, length, service, route, tenant, caller, request_id, lines, body, notice)
+        return cls(deadline_ms, start_within_ms, expected_latency_us, priority, root_priority, root_age_ms, root_objective_ms, root_deadline_ms, is_retry, idempotent, bodiless, framing, whole, suspected, isolated, length, service, route, tenant, caller, request_id, lines, body, tree, notice)
 
 
 class ForwardBody(Record):
@@ -3064,11 +3070,11 @@
 
 
 class ForwardAnswer(Record):
-    """First record of the response to a ForwardRequest. ``arrived``: the request reached the worker. ``running``, ``queued`` and ``slots`` are the counts of the responding sidecar. ``waited_ms`` is the time before the run, ``run_time_ms`` the time at the worker. ``faults`` is the percentage of runs that failed by the worker's fault; ``slowness`` is the run time in tenths of the expected latency. ``downstream_starved``: a call made by the run, or further downstream, found no capacity. ``failed_service`` and ``failed_reason`` describe the deepest failed call, ``downstream_cost`` the slot time of downstream calls. ``body`` is the first piece of the body; ``whole``: all of it. ``notice``: what the worker states of itself; empty if nothing."""
+    """First record of the response to a ForwardRequest. ``arrived``: the request reached the worker. ``running``, ``queued`` and ``slots`` are the counts of the responding sidecar. ``waited_ms`` is the time before the run, ``run_time_ms`` the time at the worker. ``faults`` is the percentage of runs that failed by the worker's fault; ``slowness`` is the run time in tenths of the expected latency. ``downstream_starved``: a call made by the run, or further downstream, found no capacity. ``failed_service`` and ``failed_reason`` describe the deepest failed call, ``downstream_cost`` the slot time of downstream calls. ``body`` is the first piece of the body; ``whole``: all of it. ``advertised``: capacity of the worker (``sidecar/capacity/advertisement.py``). ``notice``: what the worker states of itself; empty if nothing."""
 
     KIND: ClassVar[int] = 83
-    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIBBII?BQHIIII")
-    __slots__ = ('outcome', 'reason', 'arrived', 'whole', 'framing', 'status', 'retry_after_ms', 'running', 'queued', 'slots', 'faults', 'slowness', 'waited_ms', 'run_time_ms', 'downstream_starved', 'failed_reason', 'length', 'failed_service', 'downstream_cost', 'lines', 'body', 'notice',)
+    LAYOUT: ClassVar[Struct] = Struct("!BB??BHIIIIBBII?BQHIIIII")
+    __slots__ = ('outcome', 'reason', 'arrived', 'whole', 'framing', 'status', 'retry_after_ms', 'running', 'queued', 'slots', 'faults', 'slowness', 'waited_ms', 'run_time_ms', 'downstream_starved', 'failed_reason', 'length', 'failed_service', 'downstream_cost', 'lines', 'body', 'advertised', 'notice',)
 
     def __init__(
         self,
@@ -3093,6 +3099,7 @@
         downstream_cost: list[ServiceWork] | None = None,
         lines: bytes = b"",
         body: bytes = b"",
+        advertised: bytes = b"",
         notice: list[WorkerNotice] | None = None,
     ) -> None:
         self.outcome: int = outcome
@@ -3116,6 +3123,7 @@
         self.downstream_cost: list[ServiceWork] = downstream_cost if downstream_cost is not None else []
         self.lines: bytes = lines
         self.body: bytes = body
+        self.advertised: bytes = advertised
         self.notice: list[WorkerNotice] = notice if notice is not None else []
 
     def pack(self) -> bytes:
@@ -3123,17 +3131,18 @@
         downstream_cost = pack_records(self.downstream_cost)
         lines = self.lines
         body = self.body
+        advertised = self.advertised
         notice = pack_records(self.notice)
         try:
-            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.faults, self.slowness, self.waited_ms, self.run_time_ms, self.downstream_starved, self.failed_reason, self.length, len(failed_service), len(downstream_cost), len(lines), len(body), len(notice))
+            head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.faults, self.slowness, self.waited_ms, self.run_time_ms, self.downstream_starved, self.failed_reason, self.length, len(failed_service), len(downstream_cost), len(lines), len(body), len(advertised), len(notice))
         except StructError as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
-        return b''.join((head, failed_service, downstream_cost, lines, body, notice))
+        return b''.join((head, failed_service, downstream_cost, lines, body, advertised, notice))
 
     @classmethod
     def unpack(cls, payload: bytes) -> ForwardAnswer:
         try:
-            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, run_time_ms, downstream_starved, failed_reason, length, failed_service_size, downstream_cost_size, lines_size, body_size, notice_size, = cls.LAYOUT.unpack_from(payload)
+            outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, run_time_ms, downstream_starved, failed_reason, length, failed_service_size, downstream_cost_size, lines_size, body_size, advertised_size, notice_size, = cls.LAYOUT.unpack_from(payload)
             start = cls.LAYOUT.size
             end = start + failed_service_size
             failed_service = payload[start:end].decode()
@@ -3147,6 +3156,9 @@
             end = start + body_size
             body = payload[start:end]
             start = end
+            end = start + advertised_size
+            advertised = payload[start:end]
+            start = end
             end = start + notice_size
             notice = unpack_records(WorkerNotice.unpack, payload[start:end])
             start = end
@@ -3154,7 +3166,7 @@
             raise MalformedRecordError(f"cannot unpack: {error}") from error
         if start != len(payload):
             raise MalformedRecordError(f"ForwardAnswer of {len(payload)} bytes, not {start}")
-        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, run_time_ms, downstream_starved, failed_reason, length, failed_service, downstream_cost, lines, body, notice)
+        return cls(outcome, reason, arrived, whole, framing, status, retry_after_ms, running, queued, slots, faults, slowness, waited_ms, run_time_ms, downstream_starved, failed_reason, length, failed_service, downstream_cost, lines, body, advertised, notice)
 
 
 class WorkerNotice(Record):
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -406,12 +406,13 @@
         "of it. ``isolated``: all senders route this suspected request here, to run in isolation. "
         "``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request "
         "line and the headers, ``body`` the part of the body read so far; ``whole``: that is all "
-        "of it. ``notice``: what this worker last stated to the sender; empty if nothing.",
+        "of it. ``tree`` describes the call tree (``sidecar/request/tree_ticket.py``). "
+        "``notice``: what this worker last stated to the sender; empty if nothing.",
         "deadline_ms:u32 start_within_ms:u32 expected_latency_us:u32 priority:u8 root_priority:u8 "
         "root_age_ms:u32 root_objective_ms:u32 root_deadline_ms:u32 is_retry:bool "
         "idempotent:bool bodiless:bool framing:u8 whole:bool suspected:bool isolated:bool "
         "length:u64 service:str route:str tenant:str caller:str request_id:str "
-        "lines:bytes body:bytes notice:[WorkerNotice]",
+        "lines:bytes body:bytes tree:bytes notice:[WorkerNotice]",
     ),
     Record(
         81,
@@ -433,11 +434,13 @@
         "the run, or further downstream, found no capacity. ``failed_service`` and "
         "``failed_reason`` describe the deepest failed call, ``downstream_cost`` the slot time "
         "of downstream calls. ``body`` is the first piece of the body; ``whole``: all of it. "
+        "``advertised``: capacity of the worker (``sidecar/capacity/advertisement.py``). "
         "``notice``: what the worker states of itself; empty if nothing.",
         "outcome:u8 reason:u8 arrived:bool whole:bool framing:u8 status:u16 retry_after_ms:u32 "
         "running:u32 queued:u32 slots:u32 faults:u8 slowness:u8 waited_ms:u32 run_time_ms:u32 "
         "downstream_starved:bool failed_reason:u8 length:u64 failed_service:str "
-        "downstream_cost:[ServiceWork] lines:bytes body:bytes notice:[WorkerNotice]",
+        "downstream_cost:[ServiceWork] lines:bytes body:bytes advertised:bytes "
+        "notice:[WorkerNotice]",
     ),
     Record(
         86,
--- a/src/cranklane/sidecar/admission/admitted_run.py
+++ b/src/cranklane/sidecar/admission/admitted_run.py
@@ -8,6 +8,7 @@
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.admission.isolated_runs import SuspectAdmission
 from cranklane.sidecar.request.call_tree import Root, Run
+from cranklane.sidecar.request.tree_ticket import NO_TICKET, unpack_ticket
 from cranklane.sidecar.worker.instances import WorkerInstance
 
 
@@ -42,4 +43,5 @@
         arrived_at + request.root_objective_ms / MILLISECONDS,
         arrived_at + request.root_deadline_ms / MILLISECONDS,
         request.is_retry,
+        unpack_ticket(request.tree) if request.tree else NO_TICKET,
     )
--- a/src/cranklane/sidecar/request/attempt.py
+++ b/src/cranklane/sidecar/request/attempt.py
@@ -8,6 +8,7 @@
 from cranklane.common.http1.message import Framing
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest, WorkerNotice
+from cranklane.sidecar.capacity.advertisement import NO_ADVERTISEMENT, Advertisement
 from cranklane.sidecar.request.call_tree import CallFailure
 from cranklane.sidecar.request.slot_work import SlotWork
 from cranklane.sidecar.worker.condition import HEALTHY, Condition
@@ -86,6 +87,7 @@
     :ivar downstream_cost: slot time used by the run's calls; None if unknown.
     :ivar rest: the remaining chunks of the body; raises TruncatedAnswerError if truncated.
     :ivar notice: what the worker states of itself; None if nothing.
+    :ivar advertised: capacity of the worker as its sidecar states it.
     """
 
     outcome: Outcome
@@ -105,6 +107,7 @@
     failure: CallFailure | None = None
     downstream_cost: SlotWork | None = None
     notice: WorkerNotice | None = None
+    advertised: Advertisement = NO_ADVERTISEMENT
 
 
 def refusal(reason: Reason, arrived: bool = False, retry_after_ms: int = 0) -> Reply:
--- a/src/cranklane/sidecar/request/call_tree.py
+++ b/src/cranklane/sidecar/request/call_tree.py
@@ -13,6 +13,7 @@
 
 from cranklane.outcome import Reason
 from cranklane.sidecar.request.slot_work import SlotWork
+from cranklane.sidecar.request.tree_ticket import NO_TICKET, TreeTicket
 
 ID_SEPARATOR = "."
 """Separates the id of a run from the suffix that the worker adds for a call."""
@@ -28,6 +29,7 @@
     :ivar deadline: time at which its caller gives up.
     :ivar is_retry: whether any run between the root and this request is a retry; calls made by
         a retry count as retries at the called services.
+    :ivar ticket: rank of the call tree, carried by all its calls.
     """
 
     priority: int
@@ -35,6 +37,7 @@
     objective_at: float
     deadline: float
     is_retry: bool = False
+    ticket: TreeTicket = NO_TICKET
 
 
 class CallFailure(NamedTuple):
--- /dev/null
+++ b/src/cranklane/sidecar/request/tree_ticket.py
@@ -0,0 +1,46 @@
+"""The rank of a call tree, which all its calls carry.
+
+Lower ranks are served first. The encoded form may grow: bytes after the known fields are ignored,
+and missing ones mean that nothing is stated, so that sidecars of other releases are understood.
+"""
+
+from __future__ import annotations
+
+from struct import Struct
+from typing import NamedTuple
+
+MAX_RANK = 65535
+"""The last rank."""
+
+_LAYOUT = Struct("!H")
+
+
+class TreeTicket(NamedTuple):
+    """What the calls of one tree have in common.
+
+    :ivar rank: 0 for the first to be served, up to :data:`MAX_RANK`; None if not stated.
+    """
+
+    rank: int | None = None
+
+    def pack(self) -> bytes:
+        r"""Return the encoded ticket; empty if it states nothing.
+
+        >>> TreeTicket(258).pack(), TreeTicket().pack()
+        (b'\x01\x02', b'')
+        """
+        return b"" if self.rank is None else _LAYOUT.pack(self.rank)
+
+
+NO_TICKET = TreeTicket()
+
+
+def unpack_ticket(data: bytes) -> TreeTicket:
+    r"""Return the ticket in a record's field.
+
+    >>> unpack_ticket(b"\x01\x02later"), unpack_ticket(b"\x01") is NO_TICKET
+    (TreeTicket(rank=258), True)
+    """
+    if len(data) < _LAYOUT.size:
+        return NO_TICKET
+    return TreeTicket(_LAYOUT.unpack_from(data)[0])
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -13,6 +13,7 @@
 from cranklane.outcome import Reason
 from cranklane.records.messages import WorkerNotice
 from cranklane.runtime.interface import Address
+from cranklane.sidecar.capacity.advertisement import NO_ADVERTISEMENT, Advertisement
 from cranklane.sidecar.request.attempt import Load
 from cranklane.sidecar.routing.ejection import Failure, ejection_seconds
 from cranklane.sidecar.worker.condition import HEALTHY, Condition
@@ -49,6 +50,7 @@
     :ivar paused_until: until then, other workers are preferred: this one accepts a limited number
         of requests per second, and the next turn of this sidecar comes then.
     :ivar notice: what the worker was last heard to state of itself; None if nothing.
+    :ivar advertised: capacity stated with the last reply, received at ``advertised_at``.
     :ivar confirmed_at: None while control lists the destination; otherwise the time at which
         control stopped listing it, or of the last response after that.
     :ivar removed: True once the destination has been removed from ``Destinations``.
@@ -77,6 +79,8 @@
     saturated_reason: Reason = Reason.QUEUE_FULL
     paused_until: float = 0.0
     notice: WorkerNotice | None = None
+    advertised: Advertisement = NO_ADVERTISEMENT
+    advertised_at: float = 0.0
     confirmed_at: float | None = None
     removed: bool = False
 
@@ -132,6 +136,11 @@
         if notice is not None and notice.leaving:
             self.state = MemberState.DRAINING
 
+    def record_advertisement(self, now: float, advertised: Advertisement) -> None:
+        """Set the capacity stated with a reply."""
+        self.advertised = advertised
+        self.advertised_at = now
+
     def set_state(self, state: MemberState) -> None:
         """Set the state that control lists; a worker that stated its departure stays draining."""
         leaving = self.notice is not None and self.notice.leaving
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -236,6 +236,7 @@
             request_id=call.request_id,
             lines=call.lines,
             body=call.body,
+            tree=root.ticket.pack(),
         )
 
 
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -46,6 +46,8 @@
         now = self._runtime.monotonic()
         if reply.notice is not None or reply.outcome is Outcome.ANSWERED:
             self._destinations.record_notice(destination, reply.notice)
+        if reply.load.slots:
+            destination.record_advertisement(now, reply.advertised)
         if reply.arrived and measures_latency(reply):
             run_time = reply.run_time_ms / MILLISECONDS or seconds
             ratio = self.latencies.ratio(call.route.name, run_time)
--- a/src/cranklane/sidecar/routing/forward_records.py
+++ b/src/cranklane/sidecar/routing/forward_records.py
@@ -5,6 +5,7 @@
 from cranklane.common.http1.message import Framing
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardAnswer, ServiceWork
+from cranklane.sidecar.capacity.advertisement import NO_ADVERTISEMENT, unpack_advertisement
 from cranklane.sidecar.request.attempt import Load, Reply
 from cranklane.sidecar.request.call_tree import CallFailure
 from cranklane.sidecar.request.slot_work import SlotWork
@@ -38,6 +39,7 @@
         else None,
         _decode_slot_work(answer.downstream_cost) if answer.downstream_cost else None,
         answer.notice[0] if answer.notice else None,
+        unpack_advertisement(answer.advertised) if answer.advertised else NO_ADVERTISEMENT,
     )
 
 
@@ -76,5 +78,6 @@
         length=reply.length,
         lines=reply.lines,
         body=reply.body,
+        advertised=reply.advertised.pack(),
         notice=[reply.notice] if reply.notice else None,
     )
