Retry-After of a tenant over its rate leaves time for the run within the route's objective

It was told to return after up to 5 s, so its requests that were admitted on their return were late, and took the places of others that could still be in time. Change: the delay is at most 0.4 of the route's objective.

--- a/src/cranklane/sidecar/admission/retry_after.py
+++ b/src/cranklane/sidecar/admission/retry_after.py
@@ -14,7 +14,8 @@
                                 :data:`DEFAULT_MS`
 worker's limit per second       time until the caller's next turn, at least
                                 :data:`MIN_QUEUE_MS`
-tenant over its rate            time to work off the excess requests,
+tenant over its rate            time to work off the excess requests, at most
+                                :data:`RETURN_FRACTION` of the route's objective,
                                 :data:`MIN_QUOTA_MS` to :data:`MAX_QUOTA_MS`
 stale table or unknown run      :data:`UNCERTAIN_MS`
 any other                       :data:`DEFAULT_MS`
@@ -47,6 +48,10 @@
 MAX_QUOTA_MS = 5000
 """Upper bound of the delay for a tenant over its rate; its excess load may end sooner."""
 
+RETURN_FRACTION = 0.4
+"""Part of the route's objective after which a caller over its tenant's rate may return. The rest is
+for the run; a later return would take the place of a request that can still be in time."""
+
 UNCERTAIN_MS = 500
 """Delay if the sidecar's route table may be stale, or if the run that makes the call is unknown.
 Equals the heartbeat interval to control, whose response confirms the table."""
@@ -87,20 +92,25 @@
     return max(DEFAULT_MS, int(seconds * MILLISECONDS))
 
 
-def over_quota_ms(permille: int) -> int:
+def over_quota_ms(permille: int, objective_ms: int) -> int:
     """Return the delay for a request of a tenant over its rate, in milliseconds.
 
     The delay is the time needed to serve one second's excess requests at the tenant's rate: 2 s
-    if one request in three is admitted.
+    if one request in three is admitted. It leaves time for the run within the route's objective,
+    because the chance to be admitted is the same at any later time while the excess lasts.
 
     :param permille: admitted thousandths of the tenant's requests.
+    :param objective_ms: latency objective of the request's route.
 
-    >>> over_quota_ms(1000), over_quota_ms(500), over_quota_ms(0)
+    >>> over_quota_ms(1000, 60_000), over_quota_ms(500, 60_000), over_quota_ms(0, 60_000)
     (200, 1000, 5000)
+    >>> over_quota_ms(500, 1500), over_quota_ms(500, 100)
+    (600, 200)
     """
     admitted = max(1, permille) / ADMITTED_ALL_PERMILLE
     excess_ms = (1 / admitted - 1) * MILLISECONDS
-    return int(min(MAX_QUOTA_MS, max(MIN_QUOTA_MS, excess_ms)))
+    delay_ms = min(excess_ms, RETURN_FRACTION * objective_ms, MAX_QUOTA_MS)
+    return int(max(MIN_QUOTA_MS, delay_ms))
 
 
 def quarantined_ms(seconds_left: float) -> int:
--- a/src/cranklane/sidecar/ingress/authentication.py
+++ b/src/cranklane/sidecar/ingress/authentication.py
@@ -103,7 +103,8 @@
         if tenant is None:
             return self._refuse(request, Reason.UNAUTHENTICATED, None)
         if not self._quota.admits(tenant):
-            retry_after_ms = retry_after.over_quota_ms(self._quota.permille(tenant.name))
+            permille = self._quota.permille(tenant.name)
+            retry_after_ms = retry_after.over_quota_ms(permille, route.objective_ms)
             return self._refuse(request, Reason.QUOTA_EXCEEDED, tenant, retry_after_ms)
         limited = tenant.rate_per_second > 0
         return Ok(Caller(tenant.name, table.priority_of(route, tenant), limited))
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -31,7 +31,14 @@
     [(1000, 200), (900, 200), (500, 1000), (250, 3000), (100, 5000), (1, 5000), (0, 5000)],
 )
 def test_delay_for_a_tenant_over_its_rate(permille, milliseconds):
-    assert retry_after.over_quota_ms(permille) == milliseconds
+    assert retry_after.over_quota_ms(permille, objective_ms=60_000) == milliseconds
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "milliseconds"), [(60_000, 3000), (3000, 1200), (1500, 600), (300, 200)]
+)
+def test_a_caller_over_its_tenants_rate_can_return_within_its_objective(objective_ms, milliseconds):
+    assert retry_after.over_quota_ms(250, objective_ms) == milliseconds
 
 
 @pytest.mark.parametrize(
