--- a/src/cranklane/controller/route_api.py
+++ b/src/cranklane/controller/route_api.py
@@ -15,12 +15,10 @@
 from cranklane.controller.route_editor import RefusalKind, RouteEditor, TableRefusal
 from cranklane.controller.route_store import RouteTableStore
 from cranklane.replication.replica import Replica
+from cranklane.routes.document import MAX_DOCUMENT_BYTES
 
 ROUTE_TABLE_PATH = "/v1/route-table"
 
-MAX_DOCUMENT_BYTES = 12 * 1024 * 1024
-"""Maximum size of a document; five times the size of a table with 12,000 routes."""
-
 _REFUSAL_STATUS = {
     RefusalKind.INVALID: HTTPStatus.BAD_REQUEST,
     RefusalKind.CONFLICT: HTTPStatus.PRECONDITION_FAILED,
--- a/src/cranklane/controller/route_editor.py
+++ b/src/cranklane/controller/route_editor.py
@@ -16,7 +16,7 @@
 from cranklane.controller.route_store import RouteTableStore, TableResult
 from cranklane.records.messages import RouteTableCommand
 from cranklane.replication.replica import Replica
-from cranklane.routes.document import MAX_INTEGER, pack_document, read_json, read_table
+from cranklane.routes.document import base_of, pack_document, read_json, read_table
 
 
 class RefusalKind(IntEnum):
@@ -74,17 +74,15 @@
             return Err(TableRefusal(RefusalKind.INVALID, document.err_value))
         body = document.ok_value
         digest = _digest(body)
-        base = body.get("base", 0)
-        if isinstance(base, bool) or not isinstance(base, int) or not 0 <= base <= MAX_INTEGER:
-            return Err(
-                TableRefusal(
-                    RefusalKind.INVALID, [f"base: found {base!r}; expected a version number or 0"]
-                )
-            )
+        base = base_of(body)
+        if isinstance(base, Err):
+            return Err(TableRefusal(RefusalKind.INVALID, [base.err_value]))
         table = read_table(body)
         if isinstance(table, Err):
             return Err(TableRefusal(RefusalKind.INVALID, table.err_value))
-        return Ok(RouteTableCommand(table.ok_value.version, base, digest, pack_document(data)))
+        return Ok(
+            RouteTableCommand(table.ok_value.version, base.ok_value, digest, pack_document(data))
+        )
 
     def _commit(self, command: RouteTableCommand) -> Result[int, TableRefusal]:
         if not self._replica.members_suffice(self._voters_needed) and self._store.revision == 0:
--- /dev/null
+++ b/src/cranklane/routes/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of route table documents that a controller would accept."""
--- a/src/cranklane/routes/document.py
+++ b/src/cranklane/routes/document.py
@@ -47,6 +47,9 @@
 MAX_OBJECTIVE_OVER_TIMEOUT_MS = 60_000
 """Exclusive maximum of ``objective_ms`` minus ``timeout_ms`` of a route."""
 
+MAX_DOCUMENT_BYTES = 12 * 1024 * 1024
+"""Maximum size of a document; five times the size of a table with 12,000 routes."""
+
 COMPRESSION_LEVEL = 1
 """Fastest level of zlib; achieves most of the compression of slower levels."""
 
@@ -133,9 +136,29 @@
         return Err([f"the document is not valid JSON: {error}"])
     if not isinstance(value, dict):
         return Err(["the document is not a JSON object"])
+    if b"\\u" in data and not _is_encodable(value):
+        # Names with such characters could not be sent to sidecars.
+        return Err(["the document contains an unpaired surrogate, which is no character"])
     return Ok(value)
 
 
+def _is_encodable(value: dict[str, Any]) -> bool:
+    """Return whether all strings of a JSON value can be encoded as UTF-8."""
+    try:
+        json.dumps(value, ensure_ascii=False).encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def base_of(document: dict[str, Any]) -> Result[int, str]:
+    """Return the version that a document replaces, 0 for none, or the problem."""
+    base = document.get("base", 0)
+    if isinstance(base, bool) or not isinstance(base, int) or not 0 <= base <= MAX_INTEGER:
+        return Err(f"base: found {base!r}; expected a version number or 0")
+    return Ok(base)
+
+
 def read_table(document: dict[str, Any]) -> Result[RouteTable, list[str]]:
     """Return the route table of a document, or all problems in it."""
     problems: list[str] = []
