Retry budget spent by value while a service refuses without running

Cause: a worker's refusal without a run counted as one of the route's max_attempts, and the first caller got the tokens, so that chains of calls through a service that refuses at random failed although tokens were spent.

Change: such refusals have a limit of their own (MAX_WORKER_REFUSALS) and still cost a token; a run after them is no repeated run (is_retry). The refused fraction by service and the calls of a route are learned. Requests earn 0.15 of the ratio in addition for these retries (VALUE_FRACTION), which expire after at most a tenth of the window.

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -181,7 +181,7 @@
         """Register an admitted request with the limiter, call tree and exit tracking."""
         limiter_round = self._limiter.began(request.route)
         root = root_of(request, arrived_at)
-        run = self._call_tree.begin(request.request_id, root, request.tenant)
+        run = self._call_tree.begin(request.request_id, root, request.tenant, request.route)
         number = self._exits.next_number()
         if suspicion.isolated is not None:
             self._isolated_runs.run_started(suspicion.isolated)
@@ -259,7 +259,9 @@
         request, run = admitted.request, admitted.run
         reply.downstream_starved = run_outcome.is_downstream_starved(run, reply)
         reply.downstream_cost = run.downstream_cost
-        if run_outcome.has_failed(reply):
+        failed = run_outcome.has_failed(reply)
+        run.record_end(not failed)
+        if failed:
             reply.failure = run.failure
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
--- a/src/cranklane/sidecar/ingress/call_builder.py
+++ b/src/cranklane/sidecar/ingress/call_builder.py
@@ -94,6 +94,7 @@
             root=run.root if run is not None else _root_of(route, caller, started_at, deadline),
             of_client=run is None,
             rest=None if connection.body_whole else connection.next_piece,
+            run=run,
         )
 
     def _allowed_seconds(self, head: RequestHead, route: Route) -> float:
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -181,7 +181,10 @@
             self._disconnects.remove(connection.stream)
         if run is not None:
             starved = reply.downstream_starved or reply.reason in WITHOUT_CAPACITY
-            run.record_call_end(_failure_of(progress.call, reply), starved, progress.work)
+            failure = _failure_of(progress.call, reply)
+            run.record_call_end(failure, starved, progress.work)
+            if failure is None:
+                run.record_completed_call(progress.call.service)
         return reply
 
     def _refuse(self, connection: CallerConnection, request: CallerRequest, reply: Reply) -> bool:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -146,6 +146,7 @@
             self.quarantine.table,
             self.decisions.attempted,
             self.decisions.quarantined,
+            self.decisions.retry_decided,
         )
         self.dispatcher = Dispatcher(runtime, dependencies, settings.name, settings.service)
 
--- a/src/cranklane/sidecar/request/call.py
+++ b/src/cranklane/sidecar/request/call.py
@@ -13,7 +13,7 @@
 from cranklane.outcome import Reason
 from cranklane.routes.table import Route
 from cranklane.sidecar.request.attempt import Attempt, BodyReader
-from cranklane.sidecar.request.call_tree import Root
+from cranklane.sidecar.request.call_tree import Root, Run
 from cranklane.sidecar.request.identity import Identity, identity_of
 from cranklane.sidecar.request.slot_work import SlotWork
 
@@ -36,6 +36,7 @@
     :ivar of_client: True for a request of a client, False for a call of the local worker.
     :ivar rest: reads the remainder of a body larger than the buffer; the body can then be sent
         to one worker only.
+    :ivar run: the run at the local worker that makes the call; None for clients.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     tenant: str = ""
     of_client: bool = True
     rest: BodyReader | None = None
+    run: Run | None = None
 
     def identity(self) -> Identity:
         """Return the digest that identifies repetitions of the same request."""
@@ -63,6 +65,7 @@
     """Mutable state of a call.
 
     :ivar attempts: number of attempts that reached a worker.
+    :ivar worker_refusals: number of these in which the worker refused without running.
     :ivar refusals: number of refusals for lack of capacity.
     :ivar tried: nodes excluded from further attempts.
     :ivar current: the latest attempt.
@@ -81,6 +84,12 @@
     suspected: bool = False
     isolated: bool = False
     work: SlotWork = field(default_factory=SlotWork)
+    worker_refusals: int = 0
+
+    @property
+    def runs(self) -> int:
+        """Number of attempts that ran or may have run."""
+        return self.attempts - self.worker_refusals
 
     def note_suspicion(self, node: str, reason: Reason) -> None:
         """Update ``suspected`` and ``isolated`` from the reason of a reply without a response.
--- a/src/cranklane/sidecar/request/call_tree.py
+++ b/src/cranklane/sidecar/request/call_tree.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from cranklane.outcome import Reason
+from cranklane.sidecar.request.route_calls import CallCounts, RouteCalls
 from cranklane.sidecar.request.slot_work import SlotWork
 from cranklane.sidecar.request.tree_ticket import NO_TICKET, TreeTicket
 
@@ -60,6 +61,8 @@
     :ivar failure: the first of its calls that failed.
     :ivar tenant: tenant that owns the request; empty if requests need no key.
     :ivar downstream_cost: slot time used by its direct and indirect calls.
+    :ivar route_calls: calls that runs of its route make.
+    :ivar completed: number of its calls that succeeded, by service.
     """
 
     root: Root
@@ -68,6 +71,8 @@
     failure: CallFailure | None = None
     downstream_cost: SlotWork = field(default_factory=SlotWork)
     tenant: str = ""
+    route_calls: RouteCalls = field(default_factory=RouteCalls)
+    completed: dict[str, int] = field(default_factory=dict)
 
     @property
     def call_failed(self) -> bool:
@@ -86,6 +91,14 @@
         self.downstream_starved |= starved
         self.downstream_cost.add_all(work)
 
+    def record_completed_call(self, service: str) -> None:
+        """Count a call of the run that succeeded."""
+        self.completed[service] = self.completed.get(service, 0) + 1
+
+    def record_end(self, succeeded: bool) -> None:
+        """Learn from the run, which has ended, how many calls its route makes."""
+        self.route_calls.learn(self.completed, succeeded, self.call_failed)
+
 
 class CallTree:
     """Active runs of the local worker, by request id.
@@ -96,11 +109,13 @@
 
     def __init__(self) -> None:
         self._runs: dict[str, Run] = {}
+        self._call_counts = CallCounts()
         self.correlates = False
 
-    def begin(self, request_id: str, root: Root, tenant: str = "") -> Run:
+    def begin(self, request_id: str, root: Root, tenant: str = "", route: str = "") -> Run:
         """Register the run of a request and return it."""
-        run = self._runs[request_id] = Run(root, tenant=tenant)
+        run = Run(root, tenant=tenant, route_calls=self._call_counts.of(route))
+        self._runs[request_id] = run
         return run
 
     def end(self, request_id: str) -> None:
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -27,6 +27,7 @@
 from cranklane.sidecar.routing.peer_client import PeerClient
 from cranklane.sidecar.routing.retry_budget import RetryBudget
 from cranklane.sidecar.routing.retry_policy import Verdict
+from cranklane.sidecar.routing.retry_spending import RetryReport, RetrySpending
 from cranklane.sidecar.routing.worker_choice import WorkerChoice
 
 _ANSWERED = Verdict.ANSWERED
@@ -41,6 +42,7 @@
     :ivar quarantine: table of requests suspected of crashing workers.
     :ivar on_attempt: called after each attempt, with its duration in seconds.
     :ivar on_quarantined: called for each quarantined request, with the remaining seconds.
+    :ivar on_retry: called with each decision on a retry that needs a token.
     """
 
     destinations: Destinations
@@ -51,6 +53,7 @@
     quarantine: Quarantine
     on_attempt: Callable[[CallProgress, Destination, Reply, float], None]
     on_quarantined: Callable[[Call, Identity, float], None]
+    on_retry: Callable[[RetryReport], None] = lambda _report: None
 
 
 class Dispatcher:
@@ -71,6 +74,13 @@
         self._feedback = DestinationFeedback(runtime, dependencies.destinations, dependencies.peers)
         self._latencies = self._feedback.latencies
         self._budget = dependencies.budget
+        self._retries = RetrySpending(
+            dependencies.budget,
+            runtime.monotonic,
+            lambda: runtime.random,
+            self._latencies.of,
+            dependencies.on_retry,
+        )
         self._node_name = node_name
         self._caller = caller
         self._quarantine = dependencies.quarantine
@@ -148,7 +158,7 @@
         if verdict is Verdict.NEWLY_QUARANTINED:
             self._refuse_quarantined(progress.call)
         if verdict is Verdict.RETRY_FROM_BUDGET:
-            return self._budget.take(progress.call.service)
+            return self._retries.allows(progress.call)
         return verdict is Verdict.RETRY
 
     def _is_quarantined(self, call: Call) -> bool:
@@ -184,6 +194,8 @@
             destination.record_finished()
         progress.attempts += reply.arrived
         if reply.arrived:
+            progress.worker_refusals += reply.outcome is Outcome.NOT_RUN
+            self._retries.record_reply(call.service, reply)
             progress.work.add(call.service, reply.run_time_ms)
         if reply.downstream_cost is not None:
             progress.work.add_all(reply.downstream_cost)
@@ -221,7 +233,7 @@
             root_age_ms=_nonnegative_milliseconds(now - root.began_at),
             root_objective_ms=_nonnegative_milliseconds(root.objective_at - now),
             root_deadline_ms=_nonnegative_milliseconds(root.deadline - now),
-            is_retry=root.is_retry or progress.attempts > 0,
+            is_retry=root.is_retry or progress.runs > 0,
             idempotent=route.idempotent,
             bodiless=call.bodiless,
             framing=call.framing,
--- a/src/cranklane/sidecar/routing/retry_budget.py
+++ b/src/cranklane/sidecar/routing/retry_budget.py
@@ -30,6 +30,11 @@
 spent that were earned before it, most of all after a burst of requests. A window can see the tokens
 of 1.2 windows; 0.75 comes too close to the bound when a pause separates two bursts."""
 
+VALUE_FRACTION = 0.15
+"""Fraction of the ratio that each request earns in addition for retries by value, which are only
+made while a service refuses requests. These tokens expire at the end of their period, so that a
+window sees those of at most 1.1 windows; with the others, that is 0.945 of the ratio."""
+
 TOKEN_PERIOD_FRACTION = 0.1
 """Length of an earning period as a fraction of the window. Tokens expire at the end of the
 period after the one in which they were earned."""
@@ -83,6 +88,7 @@
     :ivar period_started_at: start of the current earning period.
     :ivar current: unspent tokens earned in the current period.
     :ivar previous: unspent tokens earned in the period before it.
+    :ivar for_value: unspent tokens of the current period for retries by value.
     :ivar debt: tokens overspent; repaid first from earned tokens.
     :ivar slack_tokens: unspent tokens of the slack share.
     :ivar slack_granted_at: time at which the slack share was last granted.
@@ -91,6 +97,7 @@
     period_started_at: float
     current: float = 0.0
     previous: float = 0.0
+    for_value: float = 0.0
     debt: float = 0.0
     slack_tokens: float = 0.0
     slack_granted_at: float = -inf
@@ -145,12 +152,19 @@
 
     def earn(self, service: str) -> None:
         """Credit the budget with a request that starts at this sidecar."""
-        self._refreshed_bucket(service).earn(EARNED_FRACTION * self._bound.ratio)
+        bucket = self._refreshed_bucket(service)
+        bucket.earn(EARNED_FRACTION * self._bound.ratio)
+        bucket.for_value += VALUE_FRACTION * self._bound.ratio
 
     def charge(self, service: str) -> None:
         """Charge the budget for a call made by a retried run, even without tokens."""
         self._refreshed_bucket(service).spend(_TOKENS_PER_RETRY)
 
+    def tokens(self, service: str) -> float:
+        """Return the tokens available for retries by value; negative if the debt exceeds them."""
+        bucket = self._refreshed_bucket(service)
+        return bucket.tokens + bucket.for_value
+
     def take(self, service: str) -> bool:
         """Return whether a retry at a service is allowed, and charge the budget for it.
 
@@ -167,6 +181,21 @@
         bucket.spend(tokens)
         return self._random.random() < tokens
 
+    def take_for_value(self, service: str) -> bool:
+        """Return whether a retry by value is allowed, and charge the budget for it.
+
+        The tokens earned for such retries are spent first, as they expire first.
+        """
+        bucket = self._refreshed_bucket(service)
+        spent = min(_TOKENS_PER_RETRY, bucket.for_value)
+        if bucket.debt > 0.0:
+            # Only earned tokens repay the debt; until then no retry is allowed.
+            return self.take(service)
+        bucket.for_value -= spent
+        if spent >= _TOKENS_PER_RETRY or (spent > 0.0 and self._random.random() < spent):
+            return True
+        return self.take(service)
+
     def _refreshed_bucket(self, service: str) -> _TokenBucket:
         now = self._clock()
         bucket = self._buckets.get(service)
@@ -184,7 +213,7 @@
         periods = int((now - bucket.period_started_at) / period)
         if periods > 0:
             bucket.previous = bucket.current if periods == 1 else 0.0
-            bucket.current = 0.0
+            bucket.current = bucket.for_value = 0.0
             bucket.period_started_at += periods * period
 
     def _grant_slack(self, bucket: _TokenBucket, now: float) -> None:
--- a/src/cranklane/sidecar/routing/retry_policy.py
+++ b/src/cranklane/sidecar/routing/retry_policy.py
@@ -18,6 +18,10 @@
 """Refusals for lack of capacity after which a request is not retried. Under overload, further
 attempts only add load."""
 
+MAX_WORKER_REFUSALS = 8
+"""Workers that may refuse a request without running it. While workers refuse half of all requests
+at random, fewer than 1% of the calls need more; each one beyond the first costs a token."""
+
 MAX_SIDECARS_TRIED = 8
 """Maximum number of sidecars tried per request, including those with a draining or unreachable
 worker. Allows for several restarting workers during a rolling restart."""
@@ -50,6 +54,7 @@
     SIDECAR_LIMIT = auto()
     REFUSED_EARLY = auto()
     ATTEMPTS_EXHAUSTED = auto()
+    WORKER_REFUSAL_LIMIT = auto()
     CALLED_BY_RETRY = auto()
 
 
@@ -67,7 +72,8 @@
 ) -> Verdict:
     """Return the verdict after an attempt.
 
-    :param progress: ``attempts`` and ``tried`` include this attempt, ``refusals`` does not.
+    :param progress: ``attempts``, ``worker_refusals`` and ``tried`` include this attempt,
+        ``refusals`` does not.
     :param reply: reply to this attempt.
     :param now: monotonic time in seconds.
     :param is_quarantined: called only if the call is suspected of crashing a worker.
@@ -117,7 +123,7 @@
     if reply.reason is Reason.REFUSED_EARLY:
         # Runs of this route fail in a downstream service, whichever worker runs them.
         return Verdict.REFUSED_EARLY
-    if progress.attempts >= progress.call.route.max_attempts:
+    if progress.runs >= progress.call.route.max_attempts:
         # A retry must not reach a worker: the route's limit of attempts is used up.
         return Verdict.ATTEMPTS_EXHAUSTED
     return Verdict.RETRY
@@ -125,8 +131,10 @@
 
 def _after_arrival(progress: CallProgress) -> Verdict:
     """Return the verdict after an attempt that reached a worker and is safe to retry."""
-    if progress.attempts >= progress.call.route.max_attempts:
+    if progress.runs >= progress.call.route.max_attempts:
         return Verdict.ATTEMPTS_EXHAUSTED
+    if progress.worker_refusals >= MAX_WORKER_REFUSALS:
+        return Verdict.WORKER_REFUSAL_LIMIT
     if progress.call.root.is_retry:
         # The calling run is a retry itself; retries at each level of a call tree would multiply.
         return Verdict.CALLED_BY_RETRY
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -22,6 +22,7 @@
 from cranklane.sidecar.request.decision import Decision
 from cranklane.sidecar.request.identity import Identity
 from cranklane.sidecar.routing.destination import Destination
+from cranklane.sidecar.routing.retry_spending import RetryReport
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
 from cranklane.sidecar.telemetry.request_summary import End, RequestSummary, end_of
 from cranklane.sidecar.telemetry.slot_summary import SlotSummary
@@ -35,6 +36,9 @@
 SUCCESS_LINES_PER_SECOND = 10.0
 """Rate limit of lines on successful requests. They are a sample to compare problems with."""
 
+RETRY_LINES_PER_SECOND = 1.0
+"""Rate limit of lines on retries decided by value, which are a sample; counters have the sums."""
+
 SUMMARY_INTERVAL_SECONDS = 5.0
 """Seconds between lines that count omitted lines; also the longest delay of a request summary."""
 
@@ -57,6 +61,7 @@
         self._log = log
         self._problem_limit = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
+        self._retry_limit = RateLimit(clock, RETRY_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
         self._leaving_instance = NO_INSTANCE
@@ -88,6 +93,21 @@
             condition_age=round(self._clock() - destination.condition_at, 2),
         )
 
+    def retry_decided(self, report: RetryReport) -> None:
+        """Count a decision on a retry; log one a second of those by value."""
+        self._metrics.retry_decision(report.service, report.decision)
+        if not report.by_value or not self._retry_limit.allows():
+            return
+        self._log.info(
+            "retry_by_value",
+            service=report.service,
+            decision=report.decision.value,
+            refused_fraction=round(report.refused_fraction, 3),
+            value=round(report.value, 4),
+            tokens=round(report.tokens, 2),
+            others=self._retry_limit.take_left_out(),
+        )
+
     def decided(self, decision: Decision) -> None:
         """Count and log the result of a request."""
         end = end_of(decision)
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -88,6 +88,11 @@
             "Attempts to have a worker run a request.",
             ("service", "outcome", "reason"),
         )
+        self._retries = _Counter(
+            "cranklane_retry_decisions",
+            "Decisions on retries that need a token of the retry budget.",
+            ("service", "decision"),
+        )
         self._admissions = _Counter(
             "cranklane_admissions",
             "Decisions on requests for this machine's worker; reason none is admitted.",
@@ -131,6 +136,7 @@
         counters = (
             self._requests,
             self._attempts,
+            self._retries,
             self._admissions,
             self._ingress_refusals,
             self._worker_exits,
@@ -175,6 +181,10 @@
         """Count an attempt that has ended."""
         self._attempts.values[service, outcome, reason] += 1
 
+    def retry_decision(self, service: str, decision: Enum) -> None:
+        """Count a decision on a retry, by its ``retry_spending.RetryDecision``."""
+        self._retries.values[service, decision.value] += 1
+
     def ingress_refusal(self, reason: Reason) -> None:
         """Count a request refused by authentication."""
         self._ingress_refusals.values[(reason,)] += 1
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -151,6 +151,15 @@
     )
 
 
+def test_a_run_after_a_refusal_without_a_run_is_no_repeated_run():
+    """Its calls are first ones: marked as retries, they would get no tokens at random refusals."""
+    refused = refusal(Reason.WORKER_SHED, arrived=True)
+    workers = ScriptedWorkers(refused, answer(500), answer(200))
+    workers.result()
+    assert [request.is_retry for request in workers.requests] == [False, False, True]
+    assert workers.budget.take_count == 2
+
+
 def test_a_call_of_a_retried_run_is_charged_and_earns_nothing():
     workers = ScriptedWorkers(answer(500), answer(200))
     assert workers.result(call(is_retry=True)).status == 500
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -19,6 +19,7 @@
     CALL_OVER_VERDICTS,
     MAX_CAPACITY_REFUSALS,
     MAX_SIDECARS_TRIED,
+    MAX_WORKER_REFUSALS,
     Verdict,
     decide,
 )
@@ -161,6 +162,16 @@
     assert verdict_on(SHED, call) is Verdict.RETRY_FROM_BUDGET
 
 
+def test_refusals_without_a_run_have_a_limit_of_their_own():
+    """Counting them as attempts ends trees whose workers refuse at random; none loops forever."""
+    last = MAX_WORKER_REFUSALS
+    for refusals in (1, last - 1):
+        state = {"attempts": refusals, "worker_refusals": refusals}
+        assert verdict_on(SHED, **state) is Verdict.RETRY_FROM_BUDGET
+    assert verdict_on(SHED, attempts=last, worker_refusals=last) is Verdict.WORKER_REFUSAL_LIMIT
+    assert verdict_on(LOST, attempts=last, worker_refusals=last - 2) is Verdict.ATTEMPTS_EXHAUSTED
+
+
 def test_the_rules_apply_in_order():
     """A state that matches several rules gets the verdict of the first."""
     everything = replace(LOST, reason=Reason.RUN_ALONE)
