An unframed answer that ends with the exit of its worker is truncated

Cause: the body of an answer without length and chunks ends with its connection. Change: at the end of such a body the sidecar checks whether the worker's port refuses connections, as after a lost connection. If so, the answer is cut, or unknown if nothing was sent on.

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -247,6 +247,7 @@
         listener = RunListener(
             sent=partial(self._exits.began, admitted.number, request, suspicion_level),
             noticed=partial(self.notices.answered, admitted.instance, admitted.started_at),
+            worker_exited=partial(self._exits.connection_lost, admitted.instance),
         )
         assert self._exchange is not None
         reply = self._exchange.run(attempt, admitted.instance.id, deadline, listener)
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -64,10 +64,12 @@
 
     :ivar sent: called just before the first byte is sent.
     :ivar noticed: called with what the headers of the worker's answer state.
+    :ivar worker_exited: checks whether the worker has exited since the run began.
     """
 
     sent: Callable[[], None]
     noticed: Callable[[AnswerNotice], None]
+    worker_exited: Callable[[], bool]
 
 
 class WorkerExchange:
@@ -147,7 +149,7 @@
         if not self._is_genuine(head):
             connection.close()
             return unknown(Reason.ANSWER_CUT)
-        return self._read_reply(head, connection, sender)
+        return self._read_reply(head, connection, sender, listener)
 
     def _is_refusal(self, head: AnswerHead) -> bool:
         """Return whether a response states that the request was not run."""
@@ -218,7 +220,11 @@
         return refusal(Reason.WORKER_SHED, arrived=not misdirected)
 
     def _read_reply(
-        self, head: AnswerHead, connection: WorkerConnection, sender: BodySender | None
+        self,
+        head: AnswerHead,
+        connection: WorkerConnection,
+        sender: BodySender | None,
+        listener: RunListener,
     ) -> Reply:
         reader = connection.reader
         body_parts: list[bytes] = []
@@ -227,6 +233,7 @@
         while size < MAX_BUFFERED_BODY_BYTES:
             data = reader.next_piece()
             if not data:
+                _check_end(head, listener)
                 whole = True
                 break
             body_parts.append(data)
@@ -245,17 +252,22 @@
             if head.framing in (Framing.CHUNKED, Framing.UNTIL_CLOSE):
                 reply.framing, reply.length = Framing.LENGTH, size
         else:
-            reply.rest = self._stream_rest(head, connection, sender)
+            reply.rest = self._stream_rest(head, connection, sender, listener)
         return reply
 
     def _stream_rest(
-        self, head: AnswerHead, connection: WorkerConnection, sender: BodySender | None
+        self,
+        head: AnswerHead,
+        connection: WorkerConnection,
+        sender: BodySender | None,
+        listener: RunListener,
     ) -> Iterator[bytes]:
         whole = False
         try:
             while True:
                 data = connection.reader.next_piece()
                 if not data:
+                    _check_end(head, listener)
                     whole = True
                     return
                 yield data
@@ -283,3 +295,12 @@
             self._pool.give_back(connection)
         else:
             connection.close()
+
+
+def _check_end(head: AnswerHead, listener: RunListener) -> None:
+    """Check the end of a body that is delimited by the end of its connection.
+
+    :raises TruncatedMessageError: when the worker has exited, which may have truncated the body.
+    """
+    if head.framing is Framing.UNTIL_CLOSE and listener.worker_exited():
+        raise TruncatedMessageError
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -54,3 +54,16 @@
     assert seconds <= ANSWER_WITHIN_SECONDS
     assert later == [200] * 6
     assert sum(running) == 0
+
+
+@pytest.mark.parametrize("pause", [FLOOD_SECONDS, TRICKLE_SECONDS])
+def test_an_unframed_body_that_ends_with_its_worker_does_not_look_complete(pause):
+    def script(mesh):
+        configure_workers(mesh, endless_answers=1, endless_part="body", endless_pause=pause)
+        worker = mesh.machines[2].worker
+        gevent.spawn_later(0.5, worker.end)
+        return mesh.request(mesh.machines[0], "/other/x", "POST")
+
+    # The connections of an exiting process end like that of a worker that has sent everything.
+    answer = play(script)
+    assert answer is None or answer.status == 502 or not answer.whole
