Soak: slow periods, slow starts, uploads, answers without end, tenants that compete

Cause: the soak's workers always took the same time and stated no load, its callers sent small bodies and no keys, so none of the loads of this release was met by real processes under faults. Change: workers take 2.5 times as long in periods of 0.6 s (15% of the time) and state it in their load header, sometimes falsely; they take 2 to 4 times as long for 3 s after a restart; some answers have a head, interim responses, a body or a refusal without end. Callers of three tenants (none, 60/s, 5/s) send keys, and one of 16 requests is an upload of 80 to 400 KB in either framing. New invariants: an upload runs with its whole body, each run is for its caller's tenant and without its key, no valid key is refused. A stand-in that refuses without end no longer counts the request as a run.

--- a/src/cranklane_lab/soak/callers.py
+++ b/src/cranklane_lab/soak/callers.py
@@ -4,6 +4,7 @@
 
 from cranklane.runtime.interface import Runtime
 from cranklane_lab.evidence.notice_rules import NoticeRules
+from cranklane_lab.soak.loads import UPLOAD_ROUTE, SoakTenant, chunked, upload_body
 from cranklane_lab.soak.site import SoakSite
 from cranklane_lab.standins.raw_http import RawAnswer, RawConnection, request_bytes
 from cranklane_lab.standins.route_tables import HOST
@@ -17,27 +18,53 @@
     """One caller, with one open connection to each machine that it has used.
 
     A connection is used until it fails or the sidecar announces that it closes it.
+
+    :param tenant: tenant whose key it sends.
     """
 
-    def __init__(self, runtime: Runtime, site: SoakSite, rules: NoticeRules) -> None:
+    def __init__(
+        self, runtime: Runtime, site: SoakSite, rules: NoticeRules, tenant: SoakTenant
+    ) -> None:
         self._runtime = runtime
         self._site = site
         self._rules = rules
+        self._tenant = tenant
         self._connections: dict[int, RawConnection] = {}
 
     def send(
         self, machine: int, route: str, request_id: str, path_suffix: str = "x"
     ) -> RawAnswer | None:
         """Send one request to a machine's sidecar; return None without a response."""
-        headers = {
+        body = b"x" * 500 if route == "sign" else b""
+        method = "POST" if body else "GET"
+        headers = self._headers(request_id)
+        encoded = request_bytes(method, f"/{route}/{path_suffix}", headers, body)
+        return self._send(machine, request_id, encoded)
+
+    def upload(
+        self, machine: int, request_id: str, size: int, is_chunked: bool
+    ) -> RawAnswer | None:
+        """Send one upload to a machine's sidecar; return None without a response."""
+        path = f"/{UPLOAD_ROUTE}/{size}"
+        body = upload_body(request_id, size)
+        headers = self._headers(request_id)
+        if is_chunked:
+            headers["Transfer-Encoding"] = "chunked"
+            encoded = request_bytes("POST", path, headers) + b"".join(chunked(body))
+        else:
+            encoded = request_bytes("POST", path, headers, body)
+        return self._send(machine, request_id, encoded)
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        return {
             "Host": HOST,
             NAMES.request.decode(): request_id,
             NAMES.deadline.decode(): str(DEADLINE_MS),
+            NAMES.key.decode(): self._tenant.key,
         }
-        body = b"x" * 500 if route == "sign" else b""
-        method = "POST" if body else "GET"
-        encoded = request_bytes(method, f"/{route}/{path_suffix}", headers, body)
-        self._site.record_origin(request_id, machine)
+
+    def _send(self, machine: int, request_id: str, encoded: bytes) -> RawAnswer | None:
+        self._site.record_origin(request_id, machine, self._tenant.name)
         answer = self._exchange(machine, encoded)
         if answer is not None:
             now = self._runtime.monotonic()
@@ -47,17 +74,28 @@
     def _exchange(self, machine: int, encoded: bytes) -> RawAnswer | None:
         connection = self._connections.pop(machine, None)
         answer = None
+        sent = False
         try:
             if connection is None:
                 address = self._site.callers_address(machine)
                 connection = RawConnection(self._runtime, address, REQUEST_TIMEOUT_SECONDS)
-            connection.send(encoded)
+            sent = self._send_all(connection, encoded)
             answer = connection.answer()
         except OSError:
             # The process is gone; the request has no answer.
             pass
-        if connection is not None and answer is not None and answer.whole and not answer.closes:
+        reusable = sent and answer is not None and answer.whole and not answer.closes
+        if connection is not None and reusable:
             self._connections[machine] = connection
         elif connection is not None:
             connection.close()
         return answer
+
+    @staticmethod
+    def _send_all(connection: RawConnection, encoded: bytes) -> bool:
+        """Send a request; return False if the sidecar closed, maybe after an early answer."""
+        try:
+            connection.send(encoded)
+        except OSError:
+            return False
+        return True
--- a/src/cranklane_lab/soak/checks.py
+++ b/src/cranklane_lab/soak/checks.py
@@ -4,10 +4,13 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
+from cranklane_lab.soak.loads import UPLOAD_ROUTE, is_whole_upload
 from cranklane_lab.soak.site import Crash
 from cranklane_lab.standins.raw_http import RawAnswer
-from cranklane_lab.standins.routed_worker import RoutedWorker
+from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_worker_state import RoutedRun
 
 QUARANTINE_DELAY_SECONDS = 3.0
 """Time within which every machine learns that a request crashed its third worker."""
@@ -27,6 +30,7 @@
     :ivar refused_non_idempotent: ids of non-idempotent requests refused as not run.
     :ivar non_idempotent: ids of all non-idempotent requests.
     :ivar acknowledged_version: newest acknowledged version of the route table.
+    :ivar served: number of runs by tenant.
     :ivar sent_tables: documents sent by operators, by version.
     """
 
@@ -36,6 +40,7 @@
     non_idempotent: set[str] = field(default_factory=set)
     acknowledged_version: int = 0
     sent_tables: dict[int, str] = field(default_factory=dict)
+    served: Counter[str] = field(default_factory=Counter)
 
     def record_violation(self, text: str) -> None:
         """Record a violated invariant."""
@@ -49,6 +54,8 @@
             self.non_idempotent.add(request)
             if status in NOT_RUN_STATUS:
                 self.refused_non_idempotent.add(request)
+        if status == HTTPStatus.UNAUTHORIZED:
+            self.record_violation(f"{request} was refused, although its key is in every table")
         if answer is None or status != 200 or not answer.whole:
             return
         if answer.body != f"ran {request}".encode():
@@ -56,6 +63,22 @@
                 f"{request} received another request's answer: {answer.body[:80]!r}"
             )
 
+    def record_run(self, tenant: str, run: RoutedRun) -> None:
+        """Record a run as it starts at a worker.
+
+        :param tenant: tenant whose caller sent the request.
+        """
+        self.served[tenant] += 1
+        if run.value(NAMES.tenant) != tenant.encode():
+            self.record_violation(
+                f"{run.request} of {tenant} ran for {run.value(NAMES.tenant).decode()!r}"
+            )
+        if run.value(NAMES.key):
+            self.record_violation(f"{run.request} was forwarded with its key")
+        is_upload = run.target.startswith(f"/{UPLOAD_ROUTE}/".encode())
+        if is_upload and not is_whole_upload(run.request, run.target, run.body):
+            self.record_violation(f"{run.request} ran with a changed body of {len(run.body)} bytes")
+
     def record_read(self, acknowledged_before: int, version: int) -> None:
         """Record a read of the route table.
 
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -18,6 +18,18 @@
 from cranklane_lab.soak.callers import Caller
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import FaultInjector
+from cranklane_lab.soak.loads import (
+    NOT_IDEMPOTENT_ROUTES,
+    ROUTE_CHOICES,
+    ROUTES,
+    TENANTS,
+    UNLIMITED,
+    UPLOAD_ROUTE,
+    SoakTenant,
+    random_upload_size,
+    tenant_entries,
+)
+from cranklane_lab.soak.run_times import SlowPeriods
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, SoakSite
 from cranklane_lab.soak.worker_needs import WorkerNeeds
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
@@ -25,7 +37,6 @@
 
 START_TIMEOUT_SECONDS = 20.0
 RECOVERY_SECONDS = 15.0
-CALLER_COUNT = 10
 SIDECAR_FAULT_TASKS = 2
 """Faults on sidecars that may be in progress at once."""
 
@@ -37,15 +48,6 @@
 MEAN_CRASH_PAUSE_SECONDS = 0.7
 """Mean time between two requests to the same crashing target."""
 
-ROUTES: dict[str, dict[str, Any]] = {
-    "read": {"prefix": "/read/", "service": "s"},
-    "sign": {"prefix": "/sign/", "service": "t", "repeat": "unsafe"},
-    "both": {
-        "prefix": "/both/",
-        "split": [{"service": "s", "weight": 3}, {"service": "t", "weight": 1}],
-    },
-}
-
 
 @dataclass
 class SoakResult:
@@ -55,6 +57,7 @@
     :ivar tables: newest acknowledged version of the route table.
     :ivar folder: folder of the process logs.
     :ivar ends: number of worker crashes by request target.
+    :ivar served: number of runs by tenant.
     """
 
     seed: int
@@ -66,6 +69,7 @@
     faults: list[str] = field(default_factory=list)
     folder: str = ""
     ends: dict[str, int] = field(default_factory=dict)
+    served: dict[str, int] = field(default_factory=dict)
 
 
 class Soak:
@@ -78,9 +82,9 @@
         self._random = Random(seed)
         self._runtime = RealRuntime()
         self._rules = NoticeRules()
-        self._site = SoakSite(folder, self._rules, machines)
         self._observations = Observations()
-        self._caller = Caller(self._runtime, self._site, self._rules)
+        self._site = SoakSite(folder, self._rules, self._observations.record_run, machines)
+        self._caller = Caller(self._runtime, self._site, self._rules, UNLIMITED)
         self._faults: list[str] = []
         self._stopping = False
         self._request_count = 0
@@ -109,6 +113,7 @@
             self._faults,
             str(self._folder),
             dict(Counter(crash.target.decode() for crash in self._site.crashes)),
+            dict(self._observations.served),
         )
 
     def _record_fault(self, text: str) -> None:
@@ -137,7 +142,11 @@
             self._site, Random(self._random.random()), self._record_fault, self._excuse
         )
         needs = WorkerNeeds(self._site, Random(self._random.random()), self._record_fault)
-        tasks = [gevent.spawn(self._run_caller) for _ in range(CALLER_COUNT)]
+        tasks = [
+            gevent.spawn(self._run_caller, tenant)
+            for tenant in TENANTS
+            for _ in range(tenant.callers)
+        ]
         tasks.append(gevent.spawn(self._run_operator))
         tasks += [gevent.spawn(self._run_crash_sender, number) for number in range(CRASH_TARGETS)]
         fault_tasks = [
@@ -148,9 +157,13 @@
             gevent.spawn(needs.run, lambda: self._stopping),
             gevent.spawn(injector.inject_controller_faults, lambda: self._stopping),
         ]
+        periods = SlowPeriods(self._site, Random(self._random.random()))
+        period_tasks = [gevent.spawn(periods.run, number) for number in range(self._site.machines)]
         gevent.sleep(self._seconds)
         self._stopping = True
         gevent.joinall(fault_tasks + tasks, timeout=60.0)
+        gevent.killall(period_tasks)
+        periods.end()
 
     def _check_recovery(self) -> None:
         """Check that all requests succeed once the site had time to recover."""
@@ -176,21 +189,27 @@
                 f"version {table['version']} differs from the document that was sent"
             )
 
-    def _run_caller(self) -> None:
+    def _run_caller(self, tenant: SoakTenant) -> None:
         random = Random(self._random.random())
-        caller = Caller(self._runtime, self._site, self._rules)
+        caller = Caller(self._runtime, self._site, self._rules, tenant)
         while not self._stopping:
-            route = random.choice(("read", "sign", "both"))
+            route = random.choice(ROUTE_CHOICES)
             self._request_count += 1
             request_id = f"{route}-{self._seed}-{self._request_count}"
-            answer = caller.send(random.randrange(self._site.machines), route, request_id)
-            self._observations.record_answer(request_id, route != "sign", answer)
+            machine = random.randrange(self._site.machines)
+            if route == UPLOAD_ROUTE:
+                size = random_upload_size(random)
+                answer = caller.upload(machine, request_id, size, random.random() < 0.5)
+            else:
+                answer = caller.send(machine, route, request_id)
+            idempotent = route not in NOT_IDEMPOTENT_ROUTES
+            self._observations.record_answer(request_id, idempotent, answer)
             gevent.sleep(MAX_CALLER_PAUSE_SECONDS * random.random())
 
     def _run_crash_sender(self, target_number: int) -> None:
         """Send requests that crash workers to random machines, all with the same target."""
         random = Random(self._random.random())
-        caller = Caller(self._runtime, self._site, self._rules)
+        caller = Caller(self._runtime, self._site, self._rules, UNLIMITED)
         while not self._stopping:
             gevent.sleep(MEAN_CRASH_PAUSE_SECONDS * 2 * random.random())
             request_id = f"crash-{target_number}-{random.getrandbits(32)}"
@@ -214,7 +233,7 @@
         :return: whether it was acknowledged.
         """
         routes = {**ROUTES, f"v{version}": {"prefix": f"/v{version}/", "service": "s"}}
-        document = route_table(version, base, routes, ("s", "t"))
+        document = route_table(version, base, routes, ("s", "t"), tenant_entries())
         self._observations.sent_tables[version] = json.dumps(document, sort_keys=True)
         body = json.dumps(document).encode()
         deadline = self._runtime.monotonic() + seconds
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import shutil
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import NamedTuple
 
 import gevent
 
@@ -28,6 +29,10 @@
 CRASH_MARK = b"/read/crash"
 """A request whose target contains this crashes the worker that runs it."""
 
+COLD_SECONDS = 3.0
+COLD_FACTORS = (2.0, 3.0, 4.0)
+"""Time after a restart in which a worker is slow, and the factors of its run time."""
+
 WORKER_RESTART_SECONDS = 1.5
 """Time between the crash of a worker and its restart."""
 
@@ -45,10 +50,19 @@
     target: bytes
 
 
+class Origin(NamedTuple):
+    """Where, when and by whose caller a request was sent."""
+
+    machine: int
+    sent_at: float
+    tenant: str
+
+
 class SoakSite:
     """Processes on loopback addresses, which advertise the addresses of their proxies.
 
     :param rules: receives what workers state and which requests reach them.
+    :param on_run: called with the name of the tenant that sent it and each run as it starts.
     :ivar machines: number of sidecars, each with a worker.
     :ivar controllers: controller processes by number.
     :ivar sidecars: sidecar processes by number.
@@ -56,10 +70,19 @@
     :ivar crashes: worker crashes in order of time.
     """
 
-    def __init__(self, folder: Path, rules: NoticeRules, machines: int = len(SERVICES)) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        rules: NoticeRules,
+        on_run: Callable[[str, RoutedRun], None],
+        machines: int = len(SERVICES),
+    ) -> None:
         self._folder = folder
         self._rules = rules
-        self._origins: dict[str, tuple[int, float]] = {}
+        self._on_run = on_run
+        self._origins: dict[str, Origin] = {}
+        self._slow_factors: dict[str, float] = {}
+        self._cold_factors: dict[str, float] = {}
         self.machines = machines
         self._ports = MeshPorts()
         self._runtime = RealRuntime()
@@ -149,6 +172,8 @@
         )
         worker.state.seconds = WORK_SECONDS
         worker.state.echoes = True
+        worker.state.states_load = True
+        worker.state.on_run = self._record_run
         worker.state.on_notice = partial(self._record_stated, worker)
         worker.state.on_arrival = partial(self._record_arrival, worker)
         worker.state.crash_mark = CRASH_MARK
@@ -156,18 +181,44 @@
         self._runtime.spawn(worker.send_heartbeats)
         return worker
 
-    def record_origin(self, request: str, machine: int) -> None:
-        """Record at which machine a request begins, and that it is sent now."""
-        self._origins[request] = (machine, self._runtime.monotonic())
+    def record_origin(self, request: str, machine: int, tenant: str) -> None:
+        """Record at which machine a tenant's request begins, and that it is sent now."""
+        self._origins[request] = Origin(machine, self._runtime.monotonic(), tenant)
 
     def _record_stated(self, worker: RoutedWorker, limit: float | None) -> None:
         self._rules.stated(worker.label, self._runtime.monotonic(), limit)
 
     def _record_arrival(self, worker: RoutedWorker, request: str) -> None:
-        machine, sent_at = self._origins[request]
-        arrival = Arrival(self._runtime.monotonic(), f"sidecar-{machine}", sent_at)
+        origin = self._origins[request]
+        arrival = Arrival(self._runtime.monotonic(), f"sidecar-{origin.machine}", origin.sent_at)
         self._rules.arrived(worker.label, arrival)
 
+    def _record_run(self, run: RoutedRun) -> None:
+        self._on_run(self._origins[run.request].tenant, run)
+        # The bodies of all runs of a long soak would exhaust the memory.
+        run.body = b""
+
+    def set_slow_factor(self, worker: RoutedWorker, factor: float) -> None:
+        """Set the factor of a worker's run time by which slow periods lengthen it."""
+        self._slow_factors[worker.label] = factor
+        self._apply_factors(worker)
+
+    def _apply_factors(self, worker: RoutedWorker) -> None:
+        slow = self._slow_factors.get(worker.label, 1.0)
+        worker.state.seconds = WORK_SECONDS * slow * self._cold_factors.get(worker.label, 1.0)
+
+    def _start_cold(self, worker: RoutedWorker) -> None:
+        """Slow a worker down for some seconds; only some say so in their heartbeats."""
+        self._cold_factors[worker.label] = COLD_FACTORS[self._restarts % len(COLD_FACTORS)]
+        self._apply_factors(worker)
+        if self._restarts % 2:
+            worker.state.cold_until = self._runtime.monotonic() + COLD_SECONDS
+        gevent.spawn_later(COLD_SECONDS, self._warm_up, worker)
+
+    def _warm_up(self, worker: RoutedWorker) -> None:
+        del self._cold_factors[worker.label]
+        self._apply_factors(worker)
+
     def exit_worker(self, worker: RoutedWorker) -> None:
         """End a worker that has left, and schedule its restart."""
         if worker.ended:
@@ -193,6 +244,7 @@
         instance = previous.instance if keeps_id else f"i-{number}+{self._restarts}"
         worker = self._new_worker(number, instance)
         worker.state.runs = previous.state.runs
+        self._start_cold(worker)
         self.workers[number] = worker
 
     def callers_address(self, number: int) -> tuple[str, int]:
--- a/src/cranklane_lab/soak/worker_needs.py
+++ b/src/cranklane_lab/soak/worker_needs.py
@@ -1,4 +1,4 @@
-"""Lets workers state limits and departures in their answers, at random."""
+"""Lets workers state limits and departures and send answers without end, at random."""
 
 from __future__ import annotations
 
@@ -14,12 +14,18 @@
 
 LIMITS = (b"0", b"0.3", b"2", b"5.5", b"12", b"30")
 
+ENDLESS_PARTS = ("head", "interim", "body", "refusal")
+MAX_ENDLESS_ANSWERS = 3
+ENDLESS_PAUSES_SECONDS = (0.001, 0.4)
+"""Pauses between the pieces of an answer without end: a flood, and one below every timeout of a
+single read."""
+
 LEAVING_SECONDS = (1.0, 4.0)
 """Shortest and longest time from the statement of a departure to the exit."""
 
 
 class WorkerNeeds:
-    """Changes what workers state.
+    """Changes what workers state, and lets some of their answers not end.
 
     :param on_change: called with a description of each change.
     """
@@ -31,13 +37,20 @@
 
     def run(self, should_stop: Callable[[], bool]) -> None:
         """Change random workers until ``should_stop`` returns true; then end all limits."""
-        changes = (self._state_limit, self._state_limit, self._end_limit, self._leave)
+        changes = (
+            self._state_limit,
+            self._state_limit,
+            self._end_limit,
+            self._leave,
+            self._send_without_end,
+        )
         while not should_stop():
             number = self._random.randrange(len(self._site.workers))
             self._random.choice(changes)(number)
             gevent.sleep(MEAN_PAUSE_SECONDS * 2 * self._random.random())
         for worker in self._site.workers:
             worker.state.rate_limit = b""
+            worker.state.endless_answers = 0
 
     def _state_limit(self, number: int) -> None:
         limit = self._random.choice(LIMITS)
@@ -48,6 +61,17 @@
         self._on_change(f"worker-{number} states no limit")
         self._site.workers[number].state.rate_limit = b""
 
+    def _send_without_end(self, number: int) -> None:
+        """Let the next answers of a worker have a part without end."""
+        state = self._site.workers[number].state
+        state.endless_part = self._random.choice(ENDLESS_PARTS)
+        state.endless_pause = self._random.choice(ENDLESS_PAUSES_SECONDS)
+        state.endless_answers = self._random.randint(1, MAX_ENDLESS_ANSWERS)
+        self._on_change(
+            f"worker-{number} sends {state.endless_answers} answers with a {state.endless_part} "
+            "without end"
+        )
+
     def _leave(self, number: int) -> None:
         """State a departure, which no heartbeat mentions, and exit some time later."""
         worker = self._site.workers[number]
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -78,12 +78,13 @@
     def send_heartbeat(self) -> int:
         """Send one heartbeat; return the response's status, 0 without a response."""
         self._sequence += 1
+        cold_seconds = max(0.0, self.state.cold_until - self._runtime.monotonic())
         body = {
             "service": self.service,
             "slots": self.slots,
             "phase": self.phase,
             "sequence": self._sequence,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": int(cold_seconds * MILLISECONDS),
             **self._start_time(),
         }
         return self._post("heartbeat", json.dumps(body).encode())
@@ -164,6 +165,8 @@
         is_shed = state.shed_fraction and self._runtime.random.random() < state.shed_fraction
         if is_shed or state.consume_fault("refuse"):
             return self._answer(stream, request, 503, b"", not_run=True)
+        if state.endless_part == "refusal" and state.consume_fault("endless_answers"):
+            return self._send_without_end(stream, request)
         run = RoutedRun(
             request.decode(),
             head.method,
@@ -173,6 +176,8 @@
             self._runtime.monotonic(),
         )
         state.runs.append(run)
+        if state.on_run is not None:
+            state.on_run(run)
         if state.crash_mark and state.crash_mark in run.target:
             gevent.sleep(CRASH_SECONDS)
             assert state.on_crash is not None
@@ -189,20 +194,22 @@
     def _send_health(self, stream: Any) -> bool:
         is_well = self.phase == "ready" and not self.state.leaving
         stream.sendall(
-            b"%s%s%s: %s\r\n%s: %d,0,%d%s\r\nContent-Length: 0\r\n\r\n"
+            b"%s%s%s: %s\r\n%sContent-Length: 0\r\n\r\n"
             % (
                 status_line(200 if is_well else 503),
                 self._notices() if self.state.states_in_health else b"",
                 NAMES.instance_answer,
                 self.instance.encode(),
-                NAMES.load,
-                self.state.running,
-                self.slots,
-                b"," + self.state.run_time_percent if self.state.run_time_percent else b"",
+                self._load_line(),
             )
         )
         return True
 
+    def _load_line(self) -> bytes:
+        percent = self.state.run_time_percent
+        fields = b"%d,0,%d%s" % (self.state.running, self.slots, b"," + percent if percent else b"")
+        return b"%s: %s\r\n" % (NAMES.load, fields)
+
     def _work(self, stream: Any, run: RoutedRun) -> bool:
         """Spend the work time of a request; return False if the caller disconnects."""
         state = self.state
@@ -285,6 +292,8 @@
         framed: bool = True,
     ) -> bytes:
         lines = b"%s: %s\r\n" % (NAMES.request, request) + self._notices()
+        if self.state.states_load:
+            lines += self._load_line()
         if not_run:
             lines += b"%s: 1\r\n%s: %s\r\n" % (
                 NAMES.not_run,
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -50,6 +50,8 @@
     :ivar endless_part: ``head``, ``interim``, ``body`` or ``refusal``.
     :ivar endless_pause: seconds between the pieces of an endless response.
     :ivar run_time_percent: fourth field of the load header; empty for none.
+    :ivar states_load: whether its answers have the load header.
+    :ivar cold_until: monotonic second up to which its heartbeats state that it is slow.
     :ivar body: body of a response.
     :ivar echoes: whether a response body names its request instead.
     :ivar work: runs a request and returns its status; replaces ``seconds`` and ``status``.
@@ -62,6 +64,7 @@
     :ivar states_in_health: whether answers to health checks state the same.
     :ivar on_notice: called before each answer with the limit that it states, if any.
     :ivar on_arrival: called with the id of each received request.
+    :ivar on_run: called with each run as it starts.
     :ivar arrivals: number of received requests.
     :ivar connections: number of accepted connections.
     :ivar running: number of requests in flight.
@@ -86,6 +89,8 @@
     endless_part: str = "head"
     endless_pause: float = 0.001
     run_time_percent: bytes = b""
+    states_load: bool = False
+    cold_until: float = 0.0
     body: bytes = b"answer"
     echoes: bool = False
     work: Callable[[RoutedRun], int] | None = None
@@ -98,6 +103,7 @@
     states_in_health: bool = False
     on_notice: Callable[[float | None], None] | None = None
     on_arrival: Callable[[str], None] | None = None
+    on_run: Callable[[RoutedRun], None] | None = None
     arrivals: int = 0
     connections: int = 0
     running: int = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,9 +9,12 @@
 
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import FaultInjector
+from cranklane_lab.soak.loads import chunked, upload_body
 from cranklane_lab.soak.proxy import ProxyMode
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, Crash
 from cranklane_lab.standins.raw_http import RawAnswer
+from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_worker_state import RoutedRun
 
 
 def workers_that_ran(*requests):
@@ -43,6 +46,10 @@
             "another request's answer",
         ),
         (lambda observations: observations.record_read(4, 3), "returned version 3 after 4"),
+        (
+            lambda observations: observations.record_answer("a", True, answer(401)),
+            "although its key is in every table",
+        ),
     ],
 )
 def test_a_wrong_response_or_a_stale_read_is_a_violation(violate, message):
@@ -62,6 +69,37 @@
     assert [message in line for line in observations.violations] == [True]
 
 
+WHOLE_UPLOAD = upload_body("up-1", 70_000)
+
+
+def record_upload(body=WHOLE_UPLOAD, **headers):
+    """Record a run of the upload up-1 of the tenant large; return the violations."""
+    observations = Observations()
+    sent = {NAMES.tenant: b"large", **{getattr(NAMES, name): headers[name] for name in headers}}
+    run = RoutedRun("up-1", b"POST", b"/up/70000", list(sent.items()), body, 0.0)
+    observations.record_run("large", run)
+    return observations.violations
+
+
+def test_a_run_for_its_tenant_with_a_whole_body_is_no_violation():
+    assert record_upload() == []
+    assert b"".join(chunked(b"x" * 30_001)).endswith(b"\r\n1\r\nx\r\n0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "violations",
+    [
+        record_upload(upload_body("up-1", 69_999)),
+        record_upload(upload_body("up-2", 70_000)),
+        record_upload(tenant=b"small"),
+        record_upload(key=b"key-of-large"),
+    ],
+    ids=["truncated", "of another request", "of another tenant", "with its key"],
+)
+def test_an_upload_that_runs_changed_or_for_another_tenant_is_a_violation(violations):
+    assert len(violations) == 1
+
+
 def workers_that_ran_at(target, *times):
     runs = [SimpleNamespace(request="c", target=target, at=at) for at in times]
     return [SimpleNamespace(state=SimpleNamespace(runs=runs))]
