--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -235,7 +235,8 @@
         if state.consume_fault("garbage_answers"):
             stream.sendall(b"\x00\x01 no answer at all\r\n\r\n")
             return False
-        if state.consume_fault("endless_answers"):
+        # A request that has run must not be refused as not run.
+        if state.endless_part != "refusal" and state.consume_fault("endless_answers"):
             return self._send_without_end(stream, request)
         if state.consume_fault("late_answers"):
             self._answer(stream, b"another-request", 200, b"of another request")
