Soak: controllers get no fault before the group has all its voters again

The gap of 5 s counts from the start of the process, which took up to 9 s. Change: after the gap the injector waits until each controller has a table and knows three voters, at most 30 s, and lists it with the faults if they do not get there.

--- a/src/cranklane_lab/soak/faults.py
+++ b/src/cranklane_lab/soak/faults.py
@@ -14,8 +14,13 @@
 """Mean time between two faults on sidecars."""
 
 CONTROLLER_FAULT_GAP_SECONDS = 5.0
-"""Time between two faults on controllers. A restarted replica counts as lost until it has
-caught up, and the group tolerates one loss."""
+"""Shortest time between two faults on controllers."""
+
+RESTORE_TIMEOUT_SECONDS = 30.0
+RESTORE_POLL_SECONDS = 0.5
+"""Time for a restarted controller to catch up, and the interval at which it is polled. A replica
+counts as lost until then, and the group tolerates one loss. On a busy machine the start of the
+process alone can take longer than the gap."""
 
 STOP_TIMEOUT_SECONDS = 12.0
 
@@ -85,6 +90,15 @@
             number = self._random.randrange(CONTROLLERS)
             self._random.choice(faults)(number)
             gevent.sleep(CONTROLLER_FAULT_GAP_SECONDS)
+            self._wait_for_controllers(should_stop)
+
+    def _wait_for_controllers(self, should_stop: Callable[[], bool]) -> None:
+        """Wait until the group has all its voters again."""
+        for _ in range(int(RESTORE_TIMEOUT_SECONDS / RESTORE_POLL_SECONDS)):
+            if self._site.controllers_restored() or should_stop():
+                return
+            gevent.sleep(RESTORE_POLL_SECONDS)
+        self._on_fault(f"controllers are not restored after {RESTORE_TIMEOUT_SECONDS} s")
 
     def _kill_sidecar(self, number: int) -> None:
         self._on_fault(f"kill sidecar-{number}")
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import shutil
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 from typing import NamedTuple
 
@@ -16,6 +18,7 @@
 from cranklane_lab.fleet.mesh_flags import MeshPorts, as_arguments
 from cranklane_lab.fleet.processes import FleetProcess, start
 from cranklane_lab.soak.proxy import Proxy
+from cranklane_lab.standins.raw_http import exchange
 from cranklane_lab.standins.routed_worker import RoutedWorker
 from cranklane_lab.standins.routed_worker_state import RoutedRun
 
@@ -255,6 +258,19 @@
         """Return the address of a controller's operator interface."""
         return f"127.0.1.{number + 1}", self._ports.http
 
+    def controllers_restored(self) -> bool:
+        """Return whether each controller has a table and knows all of them as voters."""
+        for number in range(CONTROLLERS):
+            address = self.operators_address(number)
+            answer = exchange(self._runtime, address, "GET", "/v1/group", {}, timeout=1.0)
+            if answer is None or answer.status != HTTPStatus.OK or not answer.whole:
+                return False
+            group = json.loads(answer.body)
+            voters = [replica for replica in group["replicas"] if replica["voter"]]
+            if not group["version"] or len(voters) < CONTROLLERS:
+                return False
+        return True
+
     def processes(self) -> Iterable[FleetProcess]:
         """Return the latest process of each controller and sidecar."""
         return [*self.controllers.values(), *self.sidecars.values()]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cranklane_lab.soak.checks import Observations
-from cranklane_lab.soak.faults import FaultInjector
+from cranklane_lab.soak.faults import RESTORE_POLL_SECONDS, FaultInjector
 from cranklane_lab.soak.loads import chunked, upload_body
 from cranklane_lab.soak.proxy import ProxyMode
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, Crash
@@ -137,6 +137,9 @@
             + [f"controller-{n}" for n in self.controllers]
         }
 
+    def controllers_restored(self):
+        return True
+
     def start_sidecar(self, number):
         self.log.append(f"start sidecar-{number}")
 
@@ -166,6 +169,18 @@
     assert kinds == {"kill", "pause", "stop", "link", "empty", "restart", "reload"}
 
 
+def test_a_controller_gets_no_fault_before_the_group_is_restored(monkeypatch):
+    slept = []
+    monkeypatch.setattr("cranklane_lab.soak.faults.gevent.sleep", slept.append)
+    site = StandInSite()
+    states = iter([False, False, True])
+    site.controllers_restored = lambda: next(states)
+    injector = FaultInjector(site, Random(1), lambda _text: None)
+    polls = iter([False, False, False, True])
+    injector.inject_controller_faults(lambda: next(polls))
+    assert slept[-2:] == [RESTORE_POLL_SECONDS] * 2
+
+
 def test_every_fault_is_reverted(monkeypatch):
     _, log = inject_faults(3, monkeypatch)
     paused = sum(isinstance(entry, str) and entry.startswith("freeze") for entry in log)
