Check of a route table: keys that are names of an object are not printed

Cause: a name stated twice was printed with its path, also within a tenant's keys. Change: the search for repeated names skips members called keys. Result: the new case fails without the change (seen with the command on such a document).

--- a/src/cranklane/routes/checks/names.py
+++ b/src/cranklane/routes/checks/names.py
@@ -80,7 +80,9 @@
             _join(path, name), "stated more than once; only the last statement has an effect"
         )
     for name, member in value.items():
-        yield from _repeated_names(_join(path, name), member)
+        # Keys of tenants must not be printed, even where they are wrongly names of an object.
+        if name != "keys":
+            yield from _repeated_names(_join(path, name), member)
 
 
 def _unknown_fields(path: str, value: Any, known: frozenset[str]) -> Iterator[Finding]:
--- a/tests/test_route_table_check.py
+++ b/tests/test_route_table_check.py
@@ -188,6 +188,13 @@
     assert fields(invalid.encode(), Severity.ERROR) == ["version"]
 
 
+def test_keys_that_are_wrongly_names_of_an_object_are_not_printed():
+    text = json.dumps(changed(tenants__shop__keys="KEYS"))
+    found = findings(text.replace('"KEYS"', '{"hush-hush": 1, "hush-hush": 2}').encode())
+    assert [finding.field for finding in found] == ["tenants.shop.keys"]
+    assert "hush" not in repr(found)
+
+
 @pytest.mark.parametrize(
     ("document", "field"),
     [
