Check of a route table: deeply nested documents get a clear error

Cause: the search for repeated names recursed without limit, as did the check for unpaired surrogates. Change: names are searched to the depth of a document's deepest objects; read_json refuses documents that cannot be encoded for their depth.

--- a/src/cranklane/routes/checks/names.py
+++ b/src/cranklane/routes/checks/names.py
@@ -38,6 +38,9 @@
     {"max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"}
 )
 
+_MAX_DEPTH = 5
+"""Depth of the members of a share, the deepest objects of a document."""
+
 
 class _Members(dict[str, Any]):
     """A JSON object.
@@ -69,10 +72,12 @@
                 yield from _unknown_fields(f"{kind}.{name}.split", share, _SHARE_FIELDS)
 
 
-def _repeated_names(path: str, value: Any) -> Iterator[Finding]:
+def _repeated_names(path: str, value: Any, depth: int = 0) -> Iterator[Finding]:
+    if depth > _MAX_DEPTH:
+        return
     if isinstance(value, list):
         for element in value:
-            yield from _repeated_names(path, element)
+            yield from _repeated_names(path, element, depth + 1)
     if not isinstance(value, _Members):
         return
     for name in value.repeated:
@@ -82,7 +87,7 @@
     for name, member in value.items():
         # Keys of tenants must not be printed, even where they are wrongly names of an object.
         if name != "keys":
-            yield from _repeated_names(_join(path, name), member)
+            yield from _repeated_names(_join(path, name), member, depth + 1)
 
 
 def _unknown_fields(path: str, value: Any, known: frozenset[str]) -> Iterator[Finding]:
--- a/src/cranklane/routes/document.py
+++ b/src/cranklane/routes/document.py
@@ -138,7 +138,7 @@
         return Err(["the document is not a JSON object"])
     if b"\\u" in data and not _is_encodable(value):
         # Names with such characters could not be sent to sidecars.
-        return Err(["the document contains an unpaired surrogate, which is no character"])
+        return Err(["the document contains an unpaired surrogate or is nested too deeply"])
     return Ok(value)
 
 
@@ -146,7 +146,7 @@
     """Return whether all strings of a JSON value can be encoded as UTF-8."""
     try:
         json.dumps(value, ensure_ascii=False).encode()
-    except UnicodeEncodeError:
+    except (UnicodeEncodeError, RecursionError):
         return False
     return True
 
--- a/tests/test_route_table_check.py
+++ b/tests/test_route_table_check.py
@@ -218,6 +218,12 @@
     assert Controller(in_force).post(data) in (400, 413)
 
 
+def test_a_deeply_nested_document_is_refused_without_an_exception():
+    document = b'{"a": "\\u00fc", "b": ' + b"[" * 900 + b"]" * 900 + b"}"
+    assert {finding.severity for finding in findings(document)} >= {Severity.ERROR}
+    assert Controller().post(document) == 400
+
+
 @pytest.mark.parametrize(
     ("in_force", "expected"),
     [
