--- a/tests/test_route_table_check.py
+++ b/tests/test_route_table_check.py
@@ -188,6 +188,13 @@
     assert fields(invalid.encode(), Severity.ERROR) == ["version"]
 
 
+def test_keys_that_are_wrongly_names_of_an_object_are_not_printed():
+    text = json.dumps(changed(tenants__shop__keys="KEYS"))
+    found = findings(text.replace('"KEYS"', '{"hush-hush": 1, "hush-hush": 2}').encode())
+    assert [finding.field for finding in found] == ["tenants.shop.keys"]
+    assert "hush" not in repr(found)
+
+
 @pytest.mark.parametrize(
     ("document", "field"),
     [
@@ -211,6 +218,12 @@
     assert Controller(in_force).post(data) in (400, 413)
 
 
+def test_a_deeply_nested_document_is_refused_without_an_exception():
+    document = b'{"a": "\\u00fc", "b": ' + b"[" * 900 + b"]" * 900 + b"}"
+    assert {finding.severity for finding in findings(document)} >= {Severity.ERROR}
+    assert Controller().post(document) == 400
+
+
 @pytest.mark.parametrize(
     ("in_force", "expected"),
     [
