Retry value: a call and the calls after it are measured against their own deadlines

Cause: all needed calls were measured against the deadline of the one to be retried, and parallel calls as if they were made one after the other. Change: the call against its deadline, all needed ones against the root's, divided by those in flight.

--- a/src/cranklane/sidecar/routing/retry_value.py
+++ b/src/cranklane/sidecar/routing/retry_value.py
@@ -64,6 +64,16 @@
     return probability
 
 
+def _ends_in_time(call: Call, needed: list[Needed], expected_latency: float, now: float) -> bool:
+    """Return whether a call and those needed after it can end before their deadlines.
+
+    Calls that a run makes at the same time are assumed to go on like this.
+    """
+    at_once = 1 if call.run is None else max(1, call.run.calls_in_flight)
+    remaining_seconds = sum(calls for _, calls in needed) / at_once * expected_latency
+    return now + expected_latency < call.deadline and now + remaining_seconds < call.root.deadline
+
+
 def spent_calls(call: Call, expected_latency: float) -> float:
     """Return the work already done for a run, in units of the call to be retried.
 
@@ -87,8 +97,7 @@
     :param now: monotonic time in seconds.
     """
     needed = needed_calls(call)
-    remaining_seconds = sum(calls for _, calls in needed) * expected_latency
-    if now + remaining_seconds >= min(call.deadline, call.root.deadline):
+    if not _ends_in_time(call, needed, expected_latency, now):
         return HOPELESS
     probability = success_probability(needed, refused_fraction, call.run)
     weight = PRIORITY_FACTOR**call.root.priority
