--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -4,7 +4,8 @@
 ``start_rate``, in the same order.
 
 The queue is ordered by the priority of the call tree's root request. Within a priority it is
-ordered by arrival time, adjusted by two terms. Requests with a short wait limit move forward,
+ordered by the low byte of the tree's ticket while the worker is saturated, so that trees are
+carried whole, and then by arrival time, adjusted by two terms. Requests with a short wait limit move forward,
 ahead of those that can wait or have waited until near their own limit. Older call trees move
 slightly forward, because refusing them wastes more work. A call's wait limit derives from its
 root, so calls of nearly complete trees come first. A request that is not expected to start within
@@ -45,6 +46,9 @@
 INITIAL_SLOT_SECONDS = 0.05
 """Initial estimate of the slot occupancy time."""
 
+MIN_SLOT_SECONDS = 0.0001
+"""Lower bound of the slot occupancy time by which a rate of starts is computed."""
+
 MAX_ENDED_ENTRIES = 8
 """Ended waits, in addition to the number of live ones, that the queue keeps before a cleanup, which
 scans the whole queue."""
@@ -55,10 +59,12 @@
     """Sort key of a queued request; the lowest starts first.
 
     :ivar priority: priority of the root request; 0 is the most important.
+    :ivar tree_order: order of the call tree within its priority; 0 unless the worker is saturated.
     :ivar effective_arrival: monotonic arrival time in seconds, adjusted by wait limit and root age.
     """
 
     priority: int
+    tree_order: int
     effective_arrival: float
 
 
@@ -110,6 +116,12 @@
         """Return the expected wait for a rank in seconds; ``math.inf`` without slots."""
         return max(self._wait_for_slot(rank), self._wait_for_start(rank))
 
+    def starts_per_second(self) -> float:
+        """Return the number of requests that the worker can start per second."""
+        starts = self.limit / max(MIN_SLOT_SECONDS, self.slot_seconds)
+        rate = self._start_rate.rate
+        return starts if rate is None else min(starts, rate)
+
     def _wait_for_slot(self, rank: Rank) -> float:
         if self.running < self.limit:
             return 0.0
@@ -126,15 +138,18 @@
         """Return the number of queued requests that start before a rank."""
         return bisect_right(self._waiting, (rank,))
 
-    def rank(self, priority: int, wait_seconds: float, root_age: float = 0.0) -> Rank:
+    def rank(
+        self, priority: int, wait_seconds: float, root_age: float = 0.0, tree_order: int = 0
+    ) -> Rank:
         """Return the queue rank of a request that arrives now.
 
         :param wait_seconds: wait limit of the request.
         :param root_age: age of its call tree's root request in seconds.
+        :param tree_order: order of its call tree within the priority.
         """
         wait_penalty = HURRY_WEIGHT * wait_seconds
         age_credit = AGE_WEIGHT * min(root_age, MAX_AGE_SECONDS)
-        return Rank(priority, self._clock() + wait_penalty - age_credit)
+        return Rank(priority, tree_order, self._clock() + wait_penalty - age_credit)
 
     def acquire(
         self,
@@ -142,18 +157,20 @@
         wait_seconds: float,
         on_wait: Callable[[Waiter], None],
         root_age: float = 0.0,
+        tree_order: int = 0,
     ) -> Reason:
         """Acquire a slot, waiting up to ``wait_seconds``.
 
         :param priority: priority of the root request.
         :param on_wait: receives the waiter before the wait, for cancellation.
         :param root_age: age of the call tree's root request in seconds.
+        :param tree_order: order of the call tree within the priority.
         :returns: NONE after acquiring the slot, else the reason for the refusal.
         """
         if self.running < self.limit and self.queued == 0 and self._start_rate.take():
             self.running += 1
             return Reason.NONE
-        rank = self.rank(priority, wait_seconds, root_age)
+        rank = self.rank(priority, wait_seconds, root_age, tree_order)
         if self._wait_for_slot(rank) > wait_seconds:
             return Reason.QUEUE_FULL
         if self._wait_for_start(rank) > wait_seconds:
--- a/src/cranklane/sidecar/admission/start_rate.py
+++ b/src/cranklane/sidecar/admission/start_rate.py
@@ -38,6 +38,11 @@
         """Whether a limit is set."""
         return self._rate is not None
 
+    @property
+    def rate(self) -> float | None:
+        """The limit in starts per second; None without one."""
+        return self._rate
+
     def set(self, rate: float | None) -> None:
         """Set the limit in starts per second; None for none. A first limit has no start kept."""
         if self._rate is None:
--- a/src/cranklane/sidecar/request/tree_ticket.py
+++ b/src/cranklane/sidecar/request/tree_ticket.py
@@ -12,9 +12,23 @@
 MAX_RANK = 65535
 """The last rank."""
 
+RANKS_PER_PRIORITY = 256
+"""Ranks of each priority: the priority is the high byte of a rank."""
+
+_LAST_PRIORITY = MAX_RANK // RANKS_PER_PRIORITY
+
 _LAYOUT = Struct("!H")
 
 
+def rank_of_priority(priority: int) -> int:
+    """Return the first rank of a priority; all priorities beyond 255 share the last ranks.
+
+    >>> rank_of_priority(0), rank_of_priority(2), rank_of_priority(1000)
+    (0, 512, 65280)
+    """
+    return min(priority, _LAST_PRIORITY) * RANKS_PER_PRIORITY
+
+
 class TreeTicket(NamedTuple):
     """What the calls of one tree have in common.
 
