--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -95,6 +95,8 @@
     """The same request is running in isolation to test whether it crashes its worker."""
     WORKER_LIMIT = 37
     """The worker accepts a limited number of requests per second, which is used up."""
+    ABOVE_ADMISSION_LEVEL = 38
+    """The services of the request's call tree have no capacity for trees of its rank."""
 
     @property
     def label(self) -> str:
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -28,8 +28,10 @@
 from cranklane.sidecar.admission.streamed_answer import StreamedAnswer
 from cranklane.sidecar.admission.worker_notices import WorkerNotices
 from cranklane.sidecar.quarantine.table import Quarantine
-from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
+from cranklane.sidecar.request.attempt import WITHOUT_CAPACITY, Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree
+from cranklane.sidecar.request.tree_ticket import rank_in_class, unpack_ticket
+from cranklane.sidecar.tree_admission.level import AdmissionLevel
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
@@ -87,6 +89,9 @@
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
+        self._level = AdmissionLevel(
+            runtime.monotonic, worker.slots.starts_per_second, listener.admission_level_changed
+        )
         self.notices = WorkerNotices(runtime, registry, worker.slots, listener)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
@@ -116,6 +121,8 @@
         reply = self._admit_and_run(attempt, on_admitted)
         reply.load = self.load
         reply.notice = self.notices.for_caller()
+        if self._level.stated < reply.advertised.admission_level:
+            reply.advertised = reply.advertised._replace(admission_level=self._level.stated)
         if reply.reason is Reason.WORKER_LIMIT and reply.notice is not None:
             reply.retry_after_ms = max(retry_after.MIN_QUEUE_MS, reply.notice.pause_ms)
         return reply
@@ -157,16 +164,24 @@
         self.notices.request_arrived(request)
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
-        reason = self._slots.acquire(
-            request.root_priority,
-            request.start_within_ms / MILLISECONDS,
-            on_wait,
-            request.root_age_ms / MILLISECONDS,
-        )
+        reason = self._acquire_slot(request, on_wait)
         if reason is not Reason.NONE:
             self._limiter.released(request.route)
         return reason
 
+    def _acquire_slot(self, request: ForwardRequest, on_wait: Callable[[Waiter], None]) -> Reason:
+        """Acquire a slot in the order of call trees, and report the wait to the admission level."""
+        wait_seconds = request.start_within_ms / MILLISECONDS
+        root_age = request.root_age_ms / MILLISECONDS
+        rank = rank_in_class(unpack_ticket(request.tree), request.root_priority)
+        tree_order = self._level.arrived(rank, root_age)
+        arrived_at = self._clock()
+        reason = self._slots.acquire(
+            request.root_priority, wait_seconds, on_wait, root_age, tree_order
+        )
+        self._level.decided(reason in WITHOUT_CAPACITY, self._clock() - arrived_at, wait_seconds)
+        return reason
+
     def _expected_wait(self) -> float:
         """Return the expected queue wait of a highest-priority request, in seconds."""
         return self._slots.expected_wait(self._slots.rank(0, 0.0))
@@ -259,6 +274,9 @@
         request, run = admitted.request, admitted.run
         reply.downstream_starved = run_outcome.is_downstream_starved(run, reply)
         reply.downstream_cost = run.downstream_cost
+        level = run.admission_level
+        if level < reply.advertised.admission_level:
+            reply.advertised = reply.advertised._replace(admission_level=level)
         if run_outcome.has_failed(reply):
             reply.failure = run.failure
         slowness = None
@@ -270,6 +288,8 @@
         starved = reply.downstream_starved or run_outcome.may_be_starved(
             reply, self._call_tree.correlates
         )
+        # The level already refuses trees ranked above it: their failures shed no further load.
+        starved &= run.root.rank <= level
         self._limiter.ended(request.route, admitted.limiter_round, starved, run_seconds)
 
 
--- a/src/cranklane/sidecar/admission/gate_listener.py
+++ b/src/cranklane/sidecar/admission/gate_listener.py
@@ -41,6 +41,9 @@
     def limit_changed(self, route: str, limit: float) -> None:
         """Handle a change of the limit on a route's concurrent runs; ``math.inf`` for none."""
 
+    def admission_level_changed(self, level: int) -> None:
+        """Handle a change of the admission level that the gate states."""
+
     def worker_limit_changed(self, change: LimitChange) -> None:
         """Handle a change of the limit on requests per second that the worker states."""
 
--- a/src/cranklane/sidecar/admission/retry_after.py
+++ b/src/cranklane/sidecar/admission/retry_after.py
@@ -7,6 +7,7 @@
 reason for the refusal          delay
 ==============================  ====================================================
 outcome limiter                 :data:`REFUSED_EARLY_MS`
+admission level                 :data:`ABOVE_LEVEL_MS`
 quarantine                      remaining time of the quarantine
 any other at the worker's gate  expected queue wait of a highest-priority request,
                                 :data:`MIN_QUEUE_MS` to :data:`MAX_QUEUE_MS`
@@ -47,6 +48,9 @@
 MAX_QUOTA_MS = 5000
 """Upper bound of the delay for a tenant over its rate; its excess load may end sooner."""
 
+ABOVE_LEVEL_MS = 600
+"""Delay after a refusal by an admission level, which follows a change of the load in this time."""
+
 UNCERTAIN_MS = 500
 """Delay if the sidecar's route table may be stale, or if the run that makes the call is unknown.
 Equals the heartbeat interval to control, whose response confirms the table."""
--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -5,11 +5,11 @@
 
 The queue is ordered by the priority of the call tree's root request. Within a priority it is
 ordered by the low byte of the tree's ticket while the worker is saturated, so that trees are
-carried whole, and then by arrival time, adjusted by two terms. Requests with a short wait limit move forward,
-ahead of those that can wait or have waited until near their own limit. Older call trees move
-slightly forward, because refusing them wastes more work. A call's wait limit derives from its
-root, so calls of nearly complete trees come first. A request that is not expected to start within
-its wait limit is refused immediately.
+carried whole, and then by arrival time, adjusted by two terms. Requests with a short wait limit
+move forward, ahead of those that can wait or have waited until near their own limit. Older call
+trees move slightly forward, because refusing them wastes more work. A call's wait limit derives
+from its root, so calls of nearly complete trees come first. A request that is not expected to start
+within its wait limit is refused immediately.
 
 Each slot must be released exactly once.
 """
--- a/src/cranklane/sidecar/ingress/call_builder.py
+++ b/src/cranklane/sidecar/ingress/call_builder.py
@@ -16,6 +16,7 @@
 from cranklane.sidecar.request.attempt import Reply, refusal
 from cranklane.sidecar.request.call import Call
 from cranklane.sidecar.request.call_tree import Root, Run
+from cranklane.sidecar.tree_admission.ticket import TicketOffice
 
 
 def find_route(request: CallerRequest) -> Route | Reply:
@@ -51,12 +52,16 @@
 
     :param caller_service: service of this machine, sent as a header with every request.
     :param splitter: chooses among the services of a route that has several.
+    :param tickets: draws the tickets of root requests.
     """
 
-    def __init__(self, names: HeaderNames, caller_service: str, splitter: Splitter) -> None:
+    def __init__(
+        self, names: HeaderNames, caller_service: str, splitter: Splitter, tickets: TicketOffice
+    ) -> None:
         self._names = names
         self._caller_service = caller_service.encode()
         self._splitter = splitter
+        self._tickets = tickets
         self._deadline_name = names.deadline.lower()
         self._overridden_headers = names.managed_request_headers
 
@@ -91,7 +96,9 @@
             length=length,
             lines=self._lines(head, framing, length, caller),
             body=body,
-            root=run.root if run is not None else _root_of(route, caller, started_at, deadline),
+            root=run.root
+            if run is not None
+            else self._root_of(route, caller, started_at, deadline),
             of_client=run is None,
             rest=None if connection.body_whole else connection.next_piece,
         )
@@ -116,8 +123,9 @@
             self._caller_service,
         )
 
-
-def _root_of(route: Route, caller: Caller, started_at: float, deadline: float) -> Root:
-    """Return the root of the call tree that a client's request begins."""
-    objective_at = started_at + route.objective_ms / MILLISECONDS
-    return Root(caller.priority, started_at, objective_at, deadline)
+    def _root_of(self, route: Route, caller: Caller, started_at: float, deadline: float) -> Root:
+        """Return the root of the call tree that a client's request begins."""
+        objective_at = started_at + route.objective_ms / MILLISECONDS
+        ticket = self._tickets.draw(caller.priority)
+        priority = 0 if ticket.is_first_priority else caller.priority
+        return Root(priority, started_at, objective_at, deadline, ticket=ticket)
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -20,7 +20,7 @@
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.admission import retry_after
 from cranklane.sidecar.ingress.answer_writer import AnswerWriter
-from cranklane.sidecar.ingress.authentication import Authentication
+from cranklane.sidecar.ingress.authentication import Authentication, Caller
 from cranklane.sidecar.ingress.call_builder import CallBuilder, find_route
 from cranklane.sidecar.ingress.caller_connection import CallerConnection
 from cranklane.sidecar.ingress.caller_request import (
@@ -36,6 +36,8 @@
 from cranklane.sidecar.request.call_tree import CallFailure, CallTree, Run
 from cranklane.sidecar.request.decision import Decision
 from cranklane.sidecar.routing.dispatcher import Dispatcher
+from cranklane.sidecar.tree_admission.door import Door
+from cranklane.sidecar.tree_admission.ticket import TicketOffice
 
 _FIRST_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR.value
 
@@ -49,6 +51,8 @@
     :ivar table: returns the route table in force.
     :ivar disconnects: detects callers that disconnect before their response.
     :ivar call_tree: runs in flight at the local worker.
+    :ivar tickets: draws and counts the tickets of root requests.
+    :ivar door: refuses root requests above the admission level of their route.
     :ivar on_decision: called with the decision on each request that could be read.
     """
 
@@ -57,6 +61,8 @@
     dispatcher: Dispatcher
     disconnects: DisconnectWatch
     call_tree: CallTree
+    tickets: TicketOffice
+    door: Door
     on_decision: Callable[[Decision], None]
 
 
@@ -85,7 +91,11 @@
         self._call_tree = dependencies.call_tree
         self._on_decision = dependencies.on_decision
         self._request_name = names.request.lower()
-        self._call_builder = CallBuilder(names, caller_service, Splitter(runtime.random.random()))
+        self._tickets = dependencies.tickets
+        self._door = dependencies.door
+        self._call_builder = CallBuilder(
+            names, caller_service, Splitter(runtime.random.random()), self._tickets
+        )
         self._writer = AnswerWriter(runtime, names)
         self._idle: set[CallerConnection] = set()
         self.stopping = False
@@ -163,11 +173,28 @@
             return self._reject(connection, error.status)
         call = self._call_builder.build(connection, request, route, caller, run)
         progress = CallProgress(call)
-        reply = self._dispatch(connection, progress, run)
+        if run is None:
+            reply = self._dispatch_root(connection, progress, caller)
+        else:
+            reply = self._dispatch(connection, progress, run)
         if reply.outcome is Outcome.NOT_RUN:
             self._authentication.refund(caller)
         return self._finish(connection, request, progress, reply)
 
+    def _dispatch_root(
+        self, connection: CallerConnection, progress: CallProgress, caller: Caller
+    ) -> Reply:
+        """Dispatch a root request, unless it is ranked above the admission level of its route."""
+        call = progress.call
+        if self._door.admits(call.route.name, call.root.rank):
+            reply = self._dispatch(connection, progress, None)
+        else:
+            reply = refusal(Reason.ABOVE_ADMISSION_LEVEL, retry_after_ms=retry_after.ABOVE_LEVEL_MS)
+        if not progress.cancelled:
+            served = _failure_of(call, reply) is None
+            self._tickets.record(caller.priority, call.root.ticket, served)
+        return reply
+
     def _dispatch(
         self, connection: CallerConnection, progress: CallProgress, run: Run | None
     ) -> Reply:
@@ -182,6 +209,8 @@
         if run is not None:
             starved = reply.downstream_starved or reply.reason in WITHOUT_CAPACITY
             run.record_call_end(_failure_of(progress.call, reply), starved, progress.work)
+            route = progress.call.route.name
+            run.record_admission_level(route, self._door.level(route))
         return reply
 
     def _refuse(self, connection: CallerConnection, request: CallerRequest, reply: Reply) -> bool:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -24,7 +24,10 @@
 from cranklane.sidecar.quarantine.gossip import QuarantineGossip
 from cranklane.sidecar.quarantine.sidecar_directory import SidecarDirectory
 from cranklane.sidecar.readiness_api import ReadinessApi
+from cranklane.sidecar.request.attempt import Reply
+from cranklane.sidecar.request.call import CallProgress
 from cranklane.sidecar.request.call_tree import CallTree
+from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.routing.destinations import Destinations
 from cranklane.sidecar.routing.dispatcher import Dispatcher, DispatcherDependencies
 from cranklane.sidecar.routing.peer_client import PeerClient
@@ -37,6 +40,8 @@
 from cranklane.sidecar.telemetry.decision_log import DecisionLog
 from cranklane.sidecar.telemetry.gauges import GaugeSources, add_gauges
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
+from cranklane.sidecar.tree_admission.door import Door
+from cranklane.sidecar.tree_admission.ticket import TicketOffice
 from cranklane.sidecar.worker.api import WorkerApi
 from cranklane.sidecar.worker.condition import Condition, WorkerCondition
 from cranklane.sidecar.worker.discovery import WorkerDiscovery
@@ -137,6 +142,7 @@
         choice = WorkerChoice(
             self.destinations, runtime.monotonic, runtime.random, settings.name, settings.zone
         )
+        self.door = Door(runtime.monotonic, self.decisions.refused_at_door)
         dependencies = DispatcherDependencies(
             self.destinations,
             choice,
@@ -144,7 +150,7 @@
             self.peers,
             budget,
             self.quarantine.table,
-            self.decisions.attempted,
+            self._attempted,
             self.decisions.quarantined,
         )
         self.dispatcher = Dispatcher(runtime, dependencies, settings.name, settings.service)
@@ -159,6 +165,8 @@
             dispatcher=self.dispatcher,
             disconnects=disconnects,
             call_tree=call_tree,
+            tickets=TicketOffice(self._runtime.monotonic, self._runtime.random),
+            door=self.door,
             on_decision=self.decisions.decided,
         )
         self.ingress = Ingress(self._runtime, self._names, self.settings.service, dependencies)
@@ -180,6 +188,7 @@
             lease=self.lease,
             slots=self.slots,
             stated_limit=self.gate.notices.limit,
+            door=self.door,
             condition=self.condition,
             quarantine=self.quarantine.table,
             is_ready=self.is_ready,
@@ -231,6 +240,12 @@
 
     # Callbacks of the components.
 
+    def _attempted(
+        self, progress: CallProgress, destination: Destination, reply: Reply, seconds: float
+    ) -> None:
+        self.door.record_reply(progress.call.route.name, destination.node, reply)
+        self.decisions.attempted(progress, destination, reply, seconds)
+
     def _hello(self) -> Hello:
         return self.local_member.hello(self.adopted.version)
 
--- a/src/cranklane/sidecar/request/call_tree.py
+++ b/src/cranklane/sidecar/request/call_tree.py
@@ -12,8 +12,9 @@
 from typing import NamedTuple
 
 from cranklane.outcome import Reason
+from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
 from cranklane.sidecar.request.slot_work import SlotWork
-from cranklane.sidecar.request.tree_ticket import NO_TICKET, TreeTicket
+from cranklane.sidecar.request.tree_ticket import NO_TICKET, TreeTicket, rank_in_class
 
 ID_SEPARATOR = "."
 """Separates the id of a run from the suffix that the worker adds for a call."""
@@ -23,7 +24,8 @@
 class Root:
     """The root request of a call tree. Times are monotonic seconds of this process.
 
-    :ivar priority: priority of its route or tenant; 0 is the highest.
+    :ivar priority: priority of its route or tenant, or the one that its ticket is ranked with; 0
+        is the highest.
     :ivar began_at: time at which it was received.
     :ivar objective_at: latest time at which a response meets the objective.
     :ivar deadline: time at which its caller gives up.
@@ -39,6 +41,11 @@
     is_retry: bool = False
     ticket: TreeTicket = NO_TICKET
 
+    @property
+    def rank(self) -> int:
+        """Rank of the call tree, lower ones first."""
+        return rank_in_class(self.ticket, self.priority)
+
 
 class CallFailure(NamedTuple):
     """The deepest known failed call of a call tree.
@@ -60,6 +67,7 @@
     :ivar failure: the first of its calls that failed.
     :ivar tenant: tenant that owns the request; empty if requests need no key.
     :ivar downstream_cost: slot time used by its direct and indirect calls.
+    :ivar admission_levels: latest admission levels of the routes that it called, if any was stated.
     """
 
     root: Root
@@ -68,6 +76,21 @@
     failure: CallFailure | None = None
     downstream_cost: SlotWork = field(default_factory=SlotWork)
     tenant: str = ""
+    admission_levels: dict[str, int] | None = None
+
+    @property
+    def admission_level(self) -> int:
+        """Lowest admission level of the services that it called."""
+        if self.admission_levels is None:
+            return MAX_ADMISSION_LEVEL
+        return min(self.admission_levels.values())
+
+    def record_admission_level(self, route: str, level: int) -> None:
+        """Record the admission level of a called route after the end of a call."""
+        if self.admission_levels is not None:
+            self.admission_levels[route] = level
+        elif level < MAX_ADMISSION_LEVEL:
+            self.admission_levels = {route: level}
 
     @property
     def call_failed(self) -> bool:
--- a/src/cranklane/sidecar/request/tree_ticket.py
+++ b/src/cranklane/sidecar/request/tree_ticket.py
@@ -37,6 +37,11 @@
 
     rank: int | None = None
 
+    @property
+    def is_first_priority(self) -> bool:
+        """Whether the tree is ranked with priority 0."""
+        return self.rank is not None and self.rank < RANKS_PER_PRIORITY
+
     def pack(self) -> bytes:
         r"""Return the encoded ticket; empty if it states nothing.
 
@@ -49,6 +54,17 @@
 NO_TICKET = TreeTicket()
 
 
+def rank_in_class(ticket: TreeTicket, priority: int) -> int:
+    """Return the rank of a ticket; without one, the middle rank of a priority.
+
+    >>> rank_in_class(TreeTicket(7), 2), rank_in_class(NO_TICKET, 2)
+    (7, 640)
+    """
+    if ticket.rank is not None:
+        return ticket.rank
+    return rank_of_priority(priority) + RANKS_PER_PRIORITY // 2
+
+
 def unpack_ticket(data: bytes) -> TreeTicket:
     r"""Return the ticket in a record's field.
 
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -20,7 +20,7 @@
 from cranklane.sidecar.worker.slowness import Slowness
 
 SATURATED_SECONDS = 0.02
-"""Seconds for which a destination gets no requests of equal or lower priority after it refused one
+"""Seconds for which a destination gets no requests of equal or later rank after it refused one
 for lack of capacity. Shorter than a typical run, so that freed slots are soon used. Without it,
 most requests under overload are sent to a gate that refuses them."""
 
@@ -44,8 +44,8 @@
     :ivar consecutive_failures: failures since the last response or successful connection.
     :ivar ejected_until: end of the ejection; an ejected destination gets requests only if all
         candidates are ejected.
-    :ivar saturated_until: end of the saturation, which applies to requests of
-        ``saturated_priority`` and lower priorities.
+    :ivar saturated_until: end of the saturation, which applies to call trees
+        of ``saturated_rank`` and later ranks.
     :ivar saturated_reason: reason of the refusal that began the saturation.
     :ivar paused_until: until then, other workers are preferred: this one accepts a limited number
         of requests per second, and the next turn of this sidecar comes then.
@@ -75,7 +75,7 @@
     consecutive_failures: int = 0
     ejected_until: float = 0.0
     saturated_until: float = 0.0
-    saturated_priority: int = 0
+    saturated_rank: int = 0
     saturated_reason: Reason = Reason.QUEUE_FULL
     paused_until: float = 0.0
     notice: WorkerNotice | None = None
@@ -149,26 +149,24 @@
     def record_capacity_refusal(
         self,
         now: float,
-        priority: int,
+        rank: int,
         reason: Reason = Reason.QUEUE_FULL,
         seconds: float = SATURATED_SECONDS,
     ) -> None:
         """Mark the destination as saturated after it refused a request for lack of capacity.
 
-        :param priority: priority of the root request; 0 is the highest.
+        :param rank: first rank of call trees that it is saturated for.
         :param reason: reason of the refusal.
         :param seconds: duration of the saturation.
         """
         already_saturated = self.saturated_until > now
-        self.saturated_priority = (
-            min(self.saturated_priority, priority) if already_saturated else priority
-        )
+        self.saturated_rank = min(self.saturated_rank, rank) if already_saturated else rank
         self.saturated_reason = reason
         self.saturated_until = now + seconds
 
-    def is_saturated(self, now: float, priority: int) -> bool:
-        """Return whether it recently refused a request of this or a higher priority."""
-        return self.saturated_until > now and priority >= self.saturated_priority
+    def is_saturated(self, now: float, rank: int) -> bool:
+        """Return whether it recently refused a request of this or an earlier rank."""
+        return self.saturated_until > now and rank >= self.saturated_rank
 
     def record_failure(self, now: float, failure: Failure) -> None:
         """Count a failure and eject the destination if ``ejection_seconds`` requires it."""
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -99,7 +99,7 @@
                 if progress.tried:
                     # All candidates have been tried.
                     break
-                if self._choice.all_saturated(call.service, call.root.priority):
+                if self._choice.all_saturated(call.service, call.root.rank):
                     saturation = self._choice.first_saturation(call.service)
                     delay_ms = retry_after.all_saturated_ms(saturation.seconds)
                     result = refusal(saturation.reason, retry_after_ms=delay_ms)
@@ -125,7 +125,7 @@
             return self._choice.isolated_run_destination(
                 call.service, call.identity(), progress.tried
             )
-        return self._choice.choose(call.service, progress.tried, call.root.priority)
+        return self._choice.choose(call.service, progress.tried, call.root.rank)
 
     def _wait_for_first_member(self, progress: CallProgress) -> bool:
         """Wait for a member update; return whether to choose again."""
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -15,8 +15,10 @@
 from cranklane.outcome import Outcome, Reason
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission.run_outcome import measures_latency
+from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call
+from cranklane.sidecar.request.tree_ticket import rank_of_priority
 from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.routing.destinations import Destinations
 from cranklane.sidecar.routing.ejection import PROBE_INTERVAL_SECONDS, Failure, failure_of
@@ -57,10 +59,11 @@
             return
         destination.update_load(now, reply.load)
         if reply.reason is Reason.QUEUE_FULL:
-            destination.record_capacity_refusal(now, call.root.priority)
+            destination.record_capacity_refusal(now, _saturated_rank(call, reply))
         if reply.reason is Reason.WORKER_LIMIT:
             seconds = reply.retry_after_ms / MILLISECONDS
-            destination.record_capacity_refusal(now, call.root.priority, reply.reason, seconds)
+            rank = _saturated_rank(call, reply)
+            destination.record_capacity_refusal(now, rank, reply.reason, seconds)
         if reply.reason is Reason.DRAINING:
             # The reply comes before control's update.
             destination.state = MemberState.DRAINING
@@ -87,3 +90,13 @@
             if self._peers.can_connect(destination.address):
                 destination.mark_reachable()
                 return
+
+
+def _saturated_rank(call: Call, reply: Reply) -> int:
+    """Return the first rank for which a refusal shows a saturated worker.
+
+    Trees of one priority are ordered by rank only while the worker states a level.
+    """
+    if reply.advertised.admission_level < MAX_ADMISSION_LEVEL:
+        return call.root.rank
+    return rank_of_priority(call.root.priority)
--- a/src/cranklane/sidecar/routing/worker_choice.py
+++ b/src/cranklane/sidecar/routing/worker_choice.py
@@ -75,25 +75,23 @@
         # Members and the subset computed from them, by service.
         self._subsets: dict[str, tuple[Sequence[Destination], list[Destination]]] = {}
 
-    def choose(self, service: str, tried: set[str], priority: int) -> Destination | None:
+    def choose(self, service: str, tried: set[str], rank: int) -> Destination | None:
         """Return the destination of the next attempt, or None if there is no candidate.
 
         :param tried: names of nodes to exclude.
-        :param priority: priority of the root request.
+        :param rank: rank of the call tree.
         """
         now = self._clock()
         members = self._destinations.members(service)
         if len(members) <= SUBSET_SIZE:
-            return self._best(members, tried, priority, now)
-        best = self._best(self._subset_of(service), tried, priority, now)
+            return self._best(members, tried, rank, now)
+        best = self._best(self._subset_of(service), tried, rank, now)
         if best is not None and is_lightly_loaded_and_healthy(best, now):
             return best
         sampled = self._random.sample(members, SUBSET_SIZE)
         if best is not None:
             sampled.append(best)
-        return self._best(sampled, tried, priority, now) or self._best(
-            members, tried, priority, now
-        )
+        return self._best(sampled, tried, rank, now) or self._best(members, tried, rank, now)
 
     def isolated_run_destination(
         self, service: str, identity: Identity, tried: set[str]
@@ -111,14 +109,14 @@
         ]
         return max(live, key=lambda worker: crc32(identity + worker.node.encode()), default=None)
 
-    def all_saturated(self, service: str, priority: int) -> bool:
-        """Return whether every live worker is saturated for a priority.
+    def all_saturated(self, service: str, rank: int) -> bool:
+        """Return whether every live worker is saturated for a rank.
 
-        :param priority: priority of the root request.
+        :param rank: rank of the call tree.
         """
         now = self._clock()
         live = [worker for worker in self._destinations.members(service) if worker.state is _LIVE]
-        return bool(live) and all(worker.is_saturated(now, priority) for worker in live)
+        return bool(live) and all(worker.is_saturated(now, rank) for worker in live)
 
     def first_saturation(self, service: str) -> Saturation:
         """Return the saturation that ends first, of a service whose live workers are saturated."""
@@ -128,7 +126,7 @@
         return Saturation(first.saturated_reason, max(0.0, first.saturated_until - now))
 
     def _best(
-        self, members: Sequence[Destination], tried: set[str], priority: int, now: float
+        self, members: Sequence[Destination], tried: set[str], rank: int, now: float
     ) -> Destination | None:
         """Return the candidate with the lowest cost, or None."""
         candidates = [
@@ -136,7 +134,7 @@
             for worker in members
             if worker.state is _LIVE
             and worker.node not in tried
-            and not worker.is_saturated(now, priority)
+            and not worker.is_saturated(now, rank)
             and not worker.is_expired(now)
         ]
         if not candidates:
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -16,6 +16,7 @@
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision
+from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
 from cranklane.sidecar.ingress.authentication import IngressRefusal
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call, CallProgress
@@ -38,6 +39,9 @@
 SUMMARY_INTERVAL_SECONDS = 5.0
 """Seconds between lines that count omitted lines; also the longest delay of a request summary."""
 
+DOOR_LINES_PER_SECOND = 1.0
+"""Rate limit of lines on root requests refused by an admission level; the counter has each."""
+
 MAX_LOGGED_RUNS = 100
 """Limit on the runs listed in the line on a worker's exit; the line always states their number."""
 
@@ -57,6 +61,7 @@
         self._log = log
         self._problem_limit = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
+        self._door_limit = RateLimit(clock, DOOR_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
         self._leaving_instance = NO_INSTANCE
@@ -160,6 +165,16 @@
         """Record the limit on a route's concurrent runs; ``math.inf`` for none."""
         self._slot_summary.limit_changed(route, limit)
 
+    def admission_level_changed(self, level: int) -> None:
+        """Log the admission level that the worker's gate states from now on."""
+        self._log.info("admission_level", level=level if level < MAX_ADMISSION_LEVEL else None)
+
+    def refused_at_door(self, route: str, rank: int, level: int) -> None:
+        """Count a root request ranked above the admission level of its route, and log some."""
+        self._metrics.door_refusal(route)
+        if self._door_limit.allows():
+            self._log.info("refused_above_level", route=route, rank=rank, level=level)
+
     def worker_limit_changed(self, change: LimitChange) -> None:
         """Count and log a change of the limit on requests per second that the worker states."""
         self._metrics.worker_notice("limit" if change.rate is not None else "limit_ended")
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -10,6 +10,7 @@
 from cranklane.sidecar.table.adopted_table import AdoptedTable
 from cranklane.sidecar.table.table_lease import TableLease
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
+from cranklane.sidecar.tree_admission.door import Door
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.stated_limit import StatedLimit
 
@@ -28,6 +29,7 @@
     lease: TableLease
     slots: Slots
     stated_limit: StatedLimit
+    door: Door
     condition: WorkerCondition
     quarantine: Quarantine
     is_ready: Callable[[], bool]
@@ -45,6 +47,11 @@
     add("cranklane_running", "Requests at the worker now.", lambda: slots.running)
     add("cranklane_queued", "Requests that wait for a slot now.", lambda: slots.queued)
     add("cranklane_slots", "Slots of the worker.", lambda: slots.limit)
+    add(
+        "cranklane_door_level",
+        "Lowest admission level of the routes called here; 65535 admits all.",
+        lambda: sources.door.lowest,
+    )
     limit = sources.stated_limit
     add(
         "cranklane_worker_rate_limit",
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -108,6 +108,11 @@
             "Changes that this machine's worker stated in the headers of its answers.",
             ("kind",),
         )
+        self._door_refusals = _Counter(
+            "cranklane_door_refusals",
+            "Root requests refused because services of their call tree have no capacity.",
+            ("route",),
+        )
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
@@ -135,6 +140,7 @@
             self._ingress_refusals,
             self._worker_exits,
             self._worker_notices,
+            self._door_refusals,
             self._left_out,
             self._work,
             self._slot_milliseconds,
@@ -200,6 +206,10 @@
         """
         self._worker_notices.values[(kind,)] += 1
 
+    def door_refusal(self, route: str) -> None:
+        """Count a root request refused by the admission level of its route."""
+        self._door_refusals.values[(route,)] += 1
+
     def lines_left_out(self, count: int) -> None:
         """Count log lines omitted by the rate limits."""
         self._left_out.values[()] += count
--- a/src/cranklane/sidecar/tree_admission/door.py
+++ b/src/cranklane/sidecar/tree_admission/door.py
@@ -2,18 +2,19 @@
 
 For a sustained overload of a service that many call trees share. The levels come with the replies
 of the route's workers. They are combined over the workers, because each worker sees only its own
-share of the load: callers move calls from one overloaded worker to the others, so its level counts
-for its share. A level that is not confirmed opens gradually, so that the first requests which it
+share of the load: callers move calls from one overloaded worker to the others. A worker's level
+counts by the replies that it sends, so that a slow worker counts little. A level that is not confirmed opens gradually, so that the first requests which it
 admits confirm or replace it before all requests are admitted.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
-from cranklane.sidecar.request.tree_ticket import RANKS_PER_PRIORITY
+from cranklane.sidecar.request.attempt import Reply
 
 FRESH_SECONDS = 0.5
 """Age up to which a level holds unchanged."""
@@ -25,7 +26,7 @@
 """Ranks by which a level has opened shortly before it expires: four priorities."""
 
 UNSTATED_RANKS = 128.0
-"""Ranks by which the combined level is above the mean of the stated levels if as many workers state
+"""Ranks by which the combined level is above the stated levels if as many workers state
 none; grows with the square of their ratio, since workers that state none have capacity left, to
 which callers move calls. With one of four stating a level, it is above all usual priorities."""
 
@@ -33,11 +34,43 @@
 """Interval between removals of expired entries."""
 
 
+REPLIES_SECONDS = 1.0
+"""Time constant of the counts of replies."""
+
+
+@dataclass(slots=True)
+class WorkerLevel:
+    """The level that one worker stated last.
+
+    :ivar received_at: monotonic second of its last reply.
+    :ivar replies: decaying count of its replies to requests that ran.
+    """
+
+    level: int = MAX_ADMISSION_LEVEL
+    received_at: float = 0.0
+    replies: float = 0.0
+
+    def add(self, now: float, level: int, ran: bool) -> None:
+        """Record a reply."""
+        self.replies = self.replies * math.exp((self.received_at - now) / REPLIES_SECONDS) + ran
+        self.received_at = now
+        self.level = level
+
+    def weight(self, now: float) -> float:
+        """Return the weight of the level; more than 0 also if it refuses every request."""
+        decay = math.exp((self.received_at - now) / REPLIES_SECONDS)
+        return self.replies * decay + MIN_WEIGHT
+
+
+MIN_WEIGHT = 0.1
+"""Weight of the level of a worker that has run no request; a tenth of one reply."""
+
+
 @dataclass(slots=True)
 class _RouteLevels:
-    """Levels of one route by the node that stated them, with the monotonic second of receipt."""
+    """Levels of one route by the node that stated them."""
 
-    by_node: dict[str, tuple[int, float]] = field(default_factory=dict)
+    by_node: dict[str, WorkerLevel] = field(default_factory=dict)
     stated_at: float = 0.0
     combined: int = MAX_ADMISSION_LEVEL
     combined_at: float = 0.0
@@ -47,21 +80,30 @@
 """Time for which a combined level is reused; bounds the cost with many workers."""
 
 
-def combine(stated: list[int], unstated: int) -> int:
-    """Return the level of a service from those of its workers.
+def combine(levels: list[tuple[int, float]]) -> int:
+    """Return the level of a service from those of its workers and their weights.
 
-    :param stated: levels of the workers that state one.
-    :param unstated: number of workers that state none.
+    The mean of the upper half of the levels: callers move calls away from the workers with lower
+    ones.
 
-    >>> combine([100, 120], 0), combine([100, 120], 2), combine([], 3)
-    (110, 238, 65535)
-    >>> combine([100] * 9, 1), combine([100], 3)
-    (101, 1252)
+    >>> combine([(100, 1.0), (120, 1.0)]), combine([(100, 1.0), (120, 2.0), (130, 1.0)])
+    (120, 125)
+    >>> combine([(100, 9.0), (MAX_ADMISSION_LEVEL, 1.0)]), combine([(MAX_ADMISSION_LEVEL, 1.0)])
+    (101, 65535)
     """
+    stated = sorted((entry for entry in levels if entry[0] < MAX_ADMISSION_LEVEL), reverse=True)
     if not stated:
         return MAX_ADMISSION_LEVEL
-    level = sum(stated) / len(stated) + UNSTATED_RANKS * (unstated / len(stated)) ** 2
-    return min(MAX_ADMISSION_LEVEL, int(level))
+    stated_weight = sum(weight for _, weight in stated)
+    unstated_weight = sum(weight for _, weight in levels) - stated_weight
+    remaining = half = stated_weight / 2
+    total = 0.0
+    for level, weight in stated:
+        used = min(weight, remaining)
+        total += level * used
+        remaining -= used
+    level_of_all = total / half + UNSTATED_RANKS * (unstated_weight / stated_weight) ** 2
+    return int(min(MAX_ADMISSION_LEVEL, level_of_all))
 
 
 def opened(level: int, age: float) -> int:
@@ -95,10 +137,16 @@
         self._routes: dict[str, _RouteLevels] = {}
         self._forgot_at = clock()
 
-    def record(self, route: str, node: str, level: int) -> None:
+    def record_reply(self, route: str, node: str, reply: Reply) -> None:
+        """Store the level that came with a reply, if the worker's sidecar replied."""
+        if reply.load.slots:
+            self.record(route, node, reply.advertised.admission_level, reply.arrived)
+
+    def record(self, route: str, node: str, level: int, ran: bool) -> None:
         """Store the level that came with a reply.
 
         :param node: node of the worker that replied.
+        :param ran: whether the worker ran the request.
         """
         levels = self._routes.get(route)
         if levels is None:
@@ -106,7 +154,10 @@
                 return
             levels = self._routes[route] = _RouteLevels()
         now = self._clock()
-        levels.by_node[node] = (level, now)
+        worker = levels.by_node.get(node)
+        if worker is None:
+            worker = levels.by_node[node] = WorkerLevel()
+        worker.add(now, level, ran)
         if level < MAX_ADMISSION_LEVEL:
             levels.stated_at = now
         if now - self._forgot_at >= FORGET_SECONDS:
@@ -125,14 +176,13 @@
 
     @staticmethod
     def _combine(levels: _RouteLevels, now: float) -> int:
-        newest = max(received_at for _, received_at in levels.by_node.values())
+        newest = max(worker.received_at for worker in levels.by_node.values())
         current = [
-            level
-            for level, received_at in levels.by_node.values()
-            if newest - received_at < EXPIRY_SECONDS
+            (worker.level, worker.weight(newest))
+            for worker in levels.by_node.values()
+            if newest - worker.received_at < EXPIRY_SECONDS
         ]
-        stated = [level for level in current if level < MAX_ADMISSION_LEVEL]
-        return opened(combine(stated, len(current) - len(stated)), now - newest)
+        return opened(combine(current), now - newest)
 
     def admits(self, route: str, rank: int) -> bool:
         """Return whether to admit a root request."""
@@ -156,3 +206,7 @@
         for route, levels in list(self._routes.items()):
             if now - levels.stated_at >= EXPIRY_SECONDS:
                 del self._routes[route]
+                continue
+            for node, worker in list(levels.by_node.items()):
+                if now - worker.received_at >= EXPIRY_SECONDS:
+                    del levels.by_node[node]
--- a/src/cranklane/sidecar/tree_admission/level.py
+++ b/src/cranklane/sidecar/tree_admission/level.py
@@ -3,9 +3,8 @@
 For a worker that is offered more than its slots can run, by call trees whose calls come one after
 the other. While calls are refused for lack of capacity or wait long, arrivals are counted by rank.
 The level moves towards the rank up to which the arrivals fill the capacity. It falls by half of the
-difference in each step, so that noise sheds little. It rises slowly enough that the calls of trees
-admitted by one step arrive before the following steps take the same capacity again. Without a
-refusal or a long wait nothing is counted and no level is stated.
+difference in each step, so that noise sheds little. What it rises by takes the duration of a call
+tree to arrive; until then it is deducted from the capacity that is left. Without a refusal or a long wait nothing is counted and no level is stated.
 """
 
 from __future__ import annotations
@@ -38,11 +37,8 @@
 RISE_DELAY_FACTOR = 2.0
 """Duration of a call tree over the mean age of its root at the arrival of a call."""
 
-IDLE_LOAD = 0.8
-"""Load below which slots are idle for certain, so that the level rises faster."""
-
-IDLE_RISE_FACTOR = 3.0
-"""Factor on the rise while slots are idle."""
+RISE_FRACTION = 0.3
+"""Fraction of the difference by which the level rises in a step."""
 
 BIN_RANKS = 8
 """Ranks that are counted together."""
@@ -84,6 +80,7 @@
         self.is_counting = False
         self._level: float = MAX_ADMISSION_LEVEL
         self._last = 0
+        self._pending_ranks = 0.0
         self._counts: dict[int, float] = {}
         self._ages = 0.0
         self._seconds = 0.0
@@ -96,19 +93,22 @@
             return MAX_ADMISSION_LEVEL
         return int(self._level)
 
-    def arrived(self, rank: int, root_age: float) -> None:
-        """Count the arrival of a call.
+    def arrived(self, rank: int, root_age: float) -> int:
+        """Count the arrival of a call; return the order of its tree within its priority.
+
+        The order is 0 without pressure, so that arrival times alone decide.
 
         :param root_age: age of the root request in seconds.
         """
         if not self.is_counting:
-            return
+            return 0
         now = self._clock()
         if now - self._stepped_at >= STEP_SECONDS:
             self._step(now)
         first = rank // BIN_RANKS
         self._counts[first] = self._counts.get(first, 0.0) + 1.0
         self._ages += root_age
+        return rank % RANKS_PER_PRIORITY
 
     def decided(self, lacks_capacity: bool, waited: float, permitted_wait: float) -> None:
         """Record a decision on a call.
@@ -117,9 +117,7 @@
         :param waited: seconds for which it waited.
         :param permitted_wait: seconds for which it could have waited.
         """
-        if not lacks_capacity and (
-            waited <= 0.0 or waited < LONG_WAIT_FRACTION * permitted_wait
-        ):
+        if not lacks_capacity and (waited <= 0.0 or waited < LONG_WAIT_FRACTION * permitted_wait):
             return
         self._pressed_at = now = self._clock()
         if not self.is_counting:
@@ -158,21 +156,23 @@
         lowest_priority = max(self._counts) * BIN_RANKS // RANKS_PER_PRIORITY
         self._last = last = max(self._last, (lowest_priority + 1) * RANKS_PER_PRIORITY)
         level = min(self._level, float(last))
+        # Half of the arrivals of a tree come before its mean age.
+        tree_seconds = RISE_DELAY_FACTOR * self._ages / sum(self._counts.values())
+        self._pending_ranks *= math.exp(-seconds / max(STEP_SECONDS, tree_seconds))
         filled_at = self._rank_filling(capacity)
         if filled_at < level:
-            self._level = level + FALL_FRACTION * (filled_at - level)
+            fall = FALL_FRACTION * (level - filled_at)
+            self._pending_ranks = max(0.0, self._pending_ranks - fall)
+            self._level = level - fall
             return
         if self._level == MAX_ADMISSION_LEVEL:
             return
         admitted = self._count_up_to(level)
         slack = capacity - admitted
-        rise = min(slack / self._density(level, capacity), RANKS_PER_PRIORITY)
-        # Half of the arrivals of a tree come before its mean age.
-        tree_seconds = RISE_DELAY_FACTOR * self._ages / sum(self._counts.values())
-        fraction = seconds / (seconds + tree_seconds)
-        if admitted < IDLE_LOAD * capacity:
-            fraction = min(FALL_FRACTION, IDLE_RISE_FACTOR * fraction)
-        self._level = level + fraction * rise
+        free_ranks = min(slack / self._density(level, capacity), RANKS_PER_PRIORITY)
+        rise = RISE_FRACTION * max(0.0, free_ranks - self._pending_ranks)
+        self._pending_ranks += rise
+        self._level = level + rise
         if self._level >= last:
             self._level = MAX_ADMISSION_LEVEL
 
--- a/src/cranklane_lab/trees/admission_model.py
+++ b/src/cranklane_lab/trees/admission_model.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -73,16 +73,17 @@
 
     :ivar offered: root requests by priority.
     :ivar served: successful root requests by priority.
-    :ivar spent: slot seconds by whole second of their start, as pairs of useful and wasted ones.
+    :ivar useful: slot seconds of successful trees, by the whole second in which a call started.
+    :ivar wasted: those of failed trees.
     :ivar began: slot seconds that the trees admitted in each whole second need.
     :ivar levels: combined level of a door, by tenth of a second.
     """
 
     offered: Counter[int] = field(default_factory=Counter)
     served: Counter[int] = field(default_factory=Counter)
-    useful: Counter[int] = field(default_factory=Counter)
-    wasted: Counter[int] = field(default_factory=Counter)
-    began: Counter[int] = field(default_factory=Counter)
+    useful: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
+    wasted: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
+    began: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
     levels: list[int] = field(default_factory=list)
 
     def wasted_fraction(self, begin: int = 0) -> float:
@@ -162,31 +163,27 @@
             counts[second] += seconds
         return served
 
-    def _call(
-        self, door: Door, rank: int, began_at: float, spent: list[tuple[int, float]]
-    ) -> bool:
+    def _call(self, door: Door, rank: int, began_at: float, spent: list[tuple[int, float]]) -> bool:
         tried: set[str] = set()
         for _ in range(CALL_ATTEMPTS):
             worker = self._choose(tried)
             tried.add(worker.name)
             if self._attempt(worker, rank, self._clock() - began_at, spent):
-                self._learn(door, worker)
+                self._learn(door, worker, True)
                 return True
-            self._learn(door, worker)
+            self._learn(door, worker, False)
         return False
 
     def _choose(self, tried: set[str]) -> ModelWorker:
         candidates = [
-            worker
-            for worker in self.workers
-            if worker.slots.limit > 0 and worker.name not in tried
+            worker for worker in self.workers if worker.slots.limit > 0 and worker.name not in tried
         ]
         drawn = self._random.sample(candidates, min(2, len(candidates)))
         return min(drawn, key=lambda worker: worker.slots.running + worker.slots.queued)
 
-    def _learn(self, door: Door, worker: ModelWorker) -> None:
+    def _learn(self, door: Door, worker: ModelWorker, ran: bool) -> None:
         if self.settings.uses_levels:
-            door.record(ROUTE, worker.name, worker.level.stated)
+            door.record(ROUTE, worker.name, worker.level.stated, ran)
 
     def _attempt(
         self, worker: ModelWorker, rank: int, age: float, spent: list[tuple[int, float]]
