--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -90,7 +90,10 @@
         self._on_release = listener.slot_released
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
         self._level = AdmissionLevel(
-            runtime.monotonic, worker.slots.starts_per_second, listener.admission_level_changed
+            runtime.monotonic,
+            worker.slots.starts_per_second,
+            worker.slots.idle_fraction,
+            listener.admission_level_changed,
         )
         self.notices = WorkerNotices(runtime, registry, worker.slots, listener)
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -122,6 +122,12 @@
         rate = self._start_rate.rate
         return starts if rate is None else min(starts, rate)
 
+    def idle_fraction(self) -> float:
+        """Return the fraction of the slots that no request holds or waits for."""
+        if self.limit <= 0:
+            return 0.0
+        return max(0.0, 1.0 - (self.running + self.queued) / self.limit)
+
     def _wait_for_slot(self, rank: Rank) -> float:
         if self.running < self.limit:
             return 0.0
--- a/src/cranklane/sidecar/tree_admission/door.py
+++ b/src/cranklane/sidecar/tree_admission/door.py
@@ -3,8 +3,8 @@
 For a sustained overload of a service that many call trees share. The levels come with the replies
 of the route's workers. They are combined over the workers, because each worker sees only its own
 share of the load: callers move calls from one overloaded worker to the others. A worker's level
-counts by the replies that it sends, so that a slow worker counts little. A level that is not confirmed opens gradually, so that the first requests which it
-admits confirm or replace it before all requests are admitted.
+counts by the replies that it sends, so that a slow worker counts little. A level that no reply has confirmed for a while admits one request at a time, whose reply confirms
+or replaces it. Without one it is forgotten.
 """
 
 from __future__ import annotations
@@ -16,14 +16,22 @@
 from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
 from cranklane.sidecar.request.attempt import Reply
 
-FRESH_SECONDS = 0.5
-"""Age up to which a level holds unchanged."""
+FRESH_SECONDS = 0.4
+"""Age from which a level is probed."""
+
+PROBE_SECONDS = 0.9
+"""Time for the reply to a probe, after which the level is forgotten. A probe that meets the
+overload is refused within a part of a call tree's duration."""
 
 EXPIRY_SECONDS = 1.2
-"""Age at which a level has expired."""
+"""Age at which a level is no longer passed on to callers."""
+
+OPENING_RANKS = 64.0
+"""Ranks by which a level that is not confirmed opens until it expires; a quarter of a priority."""
 
-OPENING_RANKS = 1024.0
-"""Ranks by which a level has opened shortly before it expires: four priorities."""
+PROBED_RANKS = 1024.0
+"""Ranks above the level that are probed once it has expired: four priorities. Between it is less,
+so that a request close to the level is the probe if there is one."""
 
 UNSTATED_RANKS = 128.0
 """Ranks by which the combined level is above the stated levels if as many workers state
@@ -34,7 +42,7 @@
 """Interval between removals of expired entries."""
 
 
-REPLIES_SECONDS = 1.0
+REPLIES_SECONDS = 0.3
 """Time constant of the counts of replies."""
 
 
@@ -68,12 +76,20 @@
 
 @dataclass(slots=True)
 class _RouteLevels:
-    """Levels of one route by the node that stated them."""
+    """Levels of one route by the node that stated them. Times are monotonic seconds.
+
+    :ivar stated_at: time at which any worker last stated a level.
+    :ivar received_at: time of the last reply.
+    :ivar probe_ends_at: time by which the reply to a probe is due; 0 without one.
+    :ivar combined: combined level of the workers, as of ``combined_at``.
+    """
 
     by_node: dict[str, WorkerLevel] = field(default_factory=dict)
     stated_at: float = 0.0
+    probe_ends_at: float = 0.0
     combined: int = MAX_ADMISSION_LEVEL
     combined_at: float = 0.0
+    received_at: float = 0.0
 
 
 COMBINE_SECONDS = 0.02
@@ -106,18 +122,26 @@
     return int(min(MAX_ADMISSION_LEVEL, level_of_all))
 
 
-def opened(level: int, age: float) -> int:
-    """Return what is left of a level at an age in seconds.
+def probed_level(level: int, age: float) -> int:
+    """Return the last rank that may probe a level of an age in seconds.
 
-    >>> [opened(100, age) for age in (0.4, 0.85, 1.2)]
+    >>> [probed_level(100, age) for age in (0.3, 0.8, 1.2)]
     [100, 356, 65535]
     """
     if age >= EXPIRY_SECONDS:
         return MAX_ADMISSION_LEVEL
-    if age <= FRESH_SECONDS:
-        return level
+    opening = max(0.0, age - FRESH_SECONDS) / (EXPIRY_SECONDS - FRESH_SECONDS)
+    return min(MAX_ADMISSION_LEVEL, int(level + PROBED_RANKS * opening * opening))
+
+
+def opened(level: int, age: float) -> int:
+    """Return the last rank that is admitted at an age of the level in seconds.
+
+    >>> [opened(100, age) for age in (0.4, 0.8, 1.2, 5.0)]
+    [100, 132, 164, 164]
+    """
     opening = (age - FRESH_SECONDS) / (EXPIRY_SECONDS - FRESH_SECONDS)
-    return min(MAX_ADMISSION_LEVEL, int(level + OPENING_RANKS * opening * opening))
+    return level + int(OPENING_RANKS * min(1.0, max(0.0, opening)))
 
 
 class Door:
@@ -158,6 +182,8 @@
         if worker is None:
             worker = levels.by_node[node] = WorkerLevel()
         worker.add(now, level, ran)
+        levels.received_at = now
+        levels.probe_ends_at = 0.0
         if level < MAX_ADMISSION_LEVEL:
             levels.stated_at = now
         if now - self._forgot_at >= FORGET_SECONDS:
@@ -169,32 +195,48 @@
         if levels is None:
             return MAX_ADMISSION_LEVEL
         now = self._clock()
+        if now - levels.received_at >= EXPIRY_SECONDS:
+            return MAX_ADMISSION_LEVEL
+        return self._combined(levels, now)
+
+    def _combined(self, levels: _RouteLevels, now: float) -> int:
         if now - levels.combined_at >= COMBINE_SECONDS:
-            levels.combined = self._combine(levels, now)
+            newest = levels.received_at
             levels.combined_at = now
+            levels.combined = combine(
+                [
+                    (worker.level, worker.weight(newest))
+                    for worker in levels.by_node.values()
+                    if newest - worker.received_at < EXPIRY_SECONDS
+                ]
+            )
         return levels.combined
 
-    @staticmethod
-    def _combine(levels: _RouteLevels, now: float) -> int:
-        newest = max(worker.received_at for worker in levels.by_node.values())
-        current = [
-            (worker.level, worker.weight(newest))
-            for worker in levels.by_node.values()
-            if newest - worker.received_at < EXPIRY_SECONDS
-        ]
-        return opened(combine(current), now - newest)
-
     def admits(self, route: str, rank: int) -> bool:
         """Return whether to admit a root request."""
-        if not self._routes:
+        levels = self._routes.get(route)
+        if levels is None:
+            return True
+        now = self._clock()
+        level = self._combined(levels, now)
+        age = now - levels.received_at
+        if rank <= opened(level, age) or self._probes(levels, rank, level, now):
             return True
-        level = self.level(route)
-        if rank <= level:
+        if levels.probe_ends_at and now >= levels.probe_ends_at:
+            del self._routes[route]
             return True
         if self._on_refusal is not None:
             self._on_refusal(route, rank, level)
         return False
 
+    @staticmethod
+    def _probes(levels: _RouteLevels, rank: int, level: int, now: float) -> bool:
+        """Return whether a request above the level is to probe it, and note that it does."""
+        if levels.probe_ends_at or rank > probed_level(level, now - levels.received_at):
+            return False
+        levels.probe_ends_at = now + PROBE_SECONDS
+        return True
+
     @property
     def lowest(self) -> int:
         """Lowest level in force over all routes, for a gauge."""
--- a/src/cranklane/sidecar/tree_admission/level.py
+++ b/src/cranklane/sidecar/tree_admission/level.py
@@ -37,6 +37,13 @@
 RISE_DELAY_FACTOR = 2.0
 """Duration of a call tree over the mean age of its root at the arrival of a call."""
 
+IDLE_WEIGHT = 0.1
+"""Weight of the newest arrival in the average of the idle slots, which shows the end of an overload
+before the counts do."""
+
+USUAL_IDLE_FRACTION = 0.1
+"""Fraction of idle slots that bunched arrivals leave at the target load."""
+
 RISE_FRACTION = 0.3
 """Fraction of the difference by which the level rises in a step."""
 
@@ -59,6 +66,7 @@
 
     :param clock: monotonic seconds.
     :param starts_per_second: returns how many runs the worker can start per second.
+    :param idle_fraction: returns the fraction of its slots that are idle.
     :param on_change: called with the level when it begins and ends to be stated, and at most once
         in :data:`QUIET_SECONDS` between.
     """
@@ -67,10 +75,12 @@
         self,
         clock: Callable[[], float],
         starts_per_second: Callable[[], float],
+        idle_fraction: Callable[[], float],
         on_change: Callable[[int], None] | None = None,
     ) -> None:
         self._clock = clock
         self._starts_per_second = starts_per_second
+        self._idle_fraction = idle_fraction
         self._on_change = on_change
         self._reported_at = -math.inf
         self.is_counting = False
@@ -85,6 +95,7 @@
         self._ages = 0.0
         self._seconds = 0.0
         self._capacity = 0.0
+        self._idle = 0.0
 
     @property
     def stated(self) -> int:
@@ -108,6 +119,7 @@
         first = rank // BIN_RANKS
         self._counts[first] = self._counts.get(first, 0.0) + 1.0
         self._ages += root_age
+        self._idle += IDLE_WEIGHT * (self._idle_fraction() - self._idle)
         return rank % RANKS_PER_PRIORITY
 
     def decided(self, lacks_capacity: bool, waited: float, permitted_wait: float) -> None:
@@ -168,7 +180,8 @@
         if self._level == MAX_ADMISSION_LEVEL:
             return
         admitted = self._count_up_to(level)
-        slack = capacity - admitted
+        idle = (self._idle - USUAL_IDLE_FRACTION) * capacity
+        slack = max(capacity - admitted, idle)
         free_ranks = min(slack / self._density(level, capacity), RANKS_PER_PRIORITY)
         rise = RISE_FRACTION * max(0.0, free_ranks - self._pending_ranks)
         self._pending_ranks += rise
--- a/src/cranklane/sidecar/tree_admission/ticket.py
+++ b/src/cranklane/sidecar/tree_admission/ticket.py
@@ -27,14 +27,19 @@
 """Upper bound of the fraction of trees ranked with priority 0. It bounds what priority 0 loses
 while the trees ranked with it fail for other reasons than capacity."""
 
+CARRIED_RANKS = 64
+"""Ranks of priority 0 that carried trees get: the first quarter, so that they are served also while
+most of priority 0 is refused, and few are needed."""
+
 MIN_CARRIED_SERVED = 0.5
 """Lower bound of the assumed fraction served of trees ranked with priority 0."""
 
 COUNT_SECONDS = 3.0
 """Time constant of the counts. Much longer than a call tree takes, whose result is counted."""
 
-INITIAL_COUNT = 5.0
-"""Served requests assumed at the start, so that single failures have no effect."""
+INITIAL_COUNT = 1.0
+"""Served requests assumed at the start, so that a first failure has little
+effect. More would hide that a priority is starved at a sidecar with few requests."""
 
 
 @dataclass(slots=True)
@@ -99,7 +104,7 @@
         low_byte = self._random.getrandbits(8)
         fraction = self.carried_fraction(priority)
         if fraction and self._random.random() < fraction:
-            return TreeTicket(low_byte)
+            return TreeTicket(low_byte % CARRIED_RANKS)
         return TreeTicket(rank_of_priority(priority) + low_byte)
 
     def carried_fraction(self, priority: int) -> float:
--- a/src/cranklane_lab/trees/admission_model.py
+++ b/src/cranklane_lab/trees/admission_model.py
@@ -64,7 +64,7 @@
         self.speed = 1.0
         self.slots = Slots(clock)
         self.slots.resize(slots)
-        self.level = AdmissionLevel(clock, self.slots.starts_per_second)
+        self.level = AdmissionLevel(clock, self.slots.starts_per_second, self.slots.idle_fraction)
 
 
 @dataclass
