--- a/src/cranklane/sidecar/tree_admission/door.py
+++ b/src/cranklane/sidecar/tree_admission/door.py
@@ -4,7 +4,8 @@
 of the route's workers. They are combined over the workers, because each worker sees only its own
 share of the load: callers move calls from one overloaded worker to the others. A worker's level
 counts by the replies that it sends, so that a slow worker counts little. A level that no reply has confirmed for a while admits one request at a time, whose reply confirms
-or replaces it. Without one it is forgotten.
+or replaces it. Without one it is forgotten. Meanwhile it follows the levels of other routes if all
+of them are higher, since call trees of different routes tend to share the service that is short.
 """
 
 from __future__ import annotations
@@ -38,6 +39,9 @@
 none; grows with the square of their ratio, since workers that state none have capacity left, to
 which callers move calls. With one of four stating a level, it is above all usual priorities."""
 
+RECENT_SECONDS = 2.0
+"""Time since the last stated level for which a route shows the end of a shortage."""
+
 FORGET_SECONDS = 10.0
 """Interval between removals of expired entries."""
 
@@ -220,6 +224,8 @@
         now = self._clock()
         level = self._combined(levels, now)
         age = now - levels.received_at
+        if age > FRESH_SECONDS:
+            level = max(level, self._lowest_confirmed(now))
         if rank <= opened(level, age) or self._probes(levels, rank, level, now):
             return True
         if levels.probe_ends_at and now >= levels.probe_ends_at:
@@ -229,6 +235,18 @@
             self._on_refusal(route, rank, level)
         return False
 
+    def _lowest_confirmed(self, now: float) -> int:
+        """Return the lowest confirmed level of the routes with a recent level; 0 without any."""
+        return min(
+            (
+                self._combined(levels, now)
+                for levels in self._routes.values()
+                if now - levels.received_at <= FRESH_SECONDS
+                and now - levels.stated_at <= RECENT_SECONDS
+            ),
+            default=0,
+        )
+
     @staticmethod
     def _probes(levels: _RouteLevels, rank: int, level: int, now: float) -> bool:
         """Return whether a request above the level is to probe it, and note that it does."""
@@ -246,7 +264,7 @@
         """Remove the routes whose last stated level has expired."""
         self._forgot_at = now
         for route, levels in list(self._routes.items()):
-            if now - levels.stated_at >= EXPIRY_SECONDS:
+            if now - levels.stated_at >= RECENT_SECONDS:
                 del self._routes[route]
                 continue
             for node, worker in list(levels.by_node.items()):
--- a/src/cranklane/sidecar/tree_admission/ticket.py
+++ b/src/cranklane/sidecar/tree_admission/ticket.py
@@ -20,7 +20,7 @@
 MIN_SERVED_RATIO = 0.25
 """Fraction served of each priority, relative to the fraction served of all requests."""
 
-SERVED_RATIO_MARGIN = 1.4
+SERVED_RATIO_MARGIN = 1.3
 """Factor on the ratio that is aimed at. The counts lag behind the load by some seconds."""
 
 MAX_CARRIED_FRACTION = 0.25
@@ -34,10 +34,10 @@
 MIN_CARRIED_SERVED = 0.5
 """Lower bound of the assumed fraction served of trees ranked with priority 0."""
 
-COUNT_SECONDS = 3.0
+COUNT_SECONDS = 2.0
 """Time constant of the counts. Much longer than a call tree takes, whose result is counted."""
 
-INITIAL_COUNT = 1.0
+INITIAL_COUNT = 0.5
 """Served requests assumed at the start, so that a first failure has little
 effect. More would hide that a priority is starved at a sidecar with few requests."""
 
@@ -73,10 +73,10 @@
     :param carried: fraction served of those ranked with priority 0.
     :param of_all: fraction served of the requests of all priorities.
 
-    >>> carried_fraction(1.0, 1.0, 1.0), carried_fraction(0.3, 1.0, 0.8)
+    >>> carried_fraction(1.0, 1.0, 1.0), carried_fraction(0.4, 1.0, 0.8)
     (0.0, 0.0)
     >>> round(carried_fraction(0.0, 1.0, 0.5), 3)
-    0.175
+    0.163
     """
     missing = MIN_SERVED_RATIO * SERVED_RATIO_MARGIN * of_all - ordinary
     if missing <= 0:
