Slow start: a window limits the runs of a worker that has started or recovered

Cause: a restarted worker gets as many requests as a warm one while its runs take four times as long, so requests wait there beyond their limit; after a crash its callers avoid it, as the runs that one exit interrupts count as many faults of the next instance.

Change: sidecar/capacity/slow_start.py holds the window; the registry begins it, the gate reports runs, Slots apply it and widen it before a request is refused because of it. Callers see the window as the slots of the worker, weigh its queue more, and do not count its slow runs as slowness. A new instance begins without the slowness and, unless the former one was started less than 30 s before, without the faults of the former one.

--- a/src/cranklane/sidecar/admission/admitted_run.py
+++ b/src/cranklane/sidecar/admission/admitted_run.py
@@ -7,6 +7,8 @@
 from cranklane.common.units import MILLISECONDS
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.admission.isolated_runs import SuspectAdmission
+from cranklane.sidecar.admission.slots import Slots
+from cranklane.sidecar.capacity.slow_start import FinishedRun
 from cranklane.sidecar.request.call_tree import Root, Run
 from cranklane.sidecar.request.tree_ticket import NO_TICKET, unpack_ticket
 from cranklane.sidecar.worker.instances import WorkerInstance
@@ -35,6 +37,23 @@
     suspicion: SuspectAdmission
 
 
+def finished_run(
+    admitted: AdmittedRun, ratio: float, run_seconds: float, slots: Slots
+) -> FinishedRun:
+    """Return a run that has released its slot, as the slow start judges it.
+
+    :param ratio: run time as a multiple of the usual one.
+    """
+    return FinishedRun(
+        admitted.started_at,
+        ratio,
+        run_seconds,
+        admitted.started_at - admitted.arrived_at,
+        admitted.request.start_within_ms / MILLISECONDS,
+        slots.running + 1 >= slots.limit,
+    )
+
+
 def root_of(request: ForwardRequest, arrived_at: float) -> Root:
     """Return the root of a request's call tree, with times converted to this process's clock."""
     return Root(
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -19,7 +19,7 @@
 from cranklane.records.messages import ForwardRequest
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission import retry_after, run_outcome
-from cranklane.sidecar.admission.admitted_run import AdmittedRun, root_of
+from cranklane.sidecar.admission.admitted_run import AdmittedRun, finished_run, root_of
 from cranklane.sidecar.admission.crash_evidence import CrashEvidence
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision, GateListener
 from cranklane.sidecar.admission.isolated_runs import IsolatedRuns, SuspectAdmission
@@ -82,6 +82,7 @@
         self._clock = runtime.monotonic
         self._worker = registry = worker.registry
         self._slots = worker.slots
+        self._slow_start = registry.slow_start
         self._condition = worker.condition
         self._call_tree = call_tree
         self._on_admission = listener.admission
@@ -264,6 +265,9 @@
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, run_seconds)
+            if self._slow_start.is_active:
+                run = finished_run(admitted, slowness, run_seconds, self._slots)
+                slowness = self._slow_start.run_ended(run)
         sheds_by_limit = reply.reason is Reason.WORKER_SHED and self.notices.limit.rate is not None
         is_fault = run_outcome.is_worker_fault(run, reply) and not sheds_by_limit
         self._condition.run_ended(is_fault, slowness)
--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -26,6 +26,7 @@
 
 from cranklane.outcome import Reason
 from cranklane.sidecar.admission.start_rate import StartRate
+from cranklane.sidecar.capacity.slow_start import COLD_RUN_TIME_FACTOR
 
 HURRY_WEIGHT = 6.0
 """Seconds by which a request moves back in the queue per second of its wait limit. A weight of 1
@@ -42,9 +43,16 @@
 """Weight of the newest sample in the moving average of slot occupancy time. Averages about the last
 20 requests."""
 
+SLOW_START_SLOT_SECONDS_WEIGHT = 0.2
+"""The same during a slow start, in which occupancy times change within few requests."""
+
 INITIAL_SLOT_SECONDS = 0.05
 """Initial estimate of the slot occupancy time."""
 
+WIDENING_WAIT_FRACTION = 0.25
+"""Fraction of a request's wait limit beyond which its expected wait widens the window of a slow
+start. Below 1, as the expected wait of a worker that has become slower is too short at first."""
+
 MAX_ENDED_ENTRIES = 8
 """Ended waits, in addition to the number of live ones, that the queue keeps before a cleanup, which
 scans the whole queue."""
@@ -84,7 +92,9 @@
 
     :param clock: monotonic seconds.
     :param spawn: starts a task, given its function and arguments.
-    :ivar limit: maximum number of concurrent requests.
+    :ivar stated: number of slots of the worker.
+    :ivar limit: maximum number of concurrent requests; below ``stated`` during a slow start.
+    :ivar widen: widens the window of the slow start by a slot, by calling :meth:`set_window`.
     :ivar running: requests that hold a slot.
     :ivar queued: requests that wait for a slot. A refused or timed-out waiter is counted until its
         own task resumes, and its queue entry may remain for longer.
@@ -101,7 +111,10 @@
         # Sorted by rank, for binary search.
         self._waiting: list[tuple[Rank, int, Waiter]] = []
         self._numbers = count()
+        self._window: int | None = None
+        self.widen: Callable[[], None] = lambda: None
         self.queued = 0
+        self.stated = 0
         self.limit = 0
         self.running = 0
         self.slot_seconds = INITIAL_SLOT_SECONDS
@@ -154,6 +167,8 @@
             self.running += 1
             return Reason.NONE
         rank = self.rank(priority, wait_seconds, root_age)
+        if self.limit < self.stated:
+            self._widen_for(rank, wait_seconds)
         if self._wait_for_slot(rank) > wait_seconds:
             return Reason.QUEUE_FULL
         if self._wait_for_start(rank) > wait_seconds:
@@ -166,25 +181,55 @@
         waiter.event.wait(wait_seconds)
         if waiter.granted:
             return Reason.NONE
+        takes_slot_beyond_window = waiter.refused is Reason.NONE and self._take_beyond_window()
         if waiter.refused is Reason.NONE:
             waits_for_start = self._start_rate.is_limited and self.running < self.limit
             waiter.refused = Reason.WORKER_LIMIT if waits_for_start else Reason.DEADLINE_TOO_NEAR
         self.queued -= 1
         self._remove_ended()
-        return waiter.refused
+        return Reason.NONE if takes_slot_beyond_window else waiter.refused
+
+    def _widen_for(self, rank: Rank, wait_seconds: float) -> None:
+        """Widen the window until a request can wait for a slot, or all slots are in use."""
+        former = -1
+        while former < self.limit < self.stated:
+            if self._wait_for_slot(rank) <= WIDENING_WAIT_FRACTION * wait_seconds:
+                return
+            former = self.limit
+            self.widen()
+
+    def _take_beyond_window(self) -> bool:
+        """Take a slot that only the window withholds, for a request whose wait has ended."""
+        if not self.limit <= self.running < self.stated or not self._start_rate.take():
+            return False
+        self.running += 1
+        self.widen()
+        return True
 
     def release(self, occupied_seconds: float) -> None:
         """Release a slot and grant it to the next waiter.
 
         :param occupied_seconds: time for which the request held it.
         """
-        self.slot_seconds += SLOT_SECONDS_WEIGHT * (occupied_seconds - self.slot_seconds)
+        weight = SLOT_SECONDS_WEIGHT if self._window is None else SLOW_START_SLOT_SECONDS_WEIGHT
+        self.slot_seconds += weight * (occupied_seconds - self.slot_seconds)
         self.running -= 1
         self._grant()
 
-    def resize(self, limit: int) -> None:
+    def resize(self, stated: int) -> None:
         """Change the number of slots; grant new ones to waiters."""
-        self.limit = limit
+        self.stated = stated
+        self._apply_limit()
+
+    def set_window(self, window: int | None) -> None:
+        """Limit the concurrent requests to fewer than the slots; None for no window."""
+        if self._window is None and window is not None:
+            self.slot_seconds *= COLD_RUN_TIME_FACTOR
+        self._window = window
+        self._apply_limit()
+
+    def _apply_limit(self) -> None:
+        self.limit = self.stated if self._window is None else min(self.stated, self._window)
         self._grant()
 
     def limit_starts(self, rate: float | None) -> None:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -14,6 +14,7 @@
 from cranklane.sidecar.admission.gate import Gate, LocalWorker
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.admission.tenant_quota import TenantQuota
+from cranklane.sidecar.capacity.slow_start import SlowStartChange, StartCause
 from cranklane.sidecar.control_link import ControlledState, ControlLink
 from cranklane.sidecar.ingress.authentication import Authentication
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
@@ -81,6 +82,7 @@
             self.slots,
             self._worker_changed,
             self._log,
+            self._slow_start_changed,
         )
         self.condition = WorkerCondition(runtime.monotonic, self._condition_changed)
         incarnation = int(runtime.wall() * MILLISECONDS)
@@ -179,6 +181,7 @@
             table=self.adopted,
             lease=self.lease,
             slots=self.slots,
+            slow_start=self.worker.slow_start,
             stated_limit=self.gate.notices.limit,
             condition=self.condition,
             quarantine=self.quarantine.table,
@@ -249,6 +252,11 @@
         )
         self._runtime.spawn(self.control.announce)
 
+    def _slow_start_changed(self, change: SlowStartChange) -> None:
+        self.decisions.slow_start_changed(self.worker.instance, change)
+        if change.ended_by is None and change.cause is StartCause.NEW_INSTANCE:
+            self.condition.worker_started()
+
     def _worker_changed(self) -> None:
         if self.worker.instance != self._caught_up_instance:
             self._caught_up_instance = self.worker.instance
--- a/src/cranklane/sidecar/routing/cost.py
+++ b/src/cranklane/sidecar/routing/cost.py
@@ -23,6 +23,10 @@
 Spreads load over idle workers, and away from slow ones before their condition is reported.
 If too small, a slow worker that is alone in its zone is never compared with other zones."""
 
+SLOW_START_WAIT_FACTOR = 4.0
+"""Multiplier for the expected wait at a worker in slow start, whose runs may take that many times as
+long as those of the other workers."""
+
 ALL_FAULTS_COST = 8.0
 """Added to the condition factor of a worker that fails all its runs. High enough that such a
 worker is used only when all others have long queues."""
@@ -35,7 +39,10 @@
     :param now: monotonic time in seconds.
     """
     load = destination.load()
-    runs = 1.0 + expected_wait(load, destination.slots) + FULL_LOAD_COST * load
+    wait = expected_wait(load, destination.slots)
+    if destination.in_slow_start:
+        wait *= SLOW_START_WAIT_FACTOR
+    runs = 1.0 + wait + FULL_LOAD_COST * load
     zone_factor = 1.0 if destination.zone == zone else CROSS_ZONE_FACTOR
     return runs * zone_factor * condition_factor(destination, now)
 
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -34,6 +34,9 @@
 class Destination:
     """A worker as seen from this sidecar. Times are monotonic seconds.
 
+    :ivar slots: slots in use, from the last reply or as listed.
+    :ivar listed_slots: slots of the worker as listed by control; ``slots`` is lower during a slow
+        start of the worker.
     :ivar reported_requests: requests running or queued at the worker, as last reported.
     :ivar sent_since_report: requests in flight that this sidecar sent after that report.
     :ivar in_flight: requests in flight that this sidecar sent.
@@ -65,6 +68,7 @@
     instance: str
     state: MemberState
     slots: int
+    listed_slots: int = 0
     reported_requests: int = 0
     sent_since_report: int = 0
     in_flight: int = 0
@@ -115,6 +119,16 @@
             self.reported_requests = load.running + load.queued
             self.sent_since_report = 0
 
+    @property
+    def in_slow_start(self) -> bool:
+        """Whether the last reply states fewer slots than control lists."""
+        return self.slots < self.listed_slots
+
+    def set_listed_slots(self, slots: int) -> None:
+        """Set the slots that control lists; a repeated value does not replace that of a reply."""
+        if slots != self.listed_slots:
+            self.slots = self.listed_slots = slots
+
     def update_condition(self, now: float, condition: Condition) -> None:
         """Set the worker condition as judged by the worker's sidecar."""
         self.condition = condition
--- a/src/cranklane/sidecar/routing/destinations.py
+++ b/src/cranklane/sidecar/routing/destinations.py
@@ -14,6 +14,7 @@
 from cranklane.distribution.member_state import MemberState
 from cranklane.records.messages import Member, MemberDelta, WorkerNotice
 from cranklane.runtime.interface import parse_address
+from cranklane.sidecar.capacity.slow_start import start_window
 from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.routing.retry_budget import FleetSize
 from cranklane.sidecar.worker.condition import Condition
@@ -50,7 +51,7 @@
             self._apply_full_list({member.node for member in delta.members})
         for member in delta.members:
             if member.node != self._node_name:
-                self._apply(member)
+                self._apply(member, has_just_appeared=not delta.whole)
         self.drop_expired()
         self._updated.set()
         self._updated.clear()
@@ -85,7 +86,11 @@
         """Set the state of the local worker."""
         self._apply(member)
 
-    def _apply(self, member: Member) -> None:
+    def _apply(self, member: Member, has_just_appeared: bool = False) -> None:
+        """Apply an entry of a member update.
+
+        :param has_just_appeared: whether the worker is new if it is not known here yet.
+        """
         existing = self._by_node.get(member.node)
         if existing is not None:
             order = (existing.incarnation, existing.sequence)
@@ -110,16 +115,16 @@
         )
         if existing is None or not same_instance:
             self._remove(member.node)
-            self._add(member)
+            self._add(member, in_slow_start=has_just_appeared)
             return
         existing.confirmed_at = None
         existing.incarnation = member.incarnation
         existing.sequence = member.sequence
         existing.set_state(MemberState(member.state))
-        existing.slots = member.slots
+        existing.set_listed_slots(member.slots)
         existing.update_control_condition(self._clock(), _condition_of(member))
 
-    def _add(self, member: Member) -> None:
+    def _add(self, member: Member, in_slow_start: bool) -> None:
         destination = Destination(
             node=member.node,
             incarnation=member.incarnation,
@@ -129,7 +134,9 @@
             address=parse_address(member.address),
             instance=member.instance,
             state=MemberState(member.state),
-            slots=member.slots,
+            # Its first reply states the window; until then, few requests are sent to it.
+            slots=int(start_window(member.slots)) if in_slow_start else member.slots,
+            listed_slots=member.slots,
         )
         destination.update_control_condition(self._clock(), _condition_of(member))
         destination.notice = self._known_notice(member.instance)
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -21,7 +21,7 @@
 from cranklane.sidecar.routing.destinations import Destinations
 from cranklane.sidecar.routing.ejection import PROBE_INTERVAL_SECONDS, Failure, failure_of
 from cranklane.sidecar.routing.peer_client import PeerClient
-from cranklane.sidecar.worker.slowness import ExpectedLatencies
+from cranklane.sidecar.worker.slowness import TOLERATED_SLOWNESS, ExpectedLatencies
 
 
 class DestinationFeedback:
@@ -51,7 +51,8 @@
         if reply.arrived and measures_latency(reply):
             run_time = reply.run_time_ms / MILLISECONDS or seconds
             ratio = self.latencies.ratio(call.route.name, run_time)
-            destination.slowness.sample(now, ratio)
+            if reply.load.slots >= destination.listed_slots or ratio <= TOLERATED_SLOWNESS:
+                destination.slowness.sample(now, ratio)
         if reply.outcome is Outcome.ANSWERED:
             destination.record_answer(now, reply.load)
             return
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -16,6 +16,7 @@
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision
+from cranklane.sidecar.capacity.slow_start import SlowStartChange
 from cranklane.sidecar.ingress.authentication import IngressRefusal
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call, CallProgress
@@ -179,6 +180,22 @@
         if self._problem_limit.allows():
             self._log.warning("worker_limit_unreadable", instance=instance.label, problem=problem)
 
+    def slow_start_changed(self, instance: WorkerInstance, change: SlowStartChange) -> None:
+        """Count and log the beginning or the end of a slow start."""
+        if change.ended_by is None:
+            self._metrics.slow_start(change.cause.value)
+        self._log.info(
+            "slow_start" if change.ended_by is None else "slow_start_ended",
+            instance=instance.label,
+            cause=change.cause.value,
+            ended_by=change.ended_by.value if change.ended_by is not None else None,
+            window=change.window,
+            slots=change.slots,
+            seconds=round(change.seconds, 3),
+            runs=change.runs,
+            slow_runs=change.slow_runs,
+        )
+
     def worker_leaving(self, instance: WorkerInstance) -> None:
         """Count and log the first answer of an instance which states that it is leaving."""
         if instance == self._leaving_instance:
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cranklane.sidecar.admission.slots import Slots
+from cranklane.sidecar.capacity.slow_start import NO_WINDOW, SlowStart
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.table.adopted_table import AdoptedTable
 from cranklane.sidecar.table.table_lease import TableLease
@@ -27,6 +28,7 @@
     table: AdoptedTable
     lease: TableLease
     slots: Slots
+    slow_start: SlowStart
     stated_limit: StatedLimit
     condition: WorkerCondition
     quarantine: Quarantine
@@ -44,7 +46,13 @@
     add("cranklane_table_version", "Operator's version in force.", lambda: table.table.version)
     add("cranklane_running", "Requests at the worker now.", lambda: slots.running)
     add("cranklane_queued", "Requests that wait for a slot now.", lambda: slots.queued)
-    add("cranklane_slots", "Slots of the worker.", lambda: slots.limit)
+    add("cranklane_slots", "Slots of the worker.", lambda: slots.stated)
+    slow_start = sources.slow_start
+    add(
+        "cranklane_slow_start_window",
+        "Slots in use while the worker is in its slow start; -1 otherwise.",
+        lambda: NO_WINDOW if slow_start.window is None else slow_start.window,
+    )
     limit = sources.stated_limit
     add(
         "cranklane_worker_rate_limit",
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -108,6 +108,11 @@
             "Changes that this machine's worker stated in the headers of its answers.",
             ("kind",),
         )
+        self._slow_starts = _Counter(
+            "cranklane_slow_starts",
+            "Slow starts of this machine's worker by what began them.",
+            ("cause",),
+        )
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
@@ -135,6 +140,7 @@
             self._ingress_refusals,
             self._worker_exits,
             self._worker_notices,
+            self._slow_starts,
             self._left_out,
             self._work,
             self._slot_milliseconds,
@@ -200,6 +206,13 @@
         """
         self._worker_notices.values[(kind,)] += 1
 
+    def slow_start(self, cause: str) -> None:
+        """Count the beginning of a slow start.
+
+        :param cause: a value of ``slow_start.StartCause``.
+        """
+        self._slow_starts.values[(cause,)] += 1
+
     def lines_left_out(self, count: int) -> None:
         """Count log lines omitted by the rate limits."""
         self._left_out.values[()] += count
--- a/src/cranklane/sidecar/worker/api.py
+++ b/src/cranklane/sidecar/worker/api.py
@@ -77,15 +77,15 @@
     """Parse a heartbeat's JSON body; return the heartbeat or a description of the error."""
     try:
         fields = _object_of(body)
+        cold_ms = _number_field(fields, "cold_remaining_ms", 0)
         heartbeat = WorkerHeartbeat(
             instance=_instance_of(instance_id, fields),
             service=_text_field(fields, "service"),
             slots=_slots_of(fields),
             phase=WorkerPhase(fields.get("phase", "ready")),
             sequence=_number_field(fields, "sequence"),
+            cold_ms=cold_ms if "cold_remaining_ms" in fields else None,
         )
-        # Validated as part of the API, but not used.
-        _number_field(fields, "cold_remaining_ms", 0)
     except (ValueError, OverflowError) as error:
         return Err(str(error))
     return Ok(heartbeat)
--- a/src/cranklane/sidecar/worker/condition.py
+++ b/src/cranklane/sidecar/worker/condition.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -30,6 +31,10 @@
 """Minimum interval between two reports, in seconds; shorter than the heartbeat interval. Bounds the
 messages of a failing worker."""
 
+KEPT_FAULTS_SECONDS = 30.0
+"""Time between two starts of the worker within which its fault ratio is kept. One crash fails all
+runs in flight, which says little about the next instance; several within this time do."""
+
 _PERCENT = 100
 """Percent in the ratio 1."""
 
@@ -126,6 +131,7 @@
         self._faults = FaultRatio()
         self._slowness = Slowness()
         self._reported_at = clock()
+        self._started_at = -math.inf
         self.reported = HEALTHY
 
     def run_ended(self, failed: bool, ratio: float | None) -> None:
@@ -142,6 +148,15 @@
         if self.renew():
             self._on_report(self.reported)
 
+    def worker_started(self) -> None:
+        """Forget the condition of a former instance, but not the faults of one that soon ended."""
+        now = self._clock()
+        if now - self._started_at >= KEPT_FAULTS_SECONDS:
+            self._faults = FaultRatio()
+            self.reported = HEALTHY
+        self._slowness = Slowness()
+        self._started_at = now
+
     def now(self) -> Condition:
         """Return the current condition."""
         now = self._clock()
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -15,7 +15,9 @@
 from cranklane.distribution.member_state import MemberState
 from cranklane.outcome import Reason
 from cranklane.runtime.interface import Address, Runtime, parse_address
+from cranklane.common.units import MILLISECONDS
 from cranklane.sidecar.admission.slots import Slots
+from cranklane.sidecar.capacity.slow_start import SlowStart, SlowStartChange, StartCause
 from cranklane.sidecar.worker.instances import (
     NO_INSTANCE,
     UNKNOWN_START,
@@ -44,6 +46,10 @@
 of a busy process."""
 
 
+YOUNG_SECONDS = 3.0
+"""Age up to which a worker that this process meets first is taken to have just started."""
+
+
 class WorkerPhase(Enum):
     """Phase that a worker states in its heartbeats."""
 
@@ -72,12 +78,19 @@
 }
 
 
+_RECOVERY_CAUSES = {
+    WorkerState.UNREACHABLE: StartCause.UNREACHABLE,
+    WorkerState.LOST: StartCause.LOST,
+}
+
+
 class WorkerHeartbeat(NamedTuple):
     """A heartbeat of a worker.
 
     :ivar instance: the start of the worker that sends it.
     :ivar slots: number of concurrent requests.
     :ivar sequence: increases with each heartbeat of an instance.
+    :ivar cold_ms: for how long the worker states to remain slow; None if not stated.
     """
 
     instance: WorkerInstance
@@ -85,6 +98,7 @@
     slots: int
     phase: WorkerPhase
     sequence: int
+    cold_ms: int | None = None
 
 
 class WorkerRegistry:
@@ -95,7 +109,9 @@
     :param slots: resized to the worker's usable slots.
     :param on_change: called when the state to announce to other processes has changed.
     :ivar address: address of the worker; None if this machine has none.
+    :param on_slow_start: called at the beginning and at the end of each slow start.
     :ivar instance: the worker's newest instance; ``NO_INSTANCE`` while unknown.
+    :ivar slow_start: limits the slots in use after the worker has started or recovered.
     """
 
     def __init__(
@@ -107,6 +123,7 @@
         slots: Slots,
         on_change: Callable[[], None],
         log: Any,
+        on_slow_start: Callable[[SlowStartChange], None] = lambda _change: None,
     ) -> None:
         self._runtime = runtime
         self.address: Address | None = parse_address(address) if address else None
@@ -117,6 +134,9 @@
         self._last_heartbeat_at = 0.0
         self._instances = InstanceHistory()
         self.pool = WorkerPool(runtime, self.address) if self.address else None
+        self.slow_start = SlowStart(runtime.monotonic, slots.set_window, on_slow_start)
+        slots.widen = self.slow_start.widen
+        self._stated_cold = False
         self.service = service
         self.instance = NO_INSTANCE
         self.state = WorkerState.UNKNOWN
@@ -129,11 +149,12 @@
     @property
     def slots(self) -> int:
         """Usable slots of the worker."""
-        return self._slots.limit
+        return self._slots.stated
 
     def heartbeat(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply a heartbeat; late ones and those of superseded instances are ignored."""
         instance = self._resolve(heartbeat.instance)
+        former, former_state = self.instance, self.state
         self._complete_instance(instance)
         if not self._instances.advance(instance, heartbeat.sequence):
             return
@@ -146,7 +167,11 @@
             return
         self.service = heartbeat.service
         usable = usable_slots(heartbeat.slots)
-        if usable != self._slots.limit:
+        cause = self._slow_start_cause(former, former_state, heartbeat.cold_ms)
+        if cause is not None and heartbeat.phase is WorkerPhase.READY:
+            self.slow_start.begin(cause, usable, heartbeat.cold_ms)
+        if usable != self._slots.stated:
+            self.slow_start.resize(usable)
             self._slots.resize(usable)
             self._on_change()
         if heartbeat.phase is WorkerPhase.DRAINING:
@@ -154,6 +179,34 @@
         else:
             self._set_state(WorkerState.READY)
 
+    def _slow_start_cause(
+        self, former: WorkerInstance, former_state: WorkerState, cold_ms: int | None
+    ) -> StartCause | None:
+        """Return why a heartbeat begins a slow start; None if it does not.
+
+        :param former: instance before the heartbeat.
+        :param former_state: state before the heartbeat.
+        """
+        states_cold = bool(cold_ms)
+        turned_cold = states_cold and not self._stated_cold
+        self._stated_cold = states_cold
+        if former.id and not self.instance.may_be(former):
+            return StartCause.NEW_INSTANCE
+        if former != self.instance:
+            # It may have run for long before this process was started.
+            is_cold = states_cold if cold_ms is not None else self._is_young()
+            return StartCause.NEW_INSTANCE if is_cold else None
+        if former_state in _RECOVERY_CAUSES:
+            return _RECOVERY_CAUSES[former_state]
+        return StartCause.STATED_COLD if turned_cold else None
+
+    def _is_young(self) -> bool:
+        """Return whether the worker states that it has just started."""
+        if self.instance.started_at_ms == UNKNOWN_START:
+            return False
+        age = self._runtime.wall() - self.instance.started_at_ms / MILLISECONDS
+        return 0.0 <= age < YOUNG_SECONDS
+
     def apply_probe(self, worker: ProbedWorker) -> bool:
         """Apply the result of a probe; return False if a heartbeat has arrived before."""
         if self.instance.id:
@@ -226,6 +279,9 @@
             if was_suspended(now - checked_at, period):
                 # The worker was suspended as well, so its silence does not mean that it is lost.
                 self._last_heartbeat_at = now
+                if self.state is WorkerState.READY:
+                    self.slow_start.begin(StartCause.SUSPENDED, self._slots.stated)
+            self.slow_start.end_if_due()
             checked_at = now
             if is_lost(self.state, now - self._last_heartbeat_at, period):
                 self._set_state(WorkerState.LOST)
--- a/tests/test_worker_instances.py
+++ b/tests/test_worker_instances.py
@@ -41,7 +41,7 @@
 
     def __init__(self):
         self.now = 0.0
-        runtime = SimpleNamespace(monotonic=lambda: self.now)
+        runtime = SimpleNamespace(monotonic=lambda: self.now, wall=lambda: self.now)
         slots = Slots(lambda: self.now)
         self.registry = WorkerRegistry(
             runtime, "", "s", HEARTBEAT_SECONDS, slots, lambda: None, Log()
