--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -118,6 +118,11 @@
             "Root requests refused because services of their call tree have no capacity.",
             ("route",),
         )
+        self._slow_starts = _Counter(
+            "cranklane_slow_starts",
+            "Slow starts of this machine's worker by what began them.",
+            ("cause",),
+        )
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
@@ -147,6 +152,7 @@
             self._worker_exits,
             self._worker_notices,
             self._door_refusals,
+            self._slow_starts,
             self._left_out,
             self._work,
             self._slot_milliseconds,
@@ -220,6 +226,13 @@
         """Count a root request refused by the admission level of its route."""
         self._door_refusals.values[(route,)] += 1
 
+    def slow_start(self, cause: str) -> None:
+        """Count the beginning of a slow start.
+
+        :param cause: a value of ``slow_start.StartCause``.
+        """
+        self._slow_starts.values[(cause,)] += 1
+
     def lines_left_out(self, count: int) -> None:
         """Count log lines omitted by the rate limits."""
         self._left_out.values[()] += count
