Workers that share machines: their stated relative run time is kept, passed on and used

Cause: a slow period of a worker was seen by its callers only in the run times of requests that they had already sent there, and counted as the worker's slowness for seconds after it was over. Change: the fourth field of the load header goes with AnswerNotice to capacity/pace.py, which keeps it by instance until the period is presumably over (its length is learned), states it in each reply and multiplies the expected wait at the gate; callers multiply the cost of the worker. Run times that go into slowness and slot_seconds are those without what slow periods added. The stand-in worker states the header in responses and applies its factor to requests in flight. Gauge cranklane_worker_relative_run_time, counter kinds slow_period(_ended), log line worker_pace.

--- a/src/cranklane/sidecar/admission/admitted_run.py
+++ b/src/cranklane/sidecar/admission/admitted_run.py
@@ -23,6 +23,7 @@
     :ivar instance: the worker's start that runs it.
     :ivar limiter_round: round of the outcome limiter at its start.
     :ivar suspicion: its suspicion level, and whether it holds the isolation slot.
+    :ivar lost_before: ``WorkerPace.lost_seconds`` at its start.
     """
 
     request: ForwardRequest
@@ -33,6 +34,7 @@
     instance: WorkerInstance
     limiter_round: int
     suspicion: SuspectAdmission
+    lost_before: float = 0.0
 
 
 def root_of(request: ForwardRequest, arrived_at: float) -> Root:
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -27,6 +27,7 @@
 from cranklane.sidecar.admission.slots import Slots, Waiter
 from cranklane.sidecar.admission.streamed_answer import StreamedAnswer
 from cranklane.sidecar.admission.worker_notices import WorkerNotices
+from cranklane.sidecar.capacity.worker_capacity import WorkerCapacity
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree
@@ -43,11 +44,13 @@
     :ivar registry: the worker's address and lifecycle state.
     :ivar slots: its concurrency limit and queue.
     :ivar condition: its health, derived from the results and latencies of its runs.
+    :ivar capacity: what is known of its capacity beside its slots.
     """
 
     registry: WorkerRegistry
     slots: Slots
     condition: WorkerCondition
+    capacity: WorkerCapacity
 
 
 def unavailable_reason(serves: bool, state: WorkerState) -> Reason:
@@ -83,11 +86,14 @@
         self._worker = registry = worker.registry
         self._slots = worker.slots
         self._condition = worker.condition
+        self._capacity = worker.capacity
         self._call_tree = call_tree
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
-        self.notices = WorkerNotices(runtime, registry, worker.slots, listener)
+        self.notices = WorkerNotices(
+            runtime, registry, worker.slots, worker.capacity.pace, listener
+        )
         self._evidence = CrashEvidence(registry, quarantine, listener.worker_exited)
         self._exits = WorkerExits(runtime, registry, self._evidence.worker_exited)
         self._isolated_runs = IsolatedRuns(runtime.monotonic, quarantine)
@@ -115,6 +121,7 @@
         """
         reply = self._admit_and_run(attempt, on_admitted)
         reply.load = self.load
+        reply.advertised = self._capacity.advertisement()
         reply.notice = self.notices.for_caller()
         if reply.reason is Reason.WORKER_LIMIT and reply.notice is not None:
             reply.retry_after_ms = max(retry_after.MIN_QUEUE_MS, reply.notice.pause_ms)
@@ -194,6 +201,7 @@
             self._worker.instance,
             limiter_round,
             suspicion,
+            self._capacity.pace.lost_seconds(),
         )
 
     def _release(self, admitted: AdmittedRun) -> None:
@@ -202,7 +210,7 @@
         self._call_tree.end(admitted.request.request_id)
         self._exits.ended(admitted.number)
         self._limiter.released(admitted.request.route)
-        self._slots.release(seconds)
+        self._slots.release(self._capacity.pace.usual_seconds(seconds, admitted.lost_before))
         self._on_release(admitted.request, seconds)
         if admitted.suspicion.isolated is not None:
             self._isolated_runs.release(admitted.suspicion.isolated, seconds)
@@ -257,13 +265,14 @@
     def _record_outcome(self, admitted: AdmittedRun, reply: Reply, run_seconds: float) -> None:
         """Record a run's result for the worker's condition, the limiter and the caller."""
         request, run = admitted.request, admitted.run
+        usual_seconds = self._capacity.pace.usual_seconds(run_seconds, admitted.lost_before)
         reply.downstream_starved = run_outcome.is_downstream_starved(run, reply)
         reply.downstream_cost = run.downstream_cost
         if run_outcome.has_failed(reply):
             reply.failure = run.failure
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
-            slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, run_seconds)
+            slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, usual_seconds)
         sheds_by_limit = reply.reason is Reason.WORKER_SHED and self.notices.limit.rate is not None
         is_fault = run_outcome.is_worker_fault(run, reply) and not sheds_by_limit
         self._condition.run_ended(is_fault, slowness)
--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -79,6 +79,10 @@
             self.event.set()
 
 
+def _usual_run_time() -> float:
+    return 1.0
+
+
 class Slots:
     """Grants a worker's slots to requests and queues the rest.
 
@@ -88,7 +92,8 @@
     :ivar running: requests that hold a slot.
     :ivar queued: requests that wait for a slot. A refused or timed-out waiter is counted until its
         own task resumes, and its queue entry may remain for longer.
-    :ivar slot_seconds: moving average of the slot occupancy time.
+    :ivar slot_seconds: moving average of the usual slot occupancy time.
+    :ivar run_time_factor: returns the worker's present run time as a multiple of the usual one.
     """
 
     def __init__(
@@ -105,6 +110,7 @@
         self.limit = 0
         self.running = 0
         self.slot_seconds = INITIAL_SLOT_SECONDS
+        self.run_time_factor: Callable[[], float] = _usual_run_time
 
     def expected_wait(self, rank: Rank) -> float:
         """Return the expected wait for a rank in seconds; ``math.inf`` without slots."""
@@ -115,7 +121,7 @@
             return 0.0
         if self.limit <= 0:
             return math.inf
-        return (self._ahead(rank) + 1) * self.slot_seconds / self.limit
+        return (self._ahead(rank) + 1) * self.slot_seconds * self.run_time_factor() / self.limit
 
     def _wait_for_start(self, rank: Rank) -> float:
         if not self._start_rate.is_limited:
@@ -176,7 +182,7 @@
     def release(self, occupied_seconds: float) -> None:
         """Release a slot and grant it to the next waiter.
 
-        :param occupied_seconds: time for which the request held it.
+        :param occupied_seconds: time for which the request would usually have held it.
         """
         self.slot_seconds += SLOT_SECONDS_WEIGHT * (occupied_seconds - self.slot_seconds)
         self.running -= 1
--- a/src/cranklane/sidecar/admission/worker_notices.py
+++ b/src/cranklane/sidecar/admission/worker_notices.py
@@ -11,6 +11,7 @@
 from cranklane.sidecar.admission.caller_turns import CallerTurns
 from cranklane.sidecar.admission.gate_listener import GateListener
 from cranklane.sidecar.admission.slots import Slots
+from cranklane.sidecar.capacity.pace import WorkerPace
 from cranklane.sidecar.worker.answer_notice import AnswerNotice
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES
 from cranklane.sidecar.worker.instances import WorkerInstance
@@ -22,15 +23,22 @@
     """What the local worker states, by its newest answers.
 
     :param slots: its starts are limited to the stated rate.
+    :param pace: gets the stated relative run time.
     :ivar limit: limit on requests per second that the worker states.
     """
 
     def __init__(
-        self, runtime: Runtime, worker: WorkerRegistry, slots: Slots, listener: GateListener
+        self,
+        runtime: Runtime,
+        worker: WorkerRegistry,
+        slots: Slots,
+        pace: WorkerPace,
+        listener: GateListener,
     ) -> None:
         self._clock = runtime.monotonic
         self._worker = worker
         self._slots = slots
+        self._pace = pace
         self._listener = listener
         self._turns = CallerTurns(runtime.monotonic)
         self.limit = StatedLimit(runtime.monotonic, self._limit_changed)
@@ -38,6 +46,7 @@
     def request_arrived(self, request: ForwardRequest) -> None:
         """Apply what the sender of a request has heard of the worker."""
         self.limit.follow(self._worker.instance)
+        self._pace.follow(self._worker.instance)
         for notice in request.notice:
             if notice.limited:
                 instance = WorkerInstance.from_label(notice.instance)
@@ -50,6 +59,7 @@
         :param started_at: monotonic second at which the run of the answered request started.
         """
         self.limit.answered(instance, started_at, notice)
+        self._pace.answered(instance, notice.run_time_percent)
         if notice.problem:
             self._listener.worker_limit_unreadable(instance, notice.problem)
         if notice.leaving:
@@ -60,6 +70,7 @@
         """Apply what the answer to the health check that found the worker states."""
         instance = self._worker.instance
         self.limit.follow(instance)
+        self._pace.follow(instance)
         self.answered(instance, self._clock(), notice)
 
     def for_caller(self) -> WorkerNotice | None:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -14,6 +14,7 @@
 from cranklane.sidecar.admission.gate import Gate, LocalWorker
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.admission.tenant_quota import TenantQuota
+from cranklane.sidecar.capacity.worker_capacity import WorkerCapacity
 from cranklane.sidecar.control_link import ControlledState, ControlLink
 from cranklane.sidecar.ingress.authentication import Authentication
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
@@ -73,6 +74,8 @@
     def _build_worker(self) -> None:
         runtime, settings = self._runtime, self.settings
         self.slots = Slots(runtime.monotonic, runtime.spawn)
+        self.capacity = WorkerCapacity(runtime.monotonic, self.decisions.worker_pace_changed)
+        self.slots.run_time_factor = self.capacity.pace.factor
         self.worker = WorkerRegistry(
             runtime,
             settings.worker,
@@ -113,7 +116,7 @@
         runtime = self._runtime
         self.gate = Gate(
             runtime,
-            LocalWorker(self.worker, self.slots, self.condition),
+            LocalWorker(self.worker, self.slots, self.condition, self.capacity),
             self._names,
             call_tree,
             self.quarantine.table,
@@ -180,6 +183,7 @@
             lease=self.lease,
             slots=self.slots,
             stated_limit=self.gate.notices.limit,
+            run_time_factor=self.capacity.pace.factor,
             condition=self.condition,
             quarantine=self.quarantine.table,
             is_ready=self.is_ready,
--- a/src/cranklane/sidecar/routing/cost.py
+++ b/src/cranklane/sidecar/routing/cost.py
@@ -2,7 +2,7 @@
 
 The unit is the expected run time at an idle, healthy worker in the local zone:
 
-    cost = (1 + expected wait + FULL_LOAD_COST * load) * zone factor * condition factor
+    cost = (1 + expected wait + FULL_LOAD_COST * load) * zone factor * condition factor * pace
 
 The expected wait stays near zero at low load, so small differences in load do not send
 requests to another zone.
@@ -37,7 +37,9 @@
     load = destination.load()
     runs = 1.0 + expected_wait(load, destination.slots) + FULL_LOAD_COST * load
     zone_factor = 1.0 if destination.zone == zone else CROSS_ZONE_FACTOR
-    return runs * zone_factor * condition_factor(destination, now)
+    pace = destination.pace
+    pace_factor = 1.0 if pace is None else pace.at(now)
+    return runs * zone_factor * condition_factor(destination, now) * pace_factor
 
 
 def expected_wait(load: float, slots: int) -> float:
--- a/src/cranklane/sidecar/routing/destination.py
+++ b/src/cranklane/sidecar/routing/destination.py
@@ -14,6 +14,7 @@
 from cranklane.records.messages import WorkerNotice
 from cranklane.runtime.interface import Address
 from cranklane.sidecar.capacity.advertisement import NO_ADVERTISEMENT, Advertisement
+from cranklane.sidecar.capacity.pace import Pace
 from cranklane.sidecar.request.attempt import Load
 from cranklane.sidecar.routing.ejection import Failure, ejection_seconds
 from cranklane.sidecar.worker.condition import HEALTHY, Condition
@@ -51,6 +52,7 @@
         of requests per second, and the next turn of this sidecar comes then.
     :ivar notice: what the worker was last heard to state of itself; None if nothing.
     :ivar advertised: capacity stated with the last reply, received at ``advertised_at``.
+    :ivar pace: relative run time that its sidecar states; None if it never did.
     :ivar confirmed_at: None while control lists the destination; otherwise the time at which
         control stopped listing it, or of the last response after that.
     :ivar removed: True once the destination has been removed from ``Destinations``.
@@ -81,6 +83,7 @@
     notice: WorkerNotice | None = None
     advertised: Advertisement = NO_ADVERTISEMENT
     advertised_at: float = 0.0
+    pace: Pace | None = None
     confirmed_at: float | None = None
     removed: bool = False
 
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -15,6 +15,7 @@
 from cranklane.outcome import Outcome, Reason
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission.run_outcome import measures_latency
+from cranklane.sidecar.capacity.destination_pace import DestinationPaces, usual_run_time
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call
 from cranklane.sidecar.routing.destination import Destination
@@ -35,6 +36,7 @@
         self._destinations = destinations
         self._peers = peers
         self.latencies = ExpectedLatencies()
+        self._paces = DestinationPaces()
 
     def record_reply(
         self, call: Call, destination: Destination, reply: Reply, seconds: float
@@ -48,10 +50,15 @@
             self._destinations.record_notice(destination, reply.notice)
         if reply.load.slots:
             destination.record_advertisement(now, reply.advertised)
+            destination.pace = self._paces.record(
+                destination.service, destination.pace, now, reply.advertised
+            )
         if reply.arrived and measures_latency(reply):
             run_time = reply.run_time_ms / MILLISECONDS or seconds
-            ratio = self.latencies.ratio(call.route.name, run_time)
-            destination.slowness.sample(now, ratio)
+            usual = usual_run_time(run_time, reply.advertised)
+            if usual is not None:
+                ratio = self.latencies.ratio(call.route.name, usual)
+                destination.slowness.sample(now, ratio)
         if reply.outcome is Outcome.ANSWERED:
             destination.record_answer(now, reply.load)
             return
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -16,6 +16,7 @@
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision
+from cranklane.sidecar.capacity.pace import PaceChange
 from cranklane.sidecar.ingress.authentication import IngressRefusal
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call, CallProgress
@@ -38,6 +39,9 @@
 SUMMARY_INTERVAL_SECONDS = 5.0
 """Seconds between lines that count omitted lines; also the longest delay of a request summary."""
 
+PACE_LINES_PER_SECOND = 1.0
+"""Rate limit of lines on slow periods, which may come and go many times a minute."""
+
 MAX_LOGGED_RUNS = 100
 """Limit on the runs listed in the line on a worker's exit; the line always states their number."""
 
@@ -57,6 +61,7 @@
         self._log = log
         self._problem_limit = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
+        self._pace_limit = RateLimit(clock, PACE_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
         self._leaving_instance = NO_INSTANCE
@@ -179,6 +184,18 @@
         if self._problem_limit.allows():
             self._log.warning("worker_limit_unreadable", instance=instance.label, problem=problem)
 
+    def worker_pace_changed(self, change: PaceChange) -> None:
+        """Count and log the start or end of a slow period of the worker."""
+        self._metrics.worker_notice("slow_period" if change.factor > 1.0 else "slow_period_ended")
+        if not self._pace_limit.allows():
+            return
+        self._log.info(
+            "worker_pace",
+            instance=change.instance.label,
+            relative_run_time=change.factor,
+            held_seconds=round(change.held_seconds, 3),
+        )
+
     def worker_leaving(self, instance: WorkerInstance) -> None:
         """Count and log the first answer of an instance which states that it is leaving."""
         if instance == self._leaving_instance:
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -20,6 +20,7 @@
 class GaugeSources(NamedTuple):
     """Components whose state the gauges expose.
 
+    :ivar run_time_factor: returns the relative run time that the worker states.
     :ivar is_ready: returns whether callers may send requests.
     :ivar is_connected: returns whether a controller responds.
     """
@@ -28,6 +29,7 @@
     lease: TableLease
     slots: Slots
     stated_limit: StatedLimit
+    run_time_factor: Callable[[], float]
     condition: WorkerCondition
     quarantine: Quarantine
     is_ready: Callable[[], bool]
@@ -51,6 +53,11 @@
         "Requests per second that the worker accepts; -1 without a limit.",
         lambda: NO_RATE_LIMIT if limit.rate is None else limit.rate,
     )
+    add(
+        "cranklane_worker_relative_run_time",
+        "Run time against the usual one as the worker states it; 1 if it states none.",
+        sources.run_time_factor,
+    )
     add(
         "cranklane_worker_faults",
         "Part of runs failed by the worker.",
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -196,7 +196,8 @@
     def worker_notice(self, kind: str) -> None:
         """Count a change that the worker stated in an answer.
 
-        :param kind: ``limit``, ``limit_ended``, ``limit_unreadable`` or ``leaving``.
+        :param kind: ``limit``, ``limit_ended``, ``limit_unreadable``, ``leaving``,
+            ``slow_period`` or ``slow_period_ended``.
         """
         self._worker_notices.values[(kind,)] += 1
 
--- a/src/cranklane/sidecar/worker/answer_notice.py
+++ b/src/cranklane/sidecar/worker/answer_notice.py
@@ -2,7 +2,7 @@
 
 A worker in need states how many requests per second it accepts from all callers together; the
 limit holds for as long as its answers state it. A worker that is about to exit states that it
-is leaving.
+is leaving. A worker that shares its machine states its relative run time.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.http1.message import AnswerHead
+from cranklane.sidecar.worker.load_header import stated_run_time_percent
 
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,12})?")
 """Bounds the digits, so that any accepted text is a finite number."""
@@ -28,11 +29,13 @@
         one that cannot be read.
     :ivar problem: why the stated limit cannot be read; empty if it can or none is stated.
     :ivar leaving: whether the worker is about to exit.
+    :ivar run_time_percent: current run time in percent of the usual one; None if not stated.
     """
 
     rate_limit: float | None = None
     problem: str = ""
     leaving: bool = False
+    run_time_percent: int | None = None
 
 
 NO_NOTICE = AnswerNotice()
@@ -44,13 +47,19 @@
     def __init__(self, names: HeaderNames) -> None:
         self._rate_limit_name = names.rate_limit.lower()
         self._leaving_name = names.leaving.lower()
+        self._load_name = names.load.lower()
         # Comparing lengths first avoids lowering most names of each answer.
-        self._name_sizes = (len(self._rate_limit_name), len(self._leaving_name))
+        self._name_sizes = (
+            len(self._rate_limit_name),
+            len(self._leaving_name),
+            len(self._load_name),
+        )
 
     def read(self, head: AnswerHead) -> AnswerNotice:
         """Return what an answer states; ``NO_NOTICE`` if nothing."""
         limits: list[bytes] = []
         leaving = False
+        percent: int | None = None
         sizes = self._name_sizes
         for name, value in head.headers:
             if len(name) not in sizes:
@@ -60,12 +69,16 @@
                 limits.append(value)
             elif lower_name == self._leaving_name:
                 leaving = value.strip() == _LEAVING
+            elif lower_name == self._load_name:
+                percent = stated_run_time_percent(value)
         if not limits:
-            return AnswerNotice(leaving=True) if leaving else NO_NOTICE
+            if not leaving and percent is None:
+                return NO_NOTICE
+            return AnswerNotice(leaving=leaving, run_time_percent=percent)
         parsed = parse_rate_limit(b",".join(limits))
         if isinstance(parsed, Err):
-            return AnswerNotice(problem=parsed.err_value, leaving=leaving)
-        return AnswerNotice(parsed.ok_value, leaving=leaving)
+            return AnswerNotice(None, parsed.err_value, leaving, percent)
+        return AnswerNotice(parsed.ok_value, "", leaving, percent)
 
 
 def parse_rate_limit(text: bytes) -> Result[float, str]:
--- a/src/cranklane/sidecar/worker/load_header.py
+++ b/src/cranklane/sidecar/worker/load_header.py
@@ -49,12 +49,27 @@
     if len(fields) < _REQUIRED_FIELDS or None in numbers:
         return None
     running, waiting, slots = (number or 0 for number in numbers)
-    percent = _whole_number(fields[_REQUIRED_FIELDS]) if len(fields) > _REQUIRED_FIELDS else None
-    if percent is not None and not 0 < percent <= MAX_RUN_TIME_PERCENT:
-        percent = None
+    percent = (
+        _run_time_percent(fields[_REQUIRED_FIELDS]) if len(fields) > _REQUIRED_FIELDS else None
+    )
     return WorkerLoad(running, waiting, slots, percent)
 
 
+def stated_run_time_percent(text: bytes) -> int | None:
+    """Return the run time of a load header, or None; cheaper than parsing the whole header.
+
+    >>> [stated_run_time_percent(text) for text in (b"3,0,8,250,17", b"3,0,8", b"3,0,8,0")]
+    [250, None, None]
+    """
+    fields = text.split(b",", _REQUIRED_FIELDS + 1)
+    return _run_time_percent(fields[_REQUIRED_FIELDS]) if len(fields) > _REQUIRED_FIELDS else None
+
+
+def _run_time_percent(field: bytes) -> int | None:
+    percent = _whole_number(field)
+    return percent if percent is not None and 0 < percent <= MAX_RUN_TIME_PERCENT else None
+
+
 def _whole_number(field: bytes) -> int | None:
     text = field.strip()
     return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -26,6 +26,9 @@
 INTEGRITY = b"whole"
 _POLL_SECONDS = 0.02
 
+_NEGLIGIBLE_SECONDS = 1e-6
+"""Remaining work that counts as done; absorbs rounding."""
+
 START_HEADER = b"Stand-In-Start"
 """Header of answers with a notice: the label of the worker's start."""
 
@@ -171,6 +174,7 @@
             head.headers,
             body,
             self._runtime.monotonic(),
+            state.work_time_factor,
         )
         state.runs.append(run)
         if state.crash_mark and state.crash_mark in run.target:
@@ -189,29 +193,40 @@
     def _send_health(self, stream: Any) -> bool:
         is_well = self.phase == "ready" and not self.state.leaving
         stream.sendall(
-            b"%s%s%s: %s\r\n%s: %d,0,%d%s\r\nContent-Length: 0\r\n\r\n"
+            b"%s%s%s: %s\r\n%sContent-Length: 0\r\n\r\n"
             % (
                 status_line(200 if is_well else 503),
                 self._notices() if self.state.states_in_health else b"",
                 NAMES.instance_answer,
                 self.instance.encode(),
-                NAMES.load,
-                self.state.running,
-                self.slots,
-                b"," + self.state.run_time_percent if self.state.run_time_percent else b"",
+                self._load(),
             )
         )
         return True
 
+    def _load(self) -> bytes:
+        """Return the load header of an answer."""
+        percent = self.state.run_time_percent
+        return b"%s: %d,0,%d%s\r\n" % (
+            NAMES.load,
+            self.state.running,
+            self.slots,
+            b"," + percent if percent else b"",
+        )
+
     def _work(self, stream: Any, run: RoutedRun) -> bool:
         """Spend the work time of a request; return False if the caller disconnects."""
         state = self.state
         state.running += 1
         state.most_running = max(state.most_running, state.running)
-        ends_at = self._runtime.monotonic() + state.seconds
+        remaining = state.seconds
+        now = self._runtime.monotonic()
         try:
-            while self._runtime.monotonic() < ends_at:
-                gevent.sleep(min(_POLL_SECONDS, max(0.0, ends_at - self._runtime.monotonic())))
+            while remaining > _NEGLIGIBLE_SECONDS:
+                factor, began_at = state.work_time_factor, now
+                gevent.sleep(min(_POLL_SECONDS, remaining * factor))
+                now = self._runtime.monotonic()
+                remaining -= (now - began_at) / factor
                 if self._runtime.closed_by_peer([stream]):
                     run.cancelled = True
                     return False
@@ -293,6 +308,8 @@
             )
         elif marked:
             lines += b"%s: %s\r\n" % (NAMES.integrity, INTEGRITY)
+        if self.state.run_time_percent:
+            lines += self._load()
         if framed:
             lines += b"Content-Length: %d\r\n" % len(body)
         return status_line(status) + lines + b"\r\n" + body
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -12,6 +12,7 @@
 
     :ivar request: request id.
     :ivar at: monotonic second at which it started.
+    :ivar work_time_factor: the worker's factor on work times at the start.
     """
 
     request: str
@@ -20,6 +21,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     at: float
+    work_time_factor: float = 1.0
     cancelled: bool = False
 
     def value(self, name: bytes) -> bytes:
@@ -49,11 +51,13 @@
     :ivar endless_answers: fault: send ``endless_part`` without end, until the caller closes.
     :ivar endless_part: ``head``, ``interim``, ``body`` or ``refusal``.
     :ivar endless_pause: seconds between the pieces of an endless response.
-    :ivar run_time_percent: fourth field of the load header; empty for none.
+    :ivar run_time_percent: fourth field of the load header; empty for none. Responses to requests
+        have the load header only if it is set.
     :ivar body: body of a response.
     :ivar echoes: whether a response body names its request instead.
     :ivar work: runs a request and returns its status; replaces ``seconds`` and ``status``.
-    :ivar work_time_factor: factor on the work time, to be applied by ``work``.
+    :ivar work_time_factor: factor on the work time, also of requests in flight; ``work`` has to
+        apply it itself.
     :ivar shed_fraction: fraction of requests to refuse as not run.
     :ivar crash_mark: mark in the target of requests that crash the worker; empty for none.
     :ivar on_crash: called with a run that crashes the worker.
