--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -16,6 +16,7 @@
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission.run_outcome import measures_latency
 from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
+from cranklane.sidecar.capacity.destination_pace import DestinationPaces, usual_run_time
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call
 from cranklane.sidecar.request.tree_ticket import rank_of_priority
@@ -37,6 +38,7 @@
         self._destinations = destinations
         self._peers = peers
         self.latencies = ExpectedLatencies()
+        self._paces = DestinationPaces()
 
     def record_reply(
         self, call: Call, destination: Destination, reply: Reply, seconds: float
@@ -50,11 +52,17 @@
             self._destinations.record_notice(destination, reply.notice)
         if reply.load.slots:
             destination.record_advertisement(now, reply.advertised)
+            destination.pace = self._paces.record(
+                destination.service, destination.pace, now, reply.advertised
+            )
         if reply.arrived and measures_latency(reply):
             run_time = reply.run_time_ms / MILLISECONDS or seconds
-            ratio = self.latencies.ratio(call.route.name, run_time)
-            if reply.load.slots >= destination.listed_slots or ratio <= TOLERATED_SLOWNESS:
-                destination.slowness.sample(now, ratio)
+            usual = usual_run_time(run_time, reply.advertised)
+            if usual is not None:
+                ratio = self.latencies.ratio(call.route.name, usual)
+                takes_full_load = reply.load.slots >= destination.listed_slots
+                if takes_full_load or ratio <= TOLERATED_SLOWNESS:
+                    destination.slowness.sample(now, ratio)
         if reply.outcome is Outcome.ANSWERED:
             destination.record_answer(now, reply.load)
             return
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -17,6 +17,7 @@
 from cranklane.records.messages import ForwardRequest
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision
 from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
+from cranklane.sidecar.capacity.pace import PaceChange
 from cranklane.sidecar.capacity.slow_start import SlowStartChange
 from cranklane.sidecar.ingress.authentication import IngressRefusal
 from cranklane.sidecar.request.attempt import Reply
@@ -47,6 +48,9 @@
 DOOR_LINES_PER_SECOND = 1.0
 """Rate limit of lines on root requests refused by an admission level; the counter has each."""
 
+PACE_LINES_PER_SECOND = 1.0
+"""Rate limit of lines on slow periods, which may come and go many times a minute."""
+
 MAX_LOGGED_RUNS = 100
 """Limit on the runs listed in the line on a worker's exit; the line always states their number."""
 
@@ -68,6 +72,7 @@
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
         self._retry_limit = RateLimit(clock, RETRY_LINES_PER_SECOND)
         self._door_limit = RateLimit(clock, DOOR_LINES_PER_SECOND)
+        self._pace_limit = RateLimit(clock, PACE_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
         self._leaving_instance = NO_INSTANCE
@@ -231,6 +236,18 @@
             slow_runs=change.slow_runs,
         )
 
+    def worker_pace_changed(self, change: PaceChange) -> None:
+        """Count and log the start or end of a slow period of the worker."""
+        self._metrics.worker_notice("slow_period" if change.factor > 1.0 else "slow_period_ended")
+        if not self._pace_limit.allows():
+            return
+        self._log.info(
+            "worker_pace",
+            instance=change.instance.label,
+            relative_run_time=change.factor,
+            held_seconds=round(change.held_seconds, 3),
+        )
+
     def worker_leaving(self, instance: WorkerInstance) -> None:
         """Count and log the first answer of an instance which states that it is leaving."""
         if instance == self._leaving_instance:
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -26,6 +26,9 @@
 INTEGRITY = b"whole"
 _POLL_SECONDS = 0.02
 
+_NEGLIGIBLE_SECONDS = 1e-6
+"""Remaining work that counts as done; absorbs rounding."""
+
 START_HEADER = b"Stand-In-Start"
 """Header of answers with a notice: the label of the worker's start."""
 
@@ -174,6 +177,7 @@
             head.headers,
             body,
             self._runtime.monotonic(),
+            state.work_time_factor,
         )
         state.runs.append(run)
         if state.on_run is not None:
@@ -215,10 +219,14 @@
         state = self.state
         state.running += 1
         state.most_running = max(state.most_running, state.running)
-        ends_at = self._runtime.monotonic() + state.seconds
+        remaining = state.seconds
+        now = self._runtime.monotonic()
         try:
-            while self._runtime.monotonic() < ends_at:
-                gevent.sleep(min(_POLL_SECONDS, max(0.0, ends_at - self._runtime.monotonic())))
+            while remaining > _NEGLIGIBLE_SECONDS:
+                factor, began_at = state.work_time_factor, now
+                gevent.sleep(min(_POLL_SECONDS, remaining * factor))
+                now = self._runtime.monotonic()
+                remaining -= (now - began_at) / factor
                 if self._runtime.closed_by_peer([stream]):
                     run.cancelled = True
                     return False
@@ -293,7 +301,7 @@
         framed: bool = True,
     ) -> bytes:
         lines = b"%s: %s\r\n" % (NAMES.request, request) + self._notices()
-        if self.state.states_load:
+        if self.state.states_load or self.state.run_time_percent:
             lines += self._load_line()
         if not_run:
             lines += b"%s: 1\r\n%s: %s\r\n" % (
