--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -266,8 +266,8 @@
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, run_seconds)
             if self._slow_start.is_active:
-                run = finished_run(admitted, slowness, run_seconds, self._slots)
-                slowness = self._slow_start.run_ended(run)
+                finished = finished_run(admitted, slowness, run_seconds, self._slots)
+                slowness = self._slow_start.run_ended(finished)
         sheds_by_limit = reply.reason is Reason.WORKER_SHED and self.notices.limit.rate is not None
         is_fault = run_outcome.is_worker_fault(run, reply) and not sheds_by_limit
         self._condition.run_ended(is_fault, slowness)
--- a/src/cranklane/sidecar/capacity/slow_start.py
+++ b/src/cranklane/sidecar/capacity/slow_start.py
@@ -23,8 +23,8 @@
 from cranklane.sidecar.worker.slowness import TOLERATED_SLOWNESS
 
 START_FRACTION = 0.25
-"""Window at the start, as a fraction of the slots. Runs at all workers that restart at once then
-take up to 4 times as long without queueing at a quarter of the load."""
+"""Window at the start, as a fraction of the slots: the share of the usual throughput that a worker
+has whose runs take four times as long."""
 
 WARM_START_FRACTION = 0.5
 """Window at the start if the worker states that it is not cold."""
@@ -126,8 +126,8 @@
     def is_late(self) -> bool:
         """Whether wait and excess run time exceed the wait that the caller accepted.
 
-        >>> FinishedRun(0.0, 4.0, 0.2, 0.1, 0.3).is_late, FinishedRun(0.0, 4.0, 0.2, 0.2, 0.3).is_late
-        (False, True)
+        >>> [FinishedRun(0.0, 4.0, 0.2, waited, 0.3).is_late for waited in (0.1, 0.2)]
+        [False, True]
         """
         if self.is_usual:
             return False
--- a/src/cranklane/sidecar/routing/cost.py
+++ b/src/cranklane/sidecar/routing/cost.py
@@ -24,8 +24,8 @@
 If too small, a slow worker that is alone in its zone is never compared with other zones."""
 
 SLOW_START_WAIT_FACTOR = 4.0
-"""Multiplier for the expected wait at a worker in slow start, whose runs may take that many times as
-long as those of the other workers."""
+"""Multiplier for the expected wait at a worker in slow start, whose runs may take that many times
+as long as those of the other workers."""
 
 ALL_FAULTS_COST = 8.0
 """Added to the condition factor of a worker that fails all its runs. High enough that such a
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -12,10 +12,10 @@
 
 import gevent
 
+from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
 from cranklane.outcome import Reason
 from cranklane.runtime.interface import Address, Runtime, parse_address
-from cranklane.common.units import MILLISECONDS
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.slow_start import SlowStart, SlowStartChange, StartCause
 from cranklane.sidecar.worker.instances import (
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -16,7 +17,13 @@
     StartCause,
 )
 from cranklane.sidecar.routing import destinations
-from cranklane.sidecar.worker.registry import WorkerState
+from cranklane.sidecar.worker.instances import WorkerInstance
+from cranklane.sidecar.worker.registry import (
+    WorkerHeartbeat,
+    WorkerPhase,
+    WorkerRegistry,
+    WorkerState,
+)
 from mesh_support import play
 
 SERVICES = ("s",) * 8 + ("t",) * 4
@@ -169,6 +176,33 @@
     assert play(script) == (2, 4)
 
 
+def test_a_planned_exit_called_off_by_a_new_start_begins_with_a_window():
+    def script(mesh):
+        machine = mesh.machines[0]
+        machine.worker.drain()
+        drained = window_of(machine)
+        machine.worker.phase, machine.worker._sequence = "ready", 0
+        machine.worker.started_at_ms += 1000
+        machine.worker.send_heartbeat()
+        return drained, window_of(machine), machine.sidecar.worker.state
+
+    assert play(script) == (None, 2, WorkerState.READY)
+
+
+@pytest.mark.parametrize(
+    "cold_ms, age_seconds, window",
+    [(None, 1.0, 1), (None, 60.0, None), (0, 1.0, None), (2000, 60.0, 1)],
+)
+def test_a_sidecar_tells_a_new_worker_from_one_that_ran_before(cold_ms, age_seconds, window):
+    now, slots = 100.0, Slots(lambda: 100.0)
+    runtime = SimpleNamespace(monotonic=lambda: now, wall=lambda: now)
+    log = SimpleNamespace(info=lambda *_arguments, **_fields: None)
+    registry = WorkerRegistry(runtime, "", "s", 1.5, slots, lambda: None, log)
+    instance = WorkerInstance("i", int((now - age_seconds) * 1000))
+    registry.heartbeat(WorkerHeartbeat(instance, "s", 4, WorkerPhase.READY, 1, cold_ms))
+    assert registry.slow_start.window == window
+
+
 def test_a_worker_that_stays_idle_leaves_slow_start():
     def script(mesh):
         mesh.restart_worker(mesh.machines[0])
--- a/tests/test_worker_condition.py
+++ b/tests/test_worker_condition.py
@@ -87,6 +87,18 @@
     assert len(reports) <= slow + 5
 
 
+@pytest.mark.parametrize("seconds, keeps_faults", [(40.0, False), (5.0, True)])
+def test_faults_are_kept_only_by_a_worker_that_starts_again_soon(seconds, keeps_faults):
+    clock, _, condition = condition_with_reports()
+    condition.worker_started()
+    clock.now += seconds
+    for _ in range(8):
+        condition.run_ended(True, 8.0)
+    condition.worker_started()
+    assert (condition.now().faults > 0.3) is keeps_faults
+    assert condition.now().slowness == 1.0
+
+
 def test_reports_respect_the_minimum_interval():
     clock, reports, condition = condition_with_reports()
     for number in range(4000):
