--- a/src/cranklane/sidecar/admission/slots.py
+++ b/src/cranklane/sidecar/admission/slots.py
@@ -144,18 +144,15 @@
         """Return the number of queued requests that start before a rank."""
         return bisect_right(self._waiting, (rank,))
 
-    def rank(
-        self, priority: int, wait_seconds: float, root_age: float = 0.0, tree_order: int = 0
-    ) -> Rank:
+    def rank(self, priority: int, wait_seconds: float, root_age: float = 0.0) -> Rank:
         """Return the queue rank of a request that arrives now.
 
         :param wait_seconds: wait limit of the request.
         :param root_age: age of its call tree's root request in seconds.
-        :param tree_order: order of its call tree within the priority.
         """
         wait_penalty = HURRY_WEIGHT * wait_seconds
         age_credit = AGE_WEIGHT * min(root_age, MAX_AGE_SECONDS)
-        return Rank(priority, tree_order, self._clock() + wait_penalty - age_credit)
+        return Rank(priority, 0, self._clock() + wait_penalty - age_credit)
 
     def acquire(
         self,
@@ -176,7 +173,9 @@
         if self.running < self.limit and self.queued == 0 and self._start_rate.take():
             self.running += 1
             return Reason.NONE
-        rank = self.rank(priority, wait_seconds, root_age, tree_order)
+        rank = self.rank(priority, wait_seconds, root_age)
+        if tree_order:
+            rank = Rank(rank.priority, tree_order, rank.effective_arrival)
         if self._wait_for_slot(rank) > wait_seconds:
             return Reason.QUEUE_FULL
         if self._wait_for_start(rank) > wait_seconds:
--- a/src/cranklane/sidecar/tree_admission/door.py
+++ b/src/cranklane/sidecar/tree_admission/door.py
@@ -3,9 +3,10 @@
 For a sustained overload of a service that many call trees share. The levels come with the replies
 of the route's workers. They are combined over the workers, because each worker sees only its own
 share of the load: callers move calls from one overloaded worker to the others. A worker's level
-counts by the replies that it sends, so that a slow worker counts little. A level that no reply has confirmed for a while admits one request at a time, whose reply confirms
-or replaces it. Without one it is forgotten. Meanwhile it follows the levels of other routes if all
-of them are higher, since call trees of different routes tend to share the service that is short.
+counts by the replies that it sends, so that a slow worker counts little. A level that no reply has
+confirmed for a while admits one request at a time, whose reply confirms or replaces it. Without one
+it is forgotten. Meanwhile it follows the levels of other routes if all of them are higher, since
+call trees of different routes tend to share the service that is short.
 """
 
 from __future__ import annotations
@@ -152,7 +153,7 @@
     """Admission levels of the routes called through this sidecar.
 
     :param clock: monotonic seconds.
-    :param on_refusal: called with each route and rank refused, and the level.
+    :param on_refusal: called with the route and rank of each refused request, and the level.
     """
 
     def __init__(
--- a/src/cranklane/sidecar/tree_admission/level.py
+++ b/src/cranklane/sidecar/tree_admission/level.py
@@ -4,7 +4,8 @@
 the other. While calls are refused for lack of capacity or wait long, arrivals are counted by rank.
 The level moves towards the rank up to which the arrivals fill the capacity. It falls by half of the
 difference in each step, so that noise sheds little. What it rises by takes the duration of a call
-tree to arrive; until then it is deducted from the capacity that is left. Without a refusal or a long wait nothing is counted and no level is stated.
+tree to arrive; until then it is deducted from the capacity that is left. Without a refusal or a
+long wait nothing is counted and no level is stated.
 """
 
 from __future__ import annotations
@@ -171,6 +172,8 @@
         # Half of the arrivals of a tree come before its mean age.
         tree_seconds = RISE_DELAY_FACTOR * self._ages / sum(self._counts.values())
         self._pending_ranks *= math.exp(-seconds / max(STEP_SECONDS, tree_seconds))
+        # Slots that stay idle show that less is to come than was assumed.
+        self._pending_ranks *= 1.0 - max(0.0, self._idle - USUAL_IDLE_FRACTION)
         filled_at = self._rank_filling(capacity)
         if filled_at < level:
             fall = FALL_FRACTION * (level - filled_at)
--- a/src/cranklane/sidecar/tree_admission/ticket.py
+++ b/src/cranklane/sidecar/tree_admission/ticket.py
@@ -20,7 +20,7 @@
 MIN_SERVED_RATIO = 0.25
 """Fraction served of each priority, relative to the fraction served of all requests."""
 
-SERVED_RATIO_MARGIN = 1.3
+SERVED_RATIO_MARGIN = 1.5
 """Factor on the ratio that is aimed at. The counts lag behind the load by some seconds."""
 
 MAX_CARRIED_FRACTION = 0.25
@@ -76,7 +76,7 @@
     >>> carried_fraction(1.0, 1.0, 1.0), carried_fraction(0.4, 1.0, 0.8)
     (0.0, 0.0)
     >>> round(carried_fraction(0.0, 1.0, 0.5), 3)
-    0.163
+    0.188
     """
     missing = MIN_SERVED_RATIO * SERVED_RATIO_MARGIN * of_all - ordinary
     if missing <= 0:
