--- a/src/cranklane/sidecar/tree_admission/door.py
+++ b/src/cranklane/sidecar/tree_admission/door.py
@@ -5,8 +5,8 @@
 share of the load: callers move calls from one overloaded worker to the others. A worker's level
 counts by the replies that it sends, so that a slow worker counts little. A level that no reply has
 confirmed for a while admits one request at a time, whose reply confirms or replaces it. Without one
-it is forgotten. Meanwhile it follows the levels of other routes if all
-of them are higher, since call trees of different routes tend to share the service that is short.
+it is forgotten. Meanwhile it follows the levels of other routes if all of them are higher, since
+call trees of different routes tend to share the service that is short.
 """
 
 from __future__ import annotations
@@ -153,7 +153,7 @@
     """Admission levels of the routes called through this sidecar.
 
     :param clock: monotonic seconds.
-    :param on_refusal: called with each route and rank refused, and the level.
+    :param on_refusal: called with the route and rank of each refused request, and the level.
     """
 
     def __init__(
--- a/src/cranklane/sidecar/tree_admission/level.py
+++ b/src/cranklane/sidecar/tree_admission/level.py
@@ -172,6 +172,8 @@
         # Half of the arrivals of a tree come before its mean age.
         tree_seconds = RISE_DELAY_FACTOR * self._ages / sum(self._counts.values())
         self._pending_ranks *= math.exp(-seconds / max(STEP_SECONDS, tree_seconds))
+        # Slots that stay idle show that less is to come than was assumed.
+        self._pending_ranks *= 1.0 - max(0.0, self._idle - USUAL_IDLE_FRACTION)
         filled_at = self._rank_filling(capacity)
         if filled_at < level:
             fall = FALL_FRACTION * (level - filled_at)
