--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -97,6 +97,8 @@
     """The worker accepts a limited number of requests per second, which is used up."""
     ABOVE_ADMISSION_LEVEL = 38
     """The services of the request's call tree have no capacity for trees of its rank."""
+    SLOW_PERIOD = 39
+    """The worker is in a slow period that the caller did not know of."""
 
     @property
     def label(self) -> str:
