--- a/src/cranklane/sidecar/routing/retry_policy.py
+++ b/src/cranklane/sidecar/routing/retry_policy.py
@@ -92,7 +92,7 @@
         if reply.status != _RETRYABLE_STATUS:
             # Another worker would give the same response.
             return Verdict.ANSWERED
-        if reply.downstream_starved:
+        if reply.downstream_starved or _is_refused_downstream(reply):
             # A downstream service lacks capacity, and a retry would add to its load.
             return Verdict.DOWNSTREAM_STARVED
         if reply.rest is not None:
@@ -111,6 +111,15 @@
     return _after_arrival(progress) if reply.arrived else _after_refusal(progress, reply)
 
 
+def _is_refused_downstream(reply: Reply) -> bool:
+    """Return whether a run failed because workers refused one of its calls without running it.
+
+    Another run would repeat the whole call tree, and its calls would use the retry tokens of the
+    service that refuses.
+    """
+    return reply.failure is not None and reply.failure.reason is Reason.WORKER_SHED
+
+
 def _after_refusal(progress: CallProgress, reply: Reply) -> Verdict:
     """Return the verdict after an attempt that did not reach a worker."""
     refusals = progress.refusals + (reply.reason in AT_CAPACITY)
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -13,7 +13,7 @@
 from cranklane.routes.table import Route
 from cranklane.sidecar.request.attempt import Attempt, Reply, refusal, unknown
 from cranklane.sidecar.request.call import Call, CallProgress
-from cranklane.sidecar.request.call_tree import Root
+from cranklane.sidecar.request.call_tree import CallFailure, Root
 from cranklane.sidecar.routing.dispatcher import Dispatcher, DispatcherDependencies
 from cranklane.sidecar.routing.retry_policy import (
     CALL_OVER_VERDICTS,
@@ -108,6 +108,13 @@
     assert verdict_on(reply, STREAMED) is Verdict.BODY_CONSUMED
 
 
+def test_a_run_whose_call_was_refused_unrun_is_not_repeated_with_its_whole_call_tree():
+    refused = replace(ERROR, failure=CallFailure("stock", Reason.WORKER_SHED))
+    assert verdict_on(refused) is Verdict.DOWNSTREAM_STARVED
+    failed = replace(ERROR, failure=CallFailure("stock", Reason.WORKER_FAILED))
+    assert verdict_on(failed) is Verdict.RETRY_FROM_BUDGET
+
+
 def test_a_refusal_after_the_body_was_started_is_not_retried_with_the_rest_of_it():
     attempt = Attempt(ForwardRequest(), STREAMED.rest)
     assert verdict_on(SHED, STREAMED, current=attempt) is Verdict.RETRY_FROM_BUDGET
