Tree admission is switched on by a setting; plain names of its modules

Cause: the admission by rank took effect in every deployment under pressure, and two names of its modules were figurative. Change: tree_admission (a sidecar's setting, off by default, on in the platform's template): without it root requests get no ticket, and gates admit calls without a ticket as before. root_admission.RootAdmission and ticket.TicketIssuer replace the former names, also in metrics (cranklane_root_refusals, cranklane_root_admission_level).

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -189,6 +189,8 @@
         """Acquire a slot in the order of call trees, and report the wait to the admission level."""
         wait_seconds = request.start_within_ms / MILLISECONDS
         root_age = request.root_age_ms / MILLISECONDS
+        if not request.tree:
+            return self._slots.acquire(request.root_priority, wait_seconds, on_wait, root_age)
         rank = rank_in_class(unpack_ticket(request.tree), request.root_priority)
         tree_order = self._level.arrived(rank, root_age)
         arrived_at = self._clock()
--- a/src/cranklane/sidecar/ingress/call_builder.py
+++ b/src/cranklane/sidecar/ingress/call_builder.py
@@ -16,7 +16,7 @@
 from cranklane.sidecar.request.attempt import Reply, refusal
 from cranklane.sidecar.request.call import Call
 from cranklane.sidecar.request.call_tree import Root, Run
-from cranklane.sidecar.tree_admission.ticket import TicketOffice
+from cranklane.sidecar.tree_admission.ticket import TicketIssuer
 
 
 def find_route(request: CallerRequest) -> Route | Reply:
@@ -56,7 +56,7 @@
     """
 
     def __init__(
-        self, names: HeaderNames, caller_service: str, splitter: Splitter, tickets: TicketOffice
+        self, names: HeaderNames, caller_service: str, splitter: Splitter, tickets: TicketIssuer
     ) -> None:
         self._names = names
         self._caller_service = caller_service.encode()
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -36,8 +36,8 @@
 from cranklane.sidecar.request.call_tree import CallFailure, CallTree, Run
 from cranklane.sidecar.request.decision import Decision
 from cranklane.sidecar.routing.dispatcher import Dispatcher
-from cranklane.sidecar.tree_admission.door import Door
-from cranklane.sidecar.tree_admission.ticket import TicketOffice
+from cranklane.sidecar.tree_admission.root_admission import RootAdmission
+from cranklane.sidecar.tree_admission.ticket import TicketIssuer
 
 _FIRST_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR.value
 
@@ -52,7 +52,7 @@
     :ivar disconnects: detects callers that disconnect before their response.
     :ivar call_tree: runs in flight at the local worker.
     :ivar tickets: draws and counts the tickets of root requests.
-    :ivar door: refuses root requests above the admission level of their route.
+    :ivar root_admission: refuses root requests above the admission level of their route.
     :ivar on_decision: called with the decision on each request that could be read.
     """
 
@@ -61,8 +61,8 @@
     dispatcher: Dispatcher
     disconnects: DisconnectWatch
     call_tree: CallTree
-    tickets: TicketOffice
-    door: Door
+    tickets: TicketIssuer
+    root_admission: RootAdmission
     on_decision: Callable[[Decision], None]
 
 
@@ -92,7 +92,7 @@
         self._on_decision = dependencies.on_decision
         self._request_name = names.request.lower()
         self._tickets = dependencies.tickets
-        self._door = dependencies.door
+        self._root_admission = dependencies.root_admission
         self._call_builder = CallBuilder(
             names, caller_service, Splitter(runtime.random.random()), self._tickets
         )
@@ -186,7 +186,7 @@
     ) -> Reply:
         """Dispatch a root request, unless it is ranked above the admission level of its route."""
         call = progress.call
-        if self._door.admits(call.route.name, call.root.rank):
+        if self._root_admission.admits(call.route.name, call.root.rank):
             reply = self._dispatch(connection, progress, None)
         else:
             reply = refusal(Reason.ABOVE_ADMISSION_LEVEL, retry_after_ms=retry_after.ABOVE_LEVEL_MS)
@@ -213,7 +213,7 @@
             if failure is None:
                 run.record_completed_call(progress.call.service)
             route = progress.call.route.name
-            run.record_admission_level(route, self._door.level(route))
+            run.record_admission_level(route, self._root_admission.level(route))
         return reply
 
     def _refuse(self, connection: CallerConnection, request: CallerRequest, reply: Reply) -> bool:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -42,8 +42,8 @@
 from cranklane.sidecar.telemetry.decision_log import DecisionLog
 from cranklane.sidecar.telemetry.gauges import GaugeSources, add_gauges
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
-from cranklane.sidecar.tree_admission.door import Door
-from cranklane.sidecar.tree_admission.ticket import TicketOffice
+from cranklane.sidecar.tree_admission.root_admission import RootAdmission
+from cranklane.sidecar.tree_admission.ticket import TicketIssuer
 from cranklane.sidecar.worker.api import WorkerApi
 from cranklane.sidecar.worker.condition import Condition, WorkerCondition
 from cranklane.sidecar.worker.discovery import WorkerDiscovery
@@ -147,7 +147,7 @@
         choice = WorkerChoice(
             self.destinations, runtime.monotonic, runtime.random, settings.name, settings.zone
         )
-        self.door = Door(runtime.monotonic, self.decisions.refused_at_door)
+        self.root_admission = RootAdmission(runtime.monotonic, self.decisions.root_refused)
         dependencies = DispatcherDependencies(
             self.destinations,
             choice,
@@ -171,8 +171,10 @@
             dispatcher=self.dispatcher,
             disconnects=disconnects,
             call_tree=call_tree,
-            tickets=TicketOffice(self._runtime.monotonic, self._runtime.random),
-            door=self.door,
+            tickets=TicketIssuer(
+                self._runtime.monotonic, self._runtime.random, self.settings.tree_admission
+            ),
+            root_admission=self.root_admission,
             on_decision=self.decisions.decided,
         )
         self.ingress = Ingress(self._runtime, self._names, self.settings.service, dependencies)
@@ -195,7 +197,7 @@
             slots=self.slots,
             slow_start=self.worker.slow_start,
             stated_limit=self.gate.notices.limit,
-            door=self.door,
+            root_admission=self.root_admission,
             run_time_factor=self.capacity.pace.factor,
             condition=self.condition,
             quarantine=self.quarantine.table,
@@ -251,7 +253,7 @@
     def _attempted(
         self, progress: CallProgress, destination: Destination, reply: Reply, seconds: float
     ) -> None:
-        self.door.record_reply(progress.call.route.name, destination.node, reply)
+        self.root_admission.record_reply(progress.call.route.name, destination.node, reply)
         self.decisions.attempted(progress, destination, reply, seconds)
 
     def _hello(self) -> Hello:
--- a/src/cranklane/sidecar/settings.py
+++ b/src/cranklane/sidecar/settings.py
@@ -11,6 +11,7 @@
     NAME,
     OPTIONAL_ADDRESS,
     TEXT,
+    YES_OR_NO,
     seconds,
     setting,
     whole_number,
@@ -63,6 +64,12 @@
         "",
         help="SHA-256 digest of the token for lifting and adding holds; empty: none is accepted",
     )
+    tree_admission: bool = setting(
+        YES_OR_NO,
+        False,
+        help="whether root requests that enter here get a rank, by which their whole call trees "
+        "are admitted where a service lacks capacity",
+    )
     stop_seconds: float = setting(
         seconds(0, 3600), 6.0, help="maximum duration of a planned stop, in seconds"
     )
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -45,7 +45,7 @@
 SUMMARY_INTERVAL_SECONDS = 5.0
 """Seconds between lines that count omitted lines; also the longest delay of a request summary."""
 
-DOOR_LINES_PER_SECOND = 1.0
+ROOT_REFUSAL_LINES_PER_SECOND = 1.0
 """Rate limit of lines on root requests refused by an admission level; the counter has each."""
 
 PACE_LINES_PER_SECOND = 1.0
@@ -71,7 +71,7 @@
         self._problem_limit = RateLimit(clock, PROBLEM_LINES_PER_SECOND)
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
         self._retry_limit = RateLimit(clock, RETRY_LINES_PER_SECOND)
-        self._door_limit = RateLimit(clock, DOOR_LINES_PER_SECOND)
+        self._root_refusal_limit = RateLimit(clock, ROOT_REFUSAL_LINES_PER_SECOND)
         self._pace_limit = RateLimit(clock, PACE_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
@@ -195,10 +195,10 @@
         """Log the admission level that the worker's gate states from now on."""
         self._log.info("admission_level", level=level if level < MAX_ADMISSION_LEVEL else None)
 
-    def refused_at_door(self, route: str, rank: int, level: int) -> None:
+    def root_refused(self, route: str, rank: int, level: int) -> None:
         """Count a root request ranked above the admission level of its route, and log some."""
-        self._metrics.door_refusal(route)
-        if self._door_limit.allows():
+        self._metrics.root_refusal(route)
+        if self._root_refusal_limit.allows():
             self._log.info("refused_above_level", route=route, rank=rank, level=level)
 
     def worker_limit_changed(self, change: LimitChange) -> None:
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -11,7 +11,7 @@
 from cranklane.sidecar.table.adopted_table import AdoptedTable
 from cranklane.sidecar.table.table_lease import TableLease
 from cranklane.sidecar.telemetry.metrics import SidecarMetrics
-from cranklane.sidecar.tree_admission.door import Door
+from cranklane.sidecar.tree_admission.root_admission import RootAdmission
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.stated_limit import StatedLimit
 
@@ -32,7 +32,7 @@
     slots: Slots
     slow_start: SlowStart
     stated_limit: StatedLimit
-    door: Door
+    root_admission: RootAdmission
     run_time_factor: Callable[[], float]
     condition: WorkerCondition
     quarantine: Quarantine
@@ -51,9 +51,9 @@
     add("cranklane_running", "Requests at the worker now.", lambda: slots.running)
     add("cranklane_queued", "Requests that wait for a slot now.", lambda: slots.queued)
     add(
-        "cranklane_door_level",
+        "cranklane_root_admission_level",
         "Lowest admission level of the routes called here; 65535 admits all.",
-        lambda: sources.door.lowest,
+        lambda: sources.root_admission.lowest,
     )
     add("cranklane_slots", "Slots of the worker.", lambda: slots.stated)
     slow_start = sources.slow_start
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -113,8 +113,8 @@
             "Changes that this machine's worker stated in the headers of its answers.",
             ("kind",),
         )
-        self._door_refusals = _Counter(
-            "cranklane_door_refusals",
+        self._root_refusals = _Counter(
+            "cranklane_root_refusals",
             "Root requests refused because services of their call tree have no capacity.",
             ("route",),
         )
@@ -151,7 +151,7 @@
             self._ingress_refusals,
             self._worker_exits,
             self._worker_notices,
-            self._door_refusals,
+            self._root_refusals,
             self._slow_starts,
             self._left_out,
             self._work,
@@ -223,9 +223,9 @@
         """
         self._worker_notices.values[(kind,)] += 1
 
-    def door_refusal(self, route: str) -> None:
+    def root_refusal(self, route: str) -> None:
         """Count a root request refused by the admission level of its route."""
-        self._door_refusals.values[(route,)] += 1
+        self._root_refusals.values[(route,)] += 1
 
     def slow_start(self, cause: str) -> None:
         """Count the beginning of a slow start.
--- a/src/cranklane/sidecar/tree_admission/door.py
+++ b/src/cranklane/sidecar/tree_admission/root_admission.py
@@ -149,7 +149,7 @@
     return level + int(OPENING_RANKS * min(1.0, max(0.0, opening)))
 
 
-class Door:
+class RootAdmission:
     """Admission levels of the routes called through this sidecar.
 
     :param clock: monotonic seconds.
--- a/src/cranklane/sidecar/tree_admission/ticket.py
+++ b/src/cranklane/sidecar/tree_admission/ticket.py
@@ -15,7 +15,12 @@
 from dataclasses import dataclass
 from random import Random
 
-from cranklane.sidecar.request.tree_ticket import RANKS_PER_PRIORITY, TreeTicket, rank_of_priority
+from cranklane.sidecar.request.tree_ticket import (
+    NO_TICKET,
+    RANKS_PER_PRIORITY,
+    TreeTicket,
+    rank_of_priority,
+)
 
 MIN_SERVED_RATIO = 0.25
 """Fraction served of each priority, relative to the fraction served of all requests."""
@@ -84,14 +89,16 @@
     return min(MAX_CARRIED_FRACTION, missing / (max(carried, MIN_CARRIED_SERVED) - ordinary))
 
 
-class TicketOffice:
+class TicketIssuer:
     """Draws tickets and counts how often the trees of each priority are served.
 
     :param clock: monotonic seconds.
     :param random: random numbers of the process.
+    :param enabled: whether requests get tickets; call trees without one are admitted call by call.
     """
 
-    def __init__(self, clock: Callable[[], float], random: Random) -> None:
+    def __init__(self, clock: Callable[[], float], random: Random, enabled: bool = True) -> None:
+        self._enabled = enabled
         self._clock = clock
         self._random = random
         self._all = _Served()
@@ -101,6 +108,8 @@
 
     def draw(self, priority: int) -> TreeTicket:
         """Return the ticket of a new root request."""
+        if not self._enabled:
+            return NO_TICKET
         low_byte = self._random.getrandbits(8)
         fraction = self.carried_fraction(priority)
         if fraction and self._random.random() < fraction:
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -42,6 +42,7 @@
     zones: tuple[str, ...] = ("a", "b", "c")
     revocation_seconds: float = 0.0
     quota_slack: float = 0.0
+    tree_admission: bool = True
     controllers: list[ControllerMachine] = field(default_factory=list)
     machines: list[MeshMachine] = field(default_factory=list)
     notice_rules: NoticeRules | None = None
@@ -182,6 +183,7 @@
             peer_port=PEER_PORT,
             worker=f"{host}:{WORKER_PORT}",
             revocation_seconds=self.revocation_seconds,
+            tree_admission=self.tree_admission,
         )
         sidecar = Sidecar(process, settings)
         self.world.start(process, sidecar.start)
--- a/src/cranklane_lab/trees/admission_model.py
+++ b/src/cranklane_lab/trees/admission_model.py
@@ -1,8 +1,8 @@
-"""Model of tree admission without a network: gates, doors and call trees on a virtual clock.
+"""Model of tree admission without a network: gates, entries and call trees on a virtual clock.
 
 It uses the modules of ``cranklane.sidecar.tree_admission`` and the real queue, with ideal messages.
-A root request enters at a random door and makes sequential calls to one service. A call goes to the
-less loaded of two drawn workers, and once to another one if it is refused.
+A root request enters at a random entry and makes sequential calls to one service. A call goes to
+the less loaded of two drawn workers, and once to another one if it is refused.
 """
 
 from __future__ import annotations
@@ -17,9 +17,9 @@
 from cranklane.outcome import Reason
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.request.tree_ticket import RANKS_PER_PRIORITY
-from cranklane.sidecar.tree_admission.door import Door
 from cranklane.sidecar.tree_admission.level import AdmissionLevel
-from cranklane.sidecar.tree_admission.ticket import TicketOffice
+from cranklane.sidecar.tree_admission.root_admission import RootAdmission
+from cranklane.sidecar.tree_admission.ticket import TicketIssuer
 
 CALLER_SECONDS = 0.05
 """Time that a caller works before each of its calls."""
@@ -35,14 +35,14 @@
     :ivar load: offered load as a fraction of the capacity, by the second since the start.
     :ivar shares: shares of the load by priority.
     :ivar calls: sequential calls of a root request.
-    :ivar uses_levels: whether levels are stated and doors apply them.
+    :ivar uses_levels: whether levels are stated and entries apply them.
     """
 
     load: Callable[[float], float]
     shares: tuple[float, ...] = (0.3, 0.3, 0.4)
     calls: int = 4
     workers: int = 8
-    doors: int = 12
+    entries: int = 12
     slots: int = 30
     call_seconds: float = 0.041
     wait_seconds: float = 0.3
@@ -76,7 +76,7 @@
     :ivar useful: slot seconds of successful trees, by the whole second in which a call started.
     :ivar wasted: those of failed trees.
     :ivar began: slot seconds that the trees admitted in each whole second need.
-    :ivar levels: combined level of a door, by tenth of a second.
+    :ivar levels: combined level at one entry, by tenth of a second.
     """
 
     offered: Counter[int] = field(default_factory=Counter)
@@ -111,8 +111,8 @@
         self.workers = [
             ModelWorker(f"w{number}", clock, settings.slots) for number in range(settings.workers)
         ]
-        self.doors = [Door(clock) for _ in range(settings.doors)]
-        self.offices = [TicketOffice(clock, self._random) for _ in range(settings.doors)]
+        self.entries = [RootAdmission(clock) for _ in range(settings.entries)]
+        self.issuers = [TicketIssuer(clock, self._random) for _ in range(settings.entries)]
 
     @property
     def now(self) -> float:
@@ -134,20 +134,20 @@
 
     def _watch(self) -> None:
         while self.now < self.settings.seconds:
-            self.result.levels.append(self.doors[0].level(ROUTE))
+            self.result.levels.append(self.entries[0].level(ROUTE))
             gevent.sleep(0.1)
 
     def _root(self, priority: int) -> None:
         self.result.offered[priority] += 1
-        number = self._random.randrange(len(self.doors))
-        door, office = self.doors[number], self.offices[number]
-        ticket = office.draw(priority)
+        number = self._random.randrange(len(self.entries))
+        entry, issuer = self.entries[number], self.issuers[number]
+        ticket = issuer.draw(priority)
         assert ticket.rank is not None
-        served = door.admits(ROUTE, ticket.rank) and self._tree(door, ticket.rank)
+        served = entry.admits(ROUTE, ticket.rank) and self._tree(entry, ticket.rank)
         self.result.served[priority] += served
-        office.record(priority, ticket, served)
+        issuer.record(priority, ticket, served)
 
-    def _tree(self, door: Door, rank: int) -> bool:
+    def _tree(self, entry: RootAdmission, rank: int) -> bool:
         began_at = self._clock()
         settings = self.settings
         self.result.began[int(self.now)] += settings.calls * settings.call_seconds
@@ -155,7 +155,7 @@
         served = True
         for _ in range(settings.calls):
             gevent.sleep(CALLER_SECONDS * self._random.uniform(0.5, 1.5))
-            if not self._call(door, rank, began_at, spent):
+            if not self._call(entry, rank, began_at, spent):
                 served = False
                 break
         counts = self.result.useful if served else self.result.wasted
@@ -163,15 +163,17 @@
             counts[second] += seconds
         return served
 
-    def _call(self, door: Door, rank: int, began_at: float, spent: list[tuple[int, float]]) -> bool:
+    def _call(
+        self, entry: RootAdmission, rank: int, began_at: float, spent: list[tuple[int, float]]
+    ) -> bool:
         tried: set[str] = set()
         for _ in range(CALL_ATTEMPTS):
             worker = self._choose(tried)
             tried.add(worker.name)
             if self._attempt(worker, rank, self._clock() - began_at, spent):
-                self._learn(door, worker, True)
+                self._learn(entry, worker, True)
                 return True
-            self._learn(door, worker, False)
+            self._learn(entry, worker, False)
         return False
 
     def _choose(self, tried: set[str]) -> ModelWorker:
@@ -181,9 +183,9 @@
         drawn = self._random.sample(candidates, min(2, len(candidates)))
         return min(drawn, key=lambda worker: worker.slots.running + worker.slots.queued)
 
-    def _learn(self, door: Door, worker: ModelWorker, ran: bool) -> None:
+    def _learn(self, entry: RootAdmission, worker: ModelWorker, ran: bool) -> None:
         if self.settings.uses_levels:
-            door.record(ROUTE, worker.name, worker.level.stated, ran)
+            entry.record(ROUTE, worker.name, worker.level.stated, ran)
 
     def _attempt(
         self, worker: ModelWorker, rank: int, age: float, spent: list[tuple[int, float]]
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -10,10 +10,10 @@
 
 from cranklane.sidecar.capacity.advertisement import MAX_ADMISSION_LEVEL
 from cranklane.sidecar.request.call_tree import Root, Run
-from cranklane.sidecar.request.tree_ticket import RANKS_PER_PRIORITY, TreeTicket
-from cranklane.sidecar.tree_admission.door import Door
+from cranklane.sidecar.request.tree_ticket import NO_TICKET, RANKS_PER_PRIORITY, TreeTicket
 from cranklane.sidecar.tree_admission.level import AdmissionLevel
-from cranklane.sidecar.tree_admission.ticket import TicketOffice
+from cranklane.sidecar.tree_admission.root_admission import RootAdmission
+from cranklane.sidecar.tree_admission.ticket import TicketIssuer
 from cranklane_lab.simulation.loop import run_virtual
 from cranklane_lab.trees.admission_model import AdmissionModel, ModelSettings
 
@@ -24,7 +24,7 @@
     """Return the result of the model, with the capacity as slot-seconds per second."""
 
     def run(loop):
-        options = {"workers": 4, "slots": 15, "doors": 8, "seconds": 8.0, **settings}
+        options = {"workers": 4, "slots": 15, "entries": 8, "seconds": 8.0, **settings}
         model = AdmissionModel(ModelSettings(**options), loop.now)
         if script is not None:
             gevent.spawn(script, model)
@@ -42,7 +42,7 @@
 def test_steady_overload_is_admitted_within_a_tenth_of_the_capacity(seed):
     result, capacity = play(load=lambda _: OVERLOAD, seed=seed)
     assert fmean(admitted(result, capacity, range(3, 8))) == pytest.approx(1.0, abs=0.1)
-    # A worker has 15 slots and a door 45 requests a second: noise of single seconds is larger.
+    # A worker has 15 slots and an entry 45 requests a second: noise of single seconds is larger.
     assert all(0.75 < rate < 1.25 for rate in admitted(result, capacity, range(3, 8)))
     assert result.wasted_fraction() < 0.05
     assert result.served_fraction(0) > 0.97
@@ -116,37 +116,42 @@
     assert level.stated == MAX_ADMISSION_LEVEL
 
 
-def test_a_door_without_replies_admits_single_probes_and_then_forgets_the_level():
+def test_requests_get_no_ticket_unless_the_settings_ask_for_it():
+    issuer = TicketIssuer(Clock(), Random(1), enabled=False)
+    assert issuer.draw(2) is NO_TICKET
+
+
+def test_an_entry_without_replies_admits_single_probes_and_then_forgets_the_level():
     clock = Clock()
-    door = Door(clock)
-    door.record("r", "n", 300, True)
-    assert (door.admits("r", 300), door.admits("r", 700)) == (True, False)
+    entry = RootAdmission(clock)
+    entry.record("r", "n", 300, True)
+    assert (entry.admits("r", 300), entry.admits("r", 700)) == (True, False)
     clock.now += 1.2
-    assert [door.admits("r", 700) for _ in range(3)] == [True, False, False]
-    assert door.level("r") == MAX_ADMISSION_LEVEL
+    assert [entry.admits("r", 700) for _ in range(3)] == [True, False, False]
+    assert entry.level("r") == MAX_ADMISSION_LEVEL
     clock.now += 0.9
-    assert [door.admits("r", 700) for _ in range(3)] == [True, True, True]
+    assert [entry.admits("r", 700) for _ in range(3)] == [True, True, True]
 
 
 def test_the_reply_to_a_probe_confirms_or_ends_the_level():
     clock = Clock()
-    door = Door(clock)
-    door.record("r", "n", 300, True)
+    entry = RootAdmission(clock)
+    entry.record("r", "n", 300, True)
     clock.now += 1.2
-    assert door.admits("r", 700)
-    door.record("r", "n", 310, False)
-    assert not door.admits("r", 700)
+    assert entry.admits("r", 700)
+    entry.record("r", "n", 310, False)
+    assert not entry.admits("r", 700)
     clock.now += 0.1
-    door.record("r", "n", MAX_ADMISSION_LEVEL, True)
+    entry.record("r", "n", MAX_ADMISSION_LEVEL, True)
     clock.now += 0.1
-    assert door.admits("r", 700)
+    assert entry.admits("r", 700)
 
 
 def test_a_level_of_one_route_does_not_concern_others():
-    door = Door(Clock())
-    door.record("r", "n", 300, True)
-    door.record("other", "n", MAX_ADMISSION_LEVEL, True)
-    assert door.admits("other", 700)
+    entry = RootAdmission(Clock())
+    entry.record("r", "n", 300, True)
+    entry.record("other", "n", MAX_ADMISSION_LEVEL, True)
+    assert entry.admits("other", 700)
 
 
 def test_a_run_passes_on_the_lowest_of_the_latest_levels():
@@ -160,13 +165,13 @@
 
 def test_tickets_are_ranked_by_priority_unless_it_is_starved():
     clock = Clock()
-    office = TicketOffice(clock, Random(1))
-    drawn = [office.draw(2).rank for _ in range(200)]
+    issuer = TicketIssuer(clock, Random(1))
+    drawn = [issuer.draw(2).rank for _ in range(200)]
     assert all(rank // RANKS_PER_PRIORITY == 2 for rank in drawn)
     assert len(set(drawn)) > 100
     for _ in range(300):
         clock.now += 0.02
-        office.record(0, TreeTicket(0), True)
-        office.record(2, TreeTicket(600), False)
-    carried = sum(office.draw(2).is_first_priority for _ in range(1000)) / 1000
+        issuer.record(0, TreeTicket(0), True)
+        issuer.record(2, TreeTicket(600), False)
+    carried = sum(issuer.draw(2).is_first_priority for _ in range(1000)) / 1000
     assert 0.1 < carried < 0.25
