A run after any earlier arrival is marked as a retry again

Cause: with retries by value, a run that followed only refusals without a run was no longer marked. Its calls earned tokens instead of being charged, although each arrival beyond the first counts as a repeat in the bound, and so may the calls of its run. Change: marked as before the retries by value. The test of the former state, which was new with that part, is replaced by one of this state.

--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -236,7 +236,7 @@
             root_age_ms=_nonnegative_milliseconds(now - root.began_at),
             root_objective_ms=_nonnegative_milliseconds(root.objective_at - now),
             root_deadline_ms=_nonnegative_milliseconds(root.deadline - now),
-            is_retry=root.is_retry or progress.runs > 0,
+            is_retry=root.is_retry or progress.attempts > 0,
             idempotent=route.idempotent,
             bodiless=call.bodiless,
             framing=call.framing,
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -151,12 +151,12 @@
     )
 
 
-def test_a_run_after_a_refusal_without_a_run_is_no_repeated_run():
-    """Its calls are first ones: marked as retries, they would get no tokens at random refusals."""
+def test_a_run_after_a_refusal_without_a_run_is_marked_as_a_retry():
+    """The calls of a second arrival count as retries at the called service, run before or not."""
     refused = refusal(Reason.WORKER_SHED, arrived=True)
     workers = ScriptedWorkers(refused, answer(500), answer(200))
     workers.result()
-    assert [request.is_retry for request in workers.requests] == [False, False, True]
+    assert [request.is_retry for request in workers.requests] == [False, True, True]
     assert workers.budget.take_count == 2
 
 
