slot_admission acquires slots in the order of call trees; the gate only orders the steps

Change: the order of call trees, the admission level and the hand-back of requests stand in slot_admission. Behaviour is the same.

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -24,15 +24,14 @@
 from cranklane.sidecar.admission.gate_listener import AdmissionDecision, GateListener
 from cranklane.sidecar.admission.isolated_runs import IsolatedRuns, SuspectAdmission
 from cranklane.sidecar.admission.outcome_limiter import OutcomeLimiter
+from cranklane.sidecar.admission.slot_admission import SlotAdmission
 from cranklane.sidecar.admission.slots import Slots, Waiter
 from cranklane.sidecar.admission.streamed_answer import StreamedAnswer
 from cranklane.sidecar.admission.worker_notices import WorkerNotices
 from cranklane.sidecar.capacity.worker_capacity import WorkerCapacity
 from cranklane.sidecar.quarantine.table import Quarantine
-from cranklane.sidecar.request.attempt import WITHOUT_CAPACITY, Attempt, Load, Reply, refusal
+from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree
-from cranklane.sidecar.request.tree_ticket import rank_in_class, unpack_ticket
-from cranklane.sidecar.tree_admission.level import AdmissionLevel
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
@@ -94,11 +93,8 @@
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
-        self._level = AdmissionLevel(
-            runtime.monotonic,
-            worker.slots.starts_per_second,
-            worker.slots.idle_fraction,
-            listener.admission_level_changed,
+        self._slot_admission = SlotAdmission(
+            runtime.monotonic, worker.slots, worker.capacity, listener.admission_level_changed
         )
         self.notices = WorkerNotices(
             runtime, registry, worker.slots, worker.capacity.pace, listener
@@ -130,7 +126,7 @@
         """
         reply = self._admit_and_run(attempt, on_admitted)
         reply.load = self.load
-        level = min(reply.advertised.admission_level, self._level.stated)
+        level = min(reply.advertised.admission_level, self._slot_admission.level.stated)
         reply.advertised = self._capacity.advertisement(level)
         reply.notice = self.notices.for_caller()
         if reply.reason is Reason.WORKER_LIMIT and reply.notice is not None:
@@ -172,37 +168,15 @@
         if reason is not Reason.NONE:
             return reason
         self.notices.request_arrived(request)
-        if self._is_handed_back(request):
+        if self._slot_admission.is_handed_back(request):
             return Reason.SLOW_PERIOD
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
-        reason = self._acquire_slot(request, on_wait)
-        if reason is Reason.NONE and self._is_handed_back(request):
-            # The slow period began while the request waited.
-            self._slots.release(self._slots.slot_seconds)
-            reason = Reason.SLOW_PERIOD
+        reason = self._slot_admission.acquire(request, on_wait)
         if reason is not Reason.NONE:
             self._limiter.released(request.route)
         return reason
 
-    def _acquire_slot(self, request: ForwardRequest, on_wait: Callable[[Waiter], None]) -> Reason:
-        """Acquire a slot in the order of call trees, and report the wait to the admission level."""
-        wait_seconds = request.start_within_ms / MILLISECONDS
-        root_age = request.root_age_ms / MILLISECONDS
-        if not request.tree:
-            return self._slots.acquire(request.root_priority, wait_seconds, on_wait, root_age)
-        rank = rank_in_class(unpack_ticket(request.tree), request.root_priority)
-        tree_order = self._level.arrived(rank, root_age)
-        arrived_at = self._clock()
-        reason = self._slots.acquire(
-            request.root_priority, wait_seconds, on_wait, root_age, tree_order
-        )
-        self._level.decided(reason in WITHOUT_CAPACITY, self._clock() - arrived_at, wait_seconds)
-        return reason
-
-    def _is_handed_back(self, request: ForwardRequest) -> bool:
-        return request.hand_back and self._capacity.is_better_elsewhere(request.expected_latency_us)
-
     def _expected_wait(self) -> float:
         """Return the expected queue wait of a highest-priority request, in seconds."""
         return self._slots.expected_wait(self._slots.rank(0, 0.0))
