--- a/src/cranklane/sidecar/capacity/destination_pace.py
+++ b/src/cranklane/sidecar/capacity/destination_pace.py
@@ -50,7 +50,7 @@
 def usual_run_time(seconds: float, advertised: Advertisement) -> float | None:
     """Return the usual length of a run whose reply came with an advertisement.
 
-    None if it cannot be told: the figure became usual during the run.
+    None if it is unknown: the figure became usual during the run.
 
     >>> usual_run_time(0.5, Advertisement(250, 2000)), usual_run_time(0.5, Advertisement())
     (0.2, 0.5)
--- a/src/cranklane/sidecar/capacity/slow_start.py
+++ b/src/cranklane/sidecar/capacity/slow_start.py
@@ -265,7 +265,7 @@
             window *= 1.0 - LATE_DECREASE_FRACTION
         elif run.filled_window:
             window += GROWTH_PER_RUN
-        # A slot less than stated tells callers that the slow start continues.
+        # A slot less than stated shows callers that the slow start continues.
         self._set_window(state, min(window, self.slots - 1.0))
 
     def widen(self) -> None:
--- a/src/cranklane/sidecar/request/route_calls.py
+++ b/src/cranklane/sidecar/request/route_calls.py
@@ -93,7 +93,7 @@
         self._routes: dict[str, RouteCalls] = {}
 
     def of(self, route: str) -> RouteCalls:
-        """Return what is known of a route; runs in progress share it with later ones."""
+        """Return the call counts of a route; runs in progress share it with later ones."""
         calls = self._routes.get(route)
         if calls is None:
             if len(self._routes) >= MAX_ROUTES:
--- a/src/cranklane/sidecar/routing/token_demand.py
+++ b/src/cranklane/sidecar/routing/token_demand.py
@@ -18,7 +18,7 @@
 
 MEMORY_SECONDS = 2.0
 """Time constant of the recorded demand. Longer than the horizon, in which a sidecar sees too few
-retries to tell how many are more valuable."""
+retries to estimate how many are more valuable."""
 
 _BUCKETS_PER_OCTAVE = 4
 """Values that differ by less than a fifth count as equal."""
