--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -162,9 +162,12 @@
 
     :param services: service of each sidecar machine.
     :param controllers: number of controllers; 2f+1 for f tolerated losses.
+    :param bounds: bounds beside those of the first deployment's sheet.
     """
 
-    def __init__(self, services: list[str], controllers: int = 3) -> None:
+    def __init__(
+        self, services: list[str], controllers: int = 3, bounds: dict[str, Any] | None = None
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="cranklane-review-"))
         network = f"127.{random.randint(16, 250)}.{random.randint(0, 250)}"
         ips = [f"{network}.{10 + i}" for i in range(controllers + len(services))]
@@ -193,7 +196,7 @@
                 "bootstrap": True,
                 "heartbeat-ms": 1500,
                 "fault-tolerance": {"machines": (controllers - 1) // 2},
-                "bounds": BOUNDS,
+                "bounds": {**BOUNDS, **(bounds or {})},
                 "data-dir": str(data) if is_core else "",
                 "app-address": "" if is_core else f"{ip}:{ports['app']}",
                 "service": "" if is_core else services[i - controllers],
