--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,11 +20,12 @@
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
+sys.dont_write_bytecode = True
 
-from standins.deployment import Deployment, route, route_table  # noqa: E402
-from standins.http_messages import Reader, Record  # noqa: E402
-from standins.outcome import BROKEN, COULD_NOT_RUN, HELD, status_of  # noqa: E402
-from standins.worker import Worker  # noqa: E402
+from deployment import Deployment, route, route_table  # noqa: E402
+from http_messages import Reader, Record  # noqa: E402
+from outcome import BROKEN, COULD_NOT_RUN, HELD, status_of  # noqa: E402
+from worker import Worker  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 VARIANT = os.environ.get("VARIANT", "early")
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SYSTEM = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 METRICS_PORT = 9464
 START_SECONDS = 30.0
--- a/review/standins/outcome.py
+++ b/review/outcome.py
@@ -7,7 +7,7 @@
 import traceback
 from collections.abc import Callable
 
-from standins.http_messages import Record
+from http_messages import Record
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the review: platform, operator, workers and clients."""
--- a/review/standins/worker.py
+++ b/review/worker.py
@@ -10,8 +10,8 @@
 import time
 from collections.abc import Callable
 
-from standins.deployment import Deployment, Machine
-from standins.http_messages import Reader, Record, post
+from deployment import Deployment, Machine
+from http_messages import Reader, Record, post
 
 HEARTBEAT_SECONDS = 1.5
 WORK_SECONDS = 0.05
