A worker connection that owes the rest of a body is not reused after a refusal

What callers saw: after a worker had refused a long upload before reading it and kept the connection, another caller's request was written where the rest of the upload's body was due.

Cause: WorkerExchange had two places that give a worker connection back. _finish_exchange asks whether the whole request body was sent and whether the worker sent surplus bytes; _read_refusal asked neither. The task that sends the body was still blocked in sendall when the next request took the connection.

Change: a refusal ends its exchange in the same place as any other answer. A connection goes back to the pool only if the body was sent whole, the answer was read whole, nothing follows it, and the worker keeps it open.

Why it works: the pool holds no connection on which a task may still write.

--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -145,7 +145,7 @@
             # Another instance than the expected one may have sent a misdirection.
             listener.noticed(self._notices.read(head))
         if self._is_refusal(head):
-            return self._read_refusal(head, connection)
+            return self._read_refusal(head, connection, sender)
         if not self._is_genuine(head):
             connection.close()
             return unknown(Reason.ANSWER_CUT)
@@ -201,15 +201,16 @@
             reader.finish()
         return None
 
-    def _read_refusal(self, head: AnswerHead, connection: WorkerConnection) -> Reply:
+    def _read_refusal(
+        self, head: AnswerHead, connection: WorkerConnection, sender: BodySender | None
+    ) -> Reply:
         misdirected = head.status == _MISDIRECTED
         answering_instance = head.value(self._instance_name)
         clock = self._runtime.monotonic
         connection.reader.receive_until(clock() + REFUSAL_BODY_SECONDS, clock)
         try:
             if connection.reader.skip_body(MAX_REFUSAL_BODY_BYTES):
-                connection.reader.finish()
-                self._release(head, connection)
+                self._finish_exchange(head, connection, sender)
             else:
                 connection.close()
         except (OSError, TruncatedMessageError, MalformedMessageError):
@@ -282,16 +283,15 @@
     def _finish_exchange(
         self, head: AnswerHead, connection: WorkerConnection, sender: BodySender | None
     ) -> None:
-        """Return the connection to the pool if both request and response are complete."""
+        """Return the connection to the pool if both request and response are complete.
+
+        A worker may answer before it has read the body; the next request would then be read as
+        the rest of that body.
+        """
         surplus = connection.reader.surplus
         connection.reader.finish()
-        if surplus or (sender is not None and not sender.done):
-            connection.close()
-            return
-        self._release(head, connection)
-
-    def _release(self, head: AnswerHead, connection: WorkerConnection) -> None:
-        if head.keep_alive:
+        body_sent = sender is None or sender.done
+        if head.keep_alive and body_sent and not surplus:
             self._pool.give_back(connection)
         else:
             connection.close()
--- a/src/cranklane_lab/simulation/network.py
+++ b/src/cranklane_lab/simulation/network.py
@@ -15,6 +15,7 @@
 import gevent
 from gevent.event import Event
 
+from cranklane.errors import InvariantError
 from cranklane.runtime.interface import Address, ConnectionHandler
 from cranklane_lab.simulation.loop import VirtualLoop
 
@@ -46,6 +47,9 @@
 class SimulatedConnection:
     """One end of a connection, with a socket's methods.
 
+    A second task that waits to read, or that sends while another waits to send, gets an
+    InvariantError: it would take or interrupt bytes that belong to the first.
+
     :ivar received: bytes that arrived and are not yet read.
     :ivar unread: sent bytes that the peer hasn't read.
     :ivar ended: whether the peer has finished sending.
@@ -65,6 +69,8 @@
         self._timeout: float | None = None
         self._readable = Event()
         self._writable = Event()
+        self._reading = False
+        self._sending = False
 
     def settimeout(self, seconds: float | None) -> None:
         """Set the timeout of later waits, which raise TimeoutError after it."""
@@ -87,11 +93,17 @@
 
     def recv(self, size: int) -> bytes:
         """Return up to ``size`` bytes; ``b""`` at the end of the stream."""
-        while not self.received:
-            self._check_usable()
-            if self.ended:
-                return b""
-            self._wait(self._readable)
+        if self._reading:
+            raise InvariantError("another task is already reading from the connection")
+        self._reading = True
+        try:
+            while not self.received:
+                self._check_usable()
+                if self.ended:
+                    return b""
+                self._wait(self._readable)
+        finally:
+            self._reading = False
         self._check_usable()
         data = bytes(self.received[:size])
         del self.received[:size]
@@ -105,7 +117,15 @@
 
     def sendall(self, data: bytes) -> None:
         """Send all bytes, waiting for room in the window."""
-        view = memoryview(bytes(data))
+        if self._sending:
+            raise InvariantError("another task is already sending on the connection")
+        self._sending = True
+        try:
+            self._send_view(memoryview(bytes(data)))
+        finally:
+            self._sending = False
+
+    def _send_view(self, view: memoryview) -> None:
         while view:
             self._check_usable()
             room = WINDOW_BYTES - self.unread
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -18,7 +18,11 @@
 from cranklane.common.units import MILLISECONDS
 from cranklane.runtime.interface import Address, Runtime
 from cranklane_lab.standins.raw_http import exchange
-from cranklane_lab.standins.routed_worker_state import RoutedRun, RoutedWorkerState
+from cranklane_lab.standins.routed_worker_state import (
+    LateBody,
+    RoutedRun,
+    RoutedWorkerState,
+)
 
 NAMES = HeaderNames()
 HEARTBEAT_SECONDS = 1.5
@@ -153,6 +157,12 @@
             request = head.value(NAMES.request.lower()) or b""
             self._answer(stream, request, 503, b"", not_run=True)
             return False
+        if state.consume_fault("refuse_early"):
+            gevent.sleep(state.early_answer_delay)
+            self._answer(stream, head.value(NAMES.request.lower()) or b"", 503, b"", not_run=True)
+            return self._read_late(reader, head)
+        if state.consume_fault("answer_early"):
+            return self._answer_early(stream, reader, head)
         while not state.reads_body:
             gevent.sleep(_POLL_SECONDS)
         body = b""
@@ -167,7 +177,11 @@
             return self._answer(stream, request, 421, b"", not_run=True)
         is_shed = state.shed_fraction and self._runtime.random.random() < state.shed_fraction
         if is_shed or state.consume_fault("refuse"):
-            return self._answer(stream, request, 503, b"", not_run=True)
+            answer = self._bytes(request, 503, b"", not_run=True)
+            if state.consume_fault("surplus_refusals"):
+                answer += status_line(200) + b"Content-Length: 0\r\n\r\n"
+            stream.sendall(answer)
+            return True
         if state.endless_part == "refusal" and state.consume_fault("endless_answers"):
             return self._send_without_end(stream, request)
         run = RoutedRun(
@@ -195,6 +209,42 @@
             return False
         return self._finish(stream, request)
 
+    def _answer_early(self, stream: Any, reader: RequestReader, head: RequestHead) -> bool:
+        """Answer a request as run before its body is read; return whether the body was whole."""
+        gevent.sleep(self.state.early_answer_delay)
+        request = head.value(NAMES.request.lower()) or b""
+        now = self._runtime.monotonic()
+        run = RoutedRun(request.decode(), head.method, head.target, head.headers, b"", now)
+        run.answered_early = True
+        self.state.runs.append(run)
+        if self.state.on_run is not None:
+            self.state.on_run(run)
+        body = b"ran " + request if self.state.echoes else self.state.body
+        self._answer(stream, request, 200, body)
+        return self._read_late(reader, head)
+
+    def _read_late(self, reader: RequestReader, head: RequestHead) -> bool:
+        """Read the body of a request that is already answered; return whether it was whole."""
+        gevent.sleep(self.state.late_read_pause)
+        data = b""
+        whole = malformed = False
+        try:
+            while chunk := reader.next_piece():
+                data += chunk
+            reader.finish()
+            whole = True
+        except MalformedMessageError:
+            malformed = True
+        except (OSError, TruncatedMessageError):
+            # The sidecar has closed the connection in place of sending the rest.
+            pass
+        request = (head.value(NAMES.request.lower()) or b"").decode()
+        late_body = LateBody(request, head.target, data, malformed)
+        self.state.late_bodies.append(late_body)
+        if self.state.on_late_body is not None:
+            self.state.on_late_body(late_body)
+        return whole
+
     def _send_health(self, stream: Any) -> bool:
         is_well = self.phase == "ready" and not self.state.leaving
         stream.sendall(
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -13,6 +13,7 @@
     :ivar request: request id.
     :ivar at: monotonic second at which it started.
     :ivar work_time_factor: the worker's factor on work times at the start.
+    :ivar answered_early: whether it was answered before its body was read; ``body`` is empty then.
     """
 
     request: str
@@ -23,12 +24,27 @@
     at: float
     work_time_factor: float = 1.0
     cancelled: bool = False
+    answered_early: bool = False
 
     def value(self, name: bytes) -> bytes:
         """Return the first value of a header; empty if it is missing."""
         return next((v for n, v in self.headers if n.lower() == name.lower()), b"")
 
 
+@dataclass(frozen=True)
+class LateBody:
+    """A body that the worker read after it had answered the request.
+
+    :ivar data: the bytes received up to the end of the body or of the connection.
+    :ivar malformed: whether the bytes do not have the framing that the request announced.
+    """
+
+    request: str
+    target: bytes
+    data: bytes
+    malformed: bool
+
+
 @dataclass
 class RoutedWorkerState:
     """The behaviour, faults and counters of a worker.
@@ -45,7 +61,14 @@
     :ivar unframed_answers: fault: send a response without length and close the connection.
     :ivar unmarked_answers: fault: send a response without the integrity header.
     :ivar refuse: fault: refuse the request as not run.
+    :ivar surplus_refusals: fault: send an extra response, without a request id, after a refusal.
     :ivar refuse_unread: fault: refuse the request as not run before its body is read.
+    :ivar refuse_early: fault: refuse the request as not run, then read its body all the same.
+    :ivar answer_early: fault: answer 200, then read the body of the request.
+    :ivar early_answer_delay: seconds from the head of a request to its early answer.
+    :ivar late_read_pause: seconds between an early answer and the first read of the body.
+    :ivar late_bodies: bodies read after an early answer.
+    :ivar on_late_body: called with each of them.
     :ivar reads_body: whether it reads the bodies of requests.
     :ivar fail: fault: run the request and respond with 500.
     :ivar endless_answers: fault: send ``endless_part`` without end, until the caller closes.
@@ -85,7 +108,14 @@
     unframed_answers: int = 0
     unmarked_answers: int = 0
     refuse: int = 0
+    surplus_refusals: int = 0
     refuse_unread: int = 0
+    refuse_early: int = 0
+    answer_early: int = 0
+    early_answer_delay: float = 0.0
+    late_read_pause: float = 0.0
+    late_bodies: list[LateBody] = field(default_factory=list)
+    on_late_body: Callable[[LateBody], None] | None = None
     reads_body: bool = True
     fail: int = 0
     endless_answers: int = 0
--- a/tests/mesh_support.py
+++ b/tests/mesh_support.py
@@ -15,6 +15,10 @@
 }
 
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Limit on the size of a body in tables for uploads."""
+
+
 def delay(_source, _target):
     """Return the network delay between two hosts, in seconds."""
     return 0.0005
@@ -47,6 +51,24 @@
     return simulate(seed, delay, scenario)
 
 
+def upload_table(version, base, routes):
+    """Return a route table that allows bodies of up to ``MAX_BODY_BYTES``."""
+    document = route_table(version, base, routes, ("s", "t"))
+    document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+    return document
+
+
+def play_uploads(script, routes, **options):
+    """Like :func:`play`, with a route table that allows large bodies."""
+
+    def with_table(mesh):
+        assert mesh.apply_route_table(upload_table(2, 1, routes)).status == 200
+        gevent.sleep(1.0)
+        return script(mesh)
+
+    return play(with_table, routes=routes, **options)
+
+
 def runs(mesh):
     """Return the runs of all workers, grouped by machine."""
     return [run for machine in mesh.machines for run in machine.worker.state.runs]
--- /dev/null
+++ b/tests/test_early_answers.py
@@ -0,0 +1,157 @@
+"""Requests that are answered, or given up, while their body is still arriving."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from cranklane_lab.standins.raw_http import RawConnection, request_bytes
+from mesh_support import configure_workers, play_uploads
+
+ROUTES = {
+    "file": {"prefix": "/file/", "service": "s", "repeat": "upload"},
+    "mail": {"prefix": "/mail/", "service": "s", "repeat": "unsafe"},
+    "short": {"prefix": "/short/", "service": "s", "repeat": "upload", "timeout_ms": 600},
+}
+PATTERN = b"0123456789abcdef"
+PIECE = PATTERN * 4096
+PIECES = 10
+PIECE_INTERVAL_SECONDS = 0.1
+EARLY_ANSWER_SECONDS = 0.2
+"""Time from the head of a request to its early answer; the windows are full by then."""
+
+LOCAL, REMOTE = 0, 1
+"""Machine at which a request enters: that of the only worker, or another one."""
+
+
+def play_mesh(script):
+    """Play on two machines, of which the first has the only worker of the service."""
+    return play_uploads(script, ROUTES, services=("s", "t"), slots=20)
+
+
+class Upload:
+    """An upload whose body is sent piece by piece until it is answered.
+
+    :param pieces: size of the body in pieces.
+    :param interval: seconds between the pieces.
+    :ivar answer: the response; None without one.
+    """
+
+    def __init__(
+        self,
+        mesh,
+        machine,
+        path="/file/x",
+        chunked=False,
+        pieces=PIECES,
+        interval=PIECE_INTERVAL_SECONDS,
+        name="up",
+    ):
+        process = mesh.client_process(f"uploader-{name}", mesh.machines[machine].host)
+        self._connection = RawConnection(process, mesh.machines[machine].callers)
+        self._chunked = chunked
+        self._pieces = pieces
+        self._interval = interval
+        framing = (
+            b"Transfer-Encoding: chunked"
+            if chunked
+            else b"Content-Length: %d" % (pieces * len(PIECE))
+        )
+        self._connection.send(
+            b"POST %s HTTP/1.1\r\nHost: shop.example\r\nCranklane-Request-Id: %s\r\n"
+            b"Cranklane-Deadline-Ms: 20000\r\n%s\r\n\r\n" % (path.encode(), name.encode(), framing)
+        )
+        self.answer = None
+        self._sending = gevent.spawn(self._send)
+        self._answering = gevent.spawn(self._receive)
+
+    def _send(self):
+        piece = b"%x\r\n%s\r\n" % (len(PIECE), PIECE) if self._chunked else PIECE
+        try:
+            for _ in range(self._pieces):
+                self._connection.send(piece)
+                gevent.sleep(self._interval)
+            if self._chunked:
+                self._connection.send(b"0\r\n\r\n")
+        except OSError:
+            # The sidecar has closed the connection after its answer.
+            pass
+
+    def _receive(self):
+        self.answer = self._connection.answer()
+
+    def status(self):
+        """Wait for the response and return its status."""
+        self._answering.join()
+        return self.answer.status
+
+    def join(self):
+        """Wait until neither side sends any more."""
+        gevent.joinall([self._answering, self._sending])
+
+
+def send_mail(mesh, machine, seconds, client=0):
+    """Send small requests on one connection; return their statuses."""
+    process = mesh.client_process(f"mail-{client}", mesh.machines[machine].host)
+    connection = RawConnection(process, mesh.machines[machine].callers)
+    statuses = set()
+    ends_at = mesh.world.loop.now() + seconds
+    number = 0
+    while mesh.world.loop.now() < ends_at:
+        number += 1
+        headers = {
+            "Host": "shop.example",
+            "Cranklane-Request-Id": f"mail-{client}-{number}",
+            "Cranklane-Deadline-Ms": "3000",
+        }
+        connection.send(request_bytes("POST", f"/mail/{number}", headers, b"mail"))
+        answer = connection.answer()
+        statuses.add(answer.status if answer is not None else 0)
+    return statuses
+
+
+def send_mail_from_several(mesh, machine, seconds):
+    """Like :func:`send_mail`, on several connections at once."""
+    clients = [gevent.spawn(send_mail, mesh, machine, seconds, client) for client in range(4)]
+    return set().union(*(client.get() for client in clients))
+
+
+def is_prefix_of_upload(late_body):
+    """Return whether a worker received bytes of the upload alone where its body was due."""
+    expected = (PATTERN * (len(late_body.data) // len(PATTERN) + 1))[: len(late_body.data)]
+    return not late_body.malformed and late_body.data == expected
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("machine", [LOCAL, REMOTE])
+@pytest.mark.parametrize("fault", ["refuse_early"])
+def test_a_connection_that_owes_the_rest_of_a_body_gets_no_other_request(fault, machine, chunked):
+    """Guards against another request's bytes in the body of a request that was answered early."""
+
+    def script(mesh):
+        configure_workers(
+            mesh, early_answer_delay=EARLY_ANSWER_SECONDS, late_read_pause=0.5, **{fault: 1}
+        )
+        # More than the windows on the way hold, so that the sender of the body is blocked.
+        upload = Upload(mesh, machine, chunked=chunked, pieces=64, interval=0.0)
+        assert mesh.wait_for(lambda: mesh.machines[0].worker.state.arrivals, 3.0)
+        # The pool hands out the connection that was given back last.
+        gevent.sleep(EARLY_ANSWER_SECONDS + 0.1)
+        statuses = send_mail_from_several(mesh, machine, 1.5)
+        upload.join()
+        late_bodies = mesh.machines[0].worker.state.late_bodies
+        return statuses, [is_prefix_of_upload(late_body) for late_body in late_bodies]
+
+    assert play_mesh(script) == ({200}, [True])
+
+
+@pytest.mark.parametrize("machine", [LOCAL, REMOTE])
+def test_a_surplus_answer_after_a_refusal_reaches_no_other_request(machine):
+    """Guards against the reuse of a connection on which a refusal was followed by more bytes."""
+
+    def script(mesh):
+        configure_workers(mesh, refuse=1, surplus_refusals=1)
+        refused = mesh.request(mesh.machines[machine], "/mail/x", "POST", b"mail").status
+        return refused, send_mail(mesh, machine, 0.5)
+
+    assert play_mesh(script) == (503, {200})
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -7,27 +7,14 @@
 
 from cranklane.routes.document import read_table
 from cranklane_lab.standins.raw_http import RawConnection
-from cranklane_lab.standins.route_tables import route_table
-from mesh_support import configure_workers, play, runs
+from mesh_support import configure_workers, play_uploads, runs, upload_table
 
 ROUTES = {"file": {"prefix": "/file/", "service": "s", "repeat": "upload"}}
-MAX_BODY_BYTES = 64 * 1024 * 1024
 PIECE = bytes(range(256)) * 256
 
 
-def table(version, base):
-    document = route_table(version, base, ROUTES, ("s", "t"))
-    document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
-    return document
-
-
-def play_uploads(script):
-    def with_table(mesh):
-        assert mesh.apply_route_table(table(2, 1)).status == 200
-        gevent.sleep(1.0)
-        return script(mesh)
-
-    return play(with_table, routes=ROUTES)
+def play_mesh(script):
+    return play_uploads(script, ROUTES)
 
 
 def start_upload(mesh, pieces, chunked=False, expect=b""):
@@ -49,7 +36,7 @@
 
 
 def test_an_upload_route_takes_requests_that_run_at_most_once():
-    read = read_table(table(1, 0)).ok_value
+    read = read_table(upload_table(1, 0, ROUTES)).ok_value
     assert [route.idempotent for route in read.routes] == [False]
 
 
@@ -64,7 +51,7 @@
         answer = connection.answer()
         return answer.status, [run.body == PIECE * 64 for run in runs(mesh)]
 
-    assert play_uploads(script) == (200, [True])
+    assert play_mesh(script) == (200, [True])
 
 
 def test_an_upload_to_a_worker_that_does_not_read_is_held_back_at_the_caller():
@@ -84,7 +71,7 @@
         task.kill()
         return sent
 
-    assert play_uploads(script) < 4 * 1024 * 1024
+    assert play_mesh(script) < 4 * 1024 * 1024
 
 
 @pytest.mark.parametrize("chunked", [False, True])
@@ -103,7 +90,7 @@
         arrivals = sum(machine.worker.state.arrivals for machine in mesh.machines)
         return answer.status, arrivals, len(runs(mesh))
 
-    assert play_uploads(script) == (503, 1, 0)
+    assert play_mesh(script) == (503, 1, 0)
 
 
 def test_an_upload_broken_off_by_its_caller_does_not_run_and_frees_its_slot():
@@ -115,4 +102,4 @@
         gevent.sleep(0.5)
         return len(runs(mesh)), [machine.sidecar.gate.load.running for machine in mesh.machines]
 
-    assert play_uploads(script) == (0, [0, 0, 0])
+    assert play_mesh(script) == (0, [0, 0, 0])
