The task that sends a request's body ends before its exchange does

What callers saw: a request with a body of more than 64 KiB that was answered, or given up, while its body was still arriving ended the sidecar with "InvariantError: another task is already reading from the connection".

Cause: the rest of a long body is sent by a task of its own, at the caller's sidecar to another sidecar (peer_client._send_body) and beside the worker to the worker (BodySender). Nobody owned that task: when the response was there, it went on to read the caller's connection, or the connection of the forwarding sidecar. Then Ingress lingered on the first, or PeerServer read the next record from the second, and a connection has one reader.

In the simulated mesh 18 variants failed: early refusal, early answer, the route's timeout, a crash of the worker, a kill of the worker's sidecar, each at the local and a remote worker, in both framings.

Change: BodyTransfer is that task, and ConnectionLease is the use of a pooled connection by one attempt. The lease owns the transfer: returning or closing the connection ends it, in the middle of the body if need be, and a connection on which the body was not sent whole is closed. WorkerExchange and PeerClient end their lease before they return, or at the end of a streamed response.

Why it works: by the time that a reply reaches the ingress or the peer server, or a retry starts, no task reads the body's connection any more.

--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -8,8 +8,8 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
+from functools import partial
 
-from cranklane.common.http1.message import MalformedMessageError, TruncatedMessageError
 from cranklane.common.units import MILLISECONDS
 from cranklane.errors import ConnectionLostError, MalformedRecordError, TruncatedAnswerError
 from cranklane.outcome import Outcome, Reason
@@ -24,6 +24,7 @@
 )
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.request.attempt import Attempt, Reply, refusal, unknown
+from cranklane.sidecar.request.connection_lease import ConnectionLease
 from cranklane.sidecar.routing.forward_records import decode_reply
 
 CONNECT_TIMEOUT_SECONDS = 0.6
@@ -74,24 +75,34 @@
         except (OSError, ConnectionLostError, MalformedRecordError):
             return refusal(Reason.PEER_UNREACHABLE)
         records = connection.records
-        attempt.when_cancelled(records.close)
+        give_back = partial(self._release, address, connection)
+        lease = ConnectionLease(attempt, give_back, records.close)
         timeout_seconds = attempt.request.deadline_ms / MILLISECONDS
+        reply: Reply | None = None
         try:
             records.set_idle_timeout(timeout_seconds)
             records.send(attempt.request)
-            answer = self._receive_answer(records, attempt)
+            reply = self._receive_reply(records, attempt, lease)
         except (ConnectionLostError, MalformedRecordError) as error:
-            records.close()
             deadline_passed = self._runtime.monotonic() - started_at >= timeout_seconds
-            return _reply_without_answer(attempt, error, deadline_passed)
+            reply = _reply_without_answer(attempt, error, deadline_passed)
+        finally:
+            if reply is None or reply.rest is None:
+                # No effect after a complete exchange, which has released the connection.
+                lease.close()
+        return reply
+
+    def _receive_reply(
+        self, records: RecordConnection, attempt: Attempt, lease: ConnectionLease
+    ) -> Reply:
+        """Return the reply; release the connection once the response is complete."""
+        answer = self._receive_answer(records, attempt, lease)
         reply = decode_reply(answer)
-        if answer.outcome != Outcome.ANSWERED and not attempt.request.whole:
-            # Chunks of the request body may still be in transit.
-            records.close()
-        elif answer.whole:
-            self._release(address, connection)
-        else:
-            reply.rest = self._stream_body(address, connection)
+        if not answer.whole:
+            reply.rest = _stream_body(records, lease)
+        elif answer.outcome == Outcome.ANSWERED or attempt.request.whole:
+            lease.release()
+        # Otherwise the server closes the connection: it has not read the rest of the body.
         return reply
 
     def _take(self, address: Address) -> _Connection:
@@ -118,7 +129,9 @@
         if connection.idle_since - idle[0].idle_since > MAX_IDLE_SECONDS:
             idle.popleft().records.close()
 
-    def _receive_answer(self, records: RecordConnection, attempt: Attempt) -> ForwardAnswer:
+    def _receive_answer(
+        self, records: RecordConnection, attempt: Attempt, lease: ConnectionLease
+    ) -> ForwardAnswer:
         while True:
             _, message = records.receive()
             match message:
@@ -126,7 +139,7 @@
                     return message
                 case ForwardContinue():
                     attempt.rest_started = True
-                    self._runtime.spawn(_send_body, records, attempt)
+                    lease.send_body(self._runtime, partial(_send_body, records, attempt))
                 case Ping():
                     pass
                 case _:
@@ -134,27 +147,6 @@
                         f"expected ForwardAnswer, received {type(message).__name__}"
                     )
 
-    def _stream_body(self, address: Address, connection: _Connection) -> Iterator[bytes]:
-        records = connection.records
-        whole = False
-        try:
-            while True:
-                _, message = records.receive()
-                if not isinstance(message, ForwardBody):
-                    raise TruncatedAnswerError("the response was truncated at the worker's sidecar")
-                if message.data:
-                    yield message.data
-                if message.last:
-                    whole = True
-                    return
-        except (ConnectionLostError, MalformedRecordError) as error:
-            raise TruncatedAnswerError(str(error)) from error
-        finally:
-            if whole:
-                self._release(address, connection)
-            else:
-                records.close()
-
     def exchange(self, address: Address, update: QuarantineNews) -> QuarantineNews | None:
         """Send a quarantine update and return the response, or None if the exchange failed.
 
@@ -203,17 +195,36 @@
     return unknown(Reason.DEADLINE_PASSED if deadline_passed or timed_out else Reason.PEER_LOST)
 
 
-def _send_body(records: RecordConnection, attempt: Attempt) -> None:
-    assert attempt.rest is not None
+def _stream_body(records: RecordConnection, lease: ConnectionLease) -> Iterator[bytes]:
+    whole = False
     try:
         while True:
-            chunk = attempt.rest()
-            records.send(ForwardBody(not chunk, chunk))
-            if not chunk:
+            _, message = records.receive()
+            if not isinstance(message, ForwardBody):
+                raise TruncatedAnswerError("the response was truncated at the worker's sidecar")
+            if message.data:
+                yield message.data
+            if message.last:
+                whole = True
                 return
-    except (OSError, TruncatedMessageError, MalformedMessageError):
-        # The caller's body is incomplete: close, so that the peer does not treat it as complete.
-        records.close()
-    except ConnectionLostError:
-        # Reported by the task that waits for the response on this connection.
-        return
+    except (ConnectionLostError, MalformedRecordError) as error:
+        raise TruncatedAnswerError(str(error)) from error
+    finally:
+        if whole:
+            lease.release()
+        else:
+            lease.close()
+
+
+def _send_body(records: RecordConnection, attempt: Attempt) -> None:
+    """Send the rest of a request's body as it arrives.
+
+    :raises OSError: if the caller's connection fails.
+    :raises MalformedMessageError: if the body has an invalid framing.
+    :raises TruncatedMessageError: if the caller's connection ends before the body does.
+    :raises ConnectionLostError: if the peer's connection fails.
+    """
+    assert attempt.rest is not None
+    while chunk := attempt.rest():
+        records.send(ForwardBody(False, chunk))
+    records.send(ForwardBody(True, b""))
--- a/src/cranklane/sidecar/worker/body_sender.py
+++ b/src/cranklane/sidecar/worker/body_sender.py
@@ -1,53 +1,32 @@
-"""Sends a request's body to the worker while the response is read."""
+"""Sends a request's body to the worker in the framing that its head announces."""
 
 from __future__ import annotations
 
-from cranklane.common.http1.message import Framing, MalformedMessageError, TruncatedMessageError
+from cranklane.common.http1.message import Framing
 from cranklane.common.http1.writer import LAST_CHUNK, chunk
-from cranklane.errors import ConnectionLostError, MalformedRecordError
 from cranklane.sidecar.request.attempt import Attempt
 from cranklane.sidecar.worker.pool import WorkerConnection
 
-_BODY_ERRORS = (
-    OSError,
-    TruncatedMessageError,
-    MalformedMessageError,
-    ConnectionLostError,
-    MalformedRecordError,
-)
-"""Errors from reading the rest of a body or from writing it to the worker."""
 
+def send_body(connection: WorkerConnection, attempt: Attempt) -> None:
+    """Send the buffered part of a body and then the rest as it arrives.
 
-class BodySender:
-    """Sends one body in a separate task.
-
-    :ivar done: whether the complete body was sent.
+    :raises OSError: if the connection fails.
+    :raises MalformedMessageError: if the rest of the body has an invalid framing.
+    :raises TruncatedMessageError: if the caller's connection ends before the body does.
+    :raises ConnectionLostError: if the connection of the forwarding sidecar fails.
+    :raises MalformedRecordError: if the forwarding sidecar sends an unexpected record.
     """
-
-    def __init__(self, connection: WorkerConnection, attempt: Attempt) -> None:
-        self._connection = connection
-        self._attempt = attempt
-        self.done = False
-
-    def run(self) -> None:
-        """Send the complete body; close the connection on an error."""
-        attempt = self._attempt
-        framing = Framing(attempt.request.framing)
-        try:
-            self._write(framing, attempt.request.body)
-            attempt.rest_started = attempt.rest is not None
-            while attempt.rest is not None:
-                data = attempt.rest()
-                if not data:
-                    break
-                self._write(framing, data)
-            if framing is Framing.CHUNKED:
-                self._connection.stream.sendall(LAST_CHUNK)
-            self.done = True
-        except _BODY_ERRORS:
-            # Closing prevents the worker from accepting a truncated body as complete.
-            self._connection.close()
-
-    def _write(self, framing: Framing, data: bytes) -> None:
-        if data:
-            self._connection.stream.sendall(chunk(data) if framing is Framing.CHUNKED else data)
+    framing = Framing(attempt.request.framing)
+    _write(connection, framing, attempt.request.body)
+    if attempt.rest is not None:
+        attempt.rest_started = True
+        while data := attempt.rest():
+            _write(connection, framing, data)
+    if framing is Framing.CHUNKED:
+        connection.stream.sendall(LAST_CHUNK)
+
+
+def _write(connection: WorkerConnection, framing: Framing, data: bytes) -> None:
+    if data:
+        connection.stream.sendall(chunk(data) if framing is Framing.CHUNKED else data)
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -31,8 +32,9 @@
     refusal,
     unknown,
 )
+from cranklane.sidecar.request.connection_lease import ConnectionLease
 from cranklane.sidecar.worker.answer_notice import AnswerNotice, AnswerNoticeReader
-from cranklane.sidecar.worker.body_sender import BodySender
+from cranklane.sidecar.worker.body_sender import send_body
 from cranklane.sidecar.worker.pool import WorkerConnection, WorkerPool
 
 INLINE_SEND_BYTES = 16 * 1024
@@ -107,49 +109,51 @@
         except OSError:
             # Nothing was sent, so the request has not run.
             return refusal(Reason.WORKER_UNREACHABLE)
-        attempt.when_cancelled(connection.close)
+        give_back = partial(self._pool.give_back, connection)
+        lease = ConnectionLease(attempt, give_back, connection.close)
+        reply: Reply | None = None
         try:
-            return self._run(attempt, connection, instance, deadline, listener)
+            reply = self._run(attempt, connection, lease, instance, deadline, listener)
         except TimeoutError:
-            connection.close()
-            return unknown(Reason.DEADLINE_PASSED)
+            reply = unknown(Reason.DEADLINE_PASSED)
         except (OSError, TruncatedMessageError):
-            connection.close()
-            return unknown(Reason.CANCELLED if attempt.cancelled else Reason.WORKER_FAILED)
+            reply = unknown(Reason.CANCELLED if attempt.cancelled else Reason.WORKER_FAILED)
         except (HeadTooLargeError, MalformedMessageError, ValueError):
-            connection.close()
-            return unknown(Reason.ANSWER_CUT)
+            reply = unknown(Reason.ANSWER_CUT)
+        finally:
+            if reply is None or reply.rest is None:
+                # No effect after a complete exchange, which has released the connection.
+                lease.close()
+        return reply
 
     def _run(
         self,
         attempt: Attempt,
         connection: WorkerConnection,
+        lease: ConnectionLease,
         instance: str,
         deadline: float,
         listener: RunListener,
     ) -> Reply:
         remaining = deadline - self._runtime.monotonic()
         if remaining <= 0 or attempt.cancelled:
-            connection.close()
             return refusal(Reason.CANCELLED if attempt.cancelled else Reason.DEADLINE_PASSED)
         connection.stream.settimeout(remaining)
         connection.reader.receive_until(deadline, self._runtime.monotonic)
         listener.sent()
-        sender = self._send(attempt, connection, instance, remaining)
+        self._send(attempt, connection, lease, instance, remaining)
         head = self._matching_answer(attempt.request, connection)
         if head is None:
-            connection.close()
             return unknown(Reason.ANSWER_CUT)
         connection.apply_keep_alive(head)
         if head.status != _MISDIRECTED:
             # Another instance than the expected one may have sent a misdirection.
             listener.noticed(self._notices.read(head))
         if self._is_refusal(head):
-            return self._read_refusal(head, connection, sender)
+            return self._read_refusal(head, connection, lease)
         if not self._is_genuine(head):
-            connection.close()
             return unknown(Reason.ANSWER_CUT)
-        return self._read_reply(head, connection, sender, listener)
+        return self._read_reply(head, connection, lease, listener)
 
     def _is_refusal(self, head: AnswerHead) -> bool:
         """Return whether a response states that the request was not run."""
@@ -161,8 +165,14 @@
         return not success or head.value(self._integrity_name) is not None
 
     def _send(
-        self, attempt: Attempt, connection: WorkerConnection, instance: str, remaining: float
-    ) -> BodySender | None:
+        self,
+        attempt: Attempt,
+        connection: WorkerConnection,
+        lease: ConnectionLease,
+        instance: str,
+        remaining: float,
+    ) -> None:
+        """Send a request's head and a small body; start to send a larger one."""
         request = attempt.request
         names = self._names
         head = b"%s%s: %d\r\n%s: %s\r\n\r\n" % (
@@ -177,11 +187,9 @@
             if request.framing == Framing.CHUNKED:
                 body = (chunk(body) if body else b"") + LAST_CHUNK
             connection.stream.sendall(head + body)
-            return None
+            return
         connection.stream.sendall(head)
-        sender = BodySender(connection, attempt)
-        self._runtime.spawn(sender.run)
-        return sender
+        lease.send_body(self._runtime, partial(send_body, connection, attempt))
 
     def _matching_answer(
         self, request: ForwardRequest, connection: WorkerConnection
@@ -202,7 +210,7 @@
         return None
 
     def _read_refusal(
-        self, head: AnswerHead, connection: WorkerConnection, sender: BodySender | None
+        self, head: AnswerHead, connection: WorkerConnection, lease: ConnectionLease
     ) -> Reply:
         misdirected = head.status == _MISDIRECTED
         answering_instance = head.value(self._instance_name)
@@ -210,12 +218,10 @@
         connection.reader.receive_until(clock() + REFUSAL_BODY_SECONDS, clock)
         try:
             if connection.reader.skip_body(MAX_REFUSAL_BODY_BYTES):
-                self._finish_exchange(head, connection, sender)
-            else:
-                connection.close()
+                _finish_exchange(head, connection, lease)
         except (OSError, TruncatedMessageError, MalformedMessageError):
             # The refusal is valid without its body, but the connection cannot be reused.
-            connection.close()
+            lease.close()
         if misdirected and answering_instance is not None:
             self._on_unexpected_instance(answering_instance.decode("latin-1"))
         return refusal(Reason.WORKER_SHED, arrived=not misdirected)
@@ -224,7 +230,7 @@
         self,
         head: AnswerHead,
         connection: WorkerConnection,
-        sender: BodySender | None,
+        lease: ConnectionLease,
         listener: RunListener,
     ) -> Reply:
         reader = connection.reader
@@ -249,18 +255,18 @@
             body=b"".join(body_parts),
         )
         if whole:
-            self._finish_exchange(head, connection, sender)
+            _finish_exchange(head, connection, lease)
             if head.framing in (Framing.CHUNKED, Framing.UNTIL_CLOSE):
                 reply.framing, reply.length = Framing.LENGTH, size
         else:
-            reply.rest = self._stream_rest(head, connection, sender, listener)
+            reply.rest = self._stream_rest(head, connection, lease, listener)
         return reply
 
     def _stream_rest(
         self,
         head: AnswerHead,
         connection: WorkerConnection,
-        sender: BodySender | None,
+        lease: ConnectionLease,
         listener: RunListener,
     ) -> Iterator[bytes]:
         whole = False
@@ -276,25 +282,21 @@
             raise TruncatedAnswerError(str(error)) from error
         finally:
             if whole:
-                self._finish_exchange(head, connection, sender)
+                _finish_exchange(head, connection, lease)
             else:
-                connection.close()
-
-    def _finish_exchange(
-        self, head: AnswerHead, connection: WorkerConnection, sender: BodySender | None
-    ) -> None:
-        """Return the connection to the pool if both request and response are complete.
-
-        A worker may answer before it has read the body; the next request would then be read as
-        the rest of that body.
-        """
-        surplus = connection.reader.surplus
-        connection.reader.finish()
-        body_sent = sender is None or sender.done
-        if head.keep_alive and body_sent and not surplus:
-            self._pool.give_back(connection)
-        else:
-            connection.close()
+                lease.close()
+
+
+def _finish_exchange(
+    head: AnswerHead, connection: WorkerConnection, lease: ConnectionLease
+) -> None:
+    """End an exchange whose response was read completely; release the connection if possible."""
+    surplus = connection.reader.surplus
+    connection.reader.finish()
+    if head.keep_alive and not surplus:
+        lease.release()
+    else:
+        lease.close()
 
 
 def _check_end(head: AnswerHead, listener: RunListener) -> None:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -124,7 +124,7 @@
 
 @pytest.mark.parametrize("chunked", [False, True])
 @pytest.mark.parametrize("machine", [LOCAL, REMOTE])
-@pytest.mark.parametrize("fault", ["refuse_early"])
+@pytest.mark.parametrize("fault", ["refuse_early", "answer_early"])
 def test_a_connection_that_owes_the_rest_of_a_body_gets_no_other_request(fault, machine, chunked):
     """Guards against another request's bytes in the body of a request that was answered early."""
 
@@ -155,3 +155,52 @@
         return refused, send_mail(mesh, machine, 0.5)
 
     assert play_mesh(script) == (503, {200})
+
+
+def crash_worker(mesh):
+    mesh.machines[0].worker.end()
+
+
+def kill_sidecar(mesh):
+    mesh.machines[0].process.kill()
+
+
+def nothing(_mesh):
+    pass
+
+
+TROUBLES = {
+    "refused": ({"refuse_early": 1}, "/file/x", nothing, 503),
+    "answered": ({"answer_early": 1}, "/file/x", nothing, 200),
+    "timed out": ({}, "/short/x", nothing, 504),
+    "worker crashed": ({}, "/file/x", crash_worker, 502),
+    "sidecar killed": ({}, "/file/x", kill_sidecar, 502),
+}
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize(
+    ("trouble", "machine"),
+    [
+        *((trouble, REMOTE) for trouble in TROUBLES),
+        # The caller's connection ends with the sidecar of its own machine.
+        *((trouble, LOCAL) for trouble in TROUBLES if trouble != "sidecar killed"),
+    ],
+)
+def test_a_request_that_ends_while_its_body_arrives_leaves_one_reader_of_its_connection(
+    trouble, machine, chunked
+):
+    """Guards against the end of a sidecar, which cut all requests in flight there."""
+    faults, path, strike, expected = TROUBLES[trouble]
+
+    def script(mesh):
+        configure_workers(mesh, **faults)
+        upload = Upload(mesh, machine, path, chunked)
+        gevent.sleep(0.35)
+        strike(mesh)
+        status = upload.status()
+        upload.join()
+        gevent.sleep(3.0)
+        return status
+
+    assert play_mesh(script) == expected
