A connection between sidecars is reused only after the whole body on it was read

What callers saw: after an upload that its worker had answered before reading it all, the next request from that machine to that worker's got 502 although nothing else was wrong.

Cause: the forwarding sidecar returned the connection to its pool once it had sent all of the body. The worker's sidecar, which had not read all of it, took the rest for the next request, logged peer_record_malformed and closed the connection, under a request that was already on it.

Evidence: the new test with an upload that the windows on the way hold whole failed with 502 for a small request sent after the answer.

Change: ForwardedBody keeps how much of a body was asked for and read. After its response the worker's sidecar reads on to the end of the body, or to the close by the other side, before it takes the next record or closes. A refusal is therefore no longer followed by a close with unread bytes, which resets the connection; that a reset discards a refusal was not shown, only read.

Why it works: both sides now agree on when the connection is free. The sender reuses it only if it has sent the last chunk, the receiver only once it has read it.

--- a/src/cranklane/sidecar/routing/peer_server.py
+++ b/src/cranklane/sidecar/routing/peer_server.py
@@ -10,7 +10,6 @@
 from cranklane.records.connection import RecordConnection
 from cranklane.records.messages import (
     ForwardBody,
-    ForwardContinue,
     ForwardCut,
     ForwardRequest,
     Hello,
@@ -22,6 +21,7 @@
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
 from cranklane.sidecar.request.attempt import Attempt, Reply
 from cranklane.sidecar.routing.forward_records import encode_reply
+from cranklane.sidecar.routing.forwarded_body import ForwardedBody
 
 IDLE_TIMEOUT_SECONDS = 20.0
 """Idle time after which a connection is closed. Longer than the client reuses a connection
@@ -99,12 +99,11 @@
         self, records: RecordConnection, stream: object, request: ForwardRequest
     ) -> bool:
         """Run a request, send its reply and return whether the connection can be reused."""
-        body = None if request.whole else _body_reader(records)
-        attempt = Attempt(request, body)
+        body = None if request.whole else ForwardedBody(records)
+        attempt = Attempt(request, body.read if body is not None else None)
         self._disconnects.add(stream, attempt.cancel)
         try:
-            admitted = None if request.whole else lambda: records.send(ForwardContinue())
-            reply = self._gate.run(attempt, admitted)
+            reply = self._gate.run(attempt, body.request if body is not None else None)
         finally:
             self._disconnects.remove(stream)
         attempt.when_cancelled(None)
@@ -113,7 +112,10 @@
                 reply.rest.close()  # type: ignore[attr-defined]
             return False
         sent = self._send_reply(records, reply)
-        return sent and (request.whole or reply.outcome is Outcome.ANSWERED)
+        if body is None:
+            return sent
+        body.skip()
+        return sent and reply.outcome is Outcome.ANSWERED
 
     def _send_reply(self, records: RecordConnection, reply: Reply) -> bool:
         if reply.rest is None:
@@ -132,17 +134,3 @@
             reply.rest.close()  # type: ignore[attr-defined]
         records.send(last)
         return isinstance(last, ForwardBody)
-
-
-def _body_reader(records: RecordConnection) -> Callable[[], bytes]:
-    complete = False
-
-    def read() -> bytes:
-        nonlocal complete
-        if complete:
-            return b""
-        chunk = records.expect(ForwardBody)
-        complete = chunk.last
-        return chunk.data
-
-    return read
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -204,3 +204,19 @@
         return status
 
     assert play_mesh(script) == expected
+
+
+@pytest.mark.parametrize("fault", ["answer_early", "refuse_early"])
+def test_a_request_after_an_early_answer_is_not_lost_between_two_sidecars(fault):
+    """Guards against the reuse of a connection that its other end closes: the request got 502."""
+
+    def script(mesh):
+        configure_workers(
+            mesh, early_answer_delay=EARLY_ANSWER_SECONDS, late_read_pause=0.5, **{fault: 1}
+        )
+        # The windows on the way hold the whole body, but the worker's sidecar has not read it all.
+        upload = Upload(mesh, REMOTE, pieces=7, interval=0.0)
+        first = upload.status()
+        return first, send_mail(mesh, REMOTE, 0.5)
+
+    assert play_mesh(script)[1] == {200}
