A returned connection is no longer closed when its former attempt is cancelled

What callers would see: a request at another worker's sidecar, or at the local worker, cut without a cause of its own (502 if it may run once only).

Cause: an attempt kept its "close the connection" action after it had returned the connection to the pool. A caller that leaves while the dispatcher still waits, for instance for a first member after a request was handed back, cancels that last attempt, and so closed a connection that another request may have taken.

Evidence: found while listing the places that give a connection back; the new unit test failed (returned, then closed).

Change: a lease clears the action of its attempt when it ends.

Why it works: a connection is returned only after nothing refers to it but the pool.

--- a/src/cranklane/sidecar/request/connection_lease.py
+++ b/src/cranklane/sidecar/request/connection_lease.py
@@ -45,6 +45,8 @@
             return
         self._ended = True
         body_sent = self._transfer is None or self._transfer.end()
+        # From here on the connection may serve another request.
+        self._attempt.when_cancelled(None)
         if body_sent and not self._attempt.cancelled:
             self._give_back()
         else:
@@ -55,6 +57,7 @@
         if self._ended:
             return
         self._ended = True
+        self._attempt.when_cancelled(None)
         self._close()
         if self._transfer is not None:
             self._transfer.end()
