A streamed response that is never read frees its connections

What callers would see: nothing at once; a worker kept sending a long response to a caller that was gone, and with a request body still on its way the task that sends it went on to read the caller's connection.

Cause: WorkerExchange and PeerClient closed the connection in the finally block of a generator. Closing a generator that was never started skips its cleanup, and a response whose first write to the caller fails is closed unread.

Evidence: by reading, while listing the places that give a connection back. The new test, in which the first write to the caller fails, found the connection to the worker still open after a second, at the local and at the remote machine.

Change: both use StreamedAnswer, as the gate does for the slot; it moves to the package of requests, since it no longer concerns slots alone.

Why it works: StreamedAnswer calls its end exactly once, read or unread.

Result: both variants pass; tests of uploads, slots and endless answers pass.

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -26,12 +26,12 @@
 from cranklane.sidecar.admission.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.admission.slot_admission import SlotAdmission
 from cranklane.sidecar.admission.slots import Slots, Waiter
-from cranklane.sidecar.admission.streamed_answer import StreamedAnswer
 from cranklane.sidecar.admission.worker_notices import WorkerNotices
 from cranklane.sidecar.capacity.worker_capacity import WorkerCapacity
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree
+from cranklane.sidecar.request.streamed_answer import StreamedAnswer
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
--- a/src/cranklane/sidecar/admission/streamed_answer.py
+++ b/src/cranklane/sidecar/request/streamed_answer.py
@@ -1,6 +1,6 @@
-"""Streams a response body while the request holds its slot.
+"""Streams a response body while the request holds a slot or a connection.
 
-Releases the slot exactly once, also after an error or an early close.
+Releases it exactly once, also after an error or an early close.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
             raise
 
     def close(self) -> None:
-        """Release the slot; unread chunks are discarded."""
+        """Release what the request holds; unread chunks are discarded."""
         on_end, self._on_end = self._on_end, None
         if on_end is not None:
             self._chunks.close()  # type: ignore[attr-defined]
--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -25,6 +25,7 @@
 from cranklane.runtime.interface import Address, Runtime
 from cranklane.sidecar.request.attempt import Attempt, Reply, refusal, unknown
 from cranklane.sidecar.request.connection_lease import ConnectionLease
+from cranklane.sidecar.request.streamed_answer import StreamedAnswer
 from cranklane.sidecar.routing.forward_records import decode_reply
 
 CONNECT_TIMEOUT_SECONDS = 0.6
@@ -99,7 +100,9 @@
         answer = self._receive_answer(records, attempt, lease)
         reply = decode_reply(answer)
         if not answer.whole:
-            reply.rest = _stream_body(records, lease)
+            reply.rest = StreamedAnswer(
+                _stream_body(records), on_end=lease.close, on_complete=lease.release
+            )
         elif answer.outcome == Outcome.ANSWERED or attempt.request.whole:
             lease.release()
         # Otherwise the server closes the connection: it has not read the rest of the body.
@@ -195,8 +198,7 @@
     return unknown(Reason.DEADLINE_PASSED if deadline_passed or timed_out else Reason.PEER_LOST)
 
 
-def _stream_body(records: RecordConnection, lease: ConnectionLease) -> Iterator[bytes]:
-    whole = False
+def _stream_body(records: RecordConnection) -> Iterator[bytes]:
     try:
         while True:
             _, message = records.receive()
@@ -205,15 +207,9 @@
             if message.data:
                 yield message.data
             if message.last:
-                whole = True
                 return
     except (ConnectionLostError, MalformedRecordError) as error:
         raise TruncatedAnswerError(str(error)) from error
-    finally:
-        if whole:
-            lease.release()
-        else:
-            lease.close()
 
 
 def _send_body(records: RecordConnection, attempt: Attempt) -> None:
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -33,6 +33,7 @@
     unknown,
 )
 from cranklane.sidecar.request.connection_lease import ConnectionLease
+from cranklane.sidecar.request.streamed_answer import StreamedAnswer
 from cranklane.sidecar.worker.answer_notice import AnswerNotice, AnswerNoticeReader
 from cranklane.sidecar.worker.body_sender import send_body
 from cranklane.sidecar.worker.pool import WorkerConnection, WorkerPool
@@ -259,32 +260,23 @@
             if head.framing in (Framing.CHUNKED, Framing.UNTIL_CLOSE):
                 reply.framing, reply.length = Framing.LENGTH, size
         else:
-            reply.rest = self._stream_rest(head, connection, lease, listener)
+            reply.rest = StreamedAnswer(
+                _stream_rest(head, connection, listener),
+                on_end=lease.close,
+                on_complete=partial(_finish_exchange, head, connection, lease),
+            )
         return reply
 
-    def _stream_rest(
-        self,
-        head: AnswerHead,
-        connection: WorkerConnection,
-        lease: ConnectionLease,
-        listener: RunListener,
-    ) -> Iterator[bytes]:
-        whole = False
-        try:
-            while True:
-                data = connection.reader.next_piece()
-                if not data:
-                    _check_end(head, listener)
-                    whole = True
-                    return
-                yield data
-        except (OSError, TruncatedMessageError, MalformedMessageError) as error:
-            raise TruncatedAnswerError(str(error)) from error
-        finally:
-            if whole:
-                _finish_exchange(head, connection, lease)
-            else:
-                lease.close()
+
+def _stream_rest(
+    head: AnswerHead, connection: WorkerConnection, listener: RunListener
+) -> Iterator[bytes]:
+    try:
+        while data := connection.reader.next_piece():
+            yield data
+        _check_end(head, listener)
+    except (OSError, TruncatedMessageError, MalformedMessageError) as error:
+        raise TruncatedAnswerError(str(error)) from error
 
 
 def _finish_exchange(
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from cranklane.sidecar.ingress.caller_connection import CallerConnection
 from cranklane_lab.standins.raw_http import RawConnection, request_bytes
 from mesh_support import configure_workers, play_uploads
 
@@ -220,3 +221,23 @@
         return first, send_mail(mesh, REMOTE, 0.5)
 
     assert play_mesh(script)[1] == {200}
+
+
+@pytest.mark.parametrize("machine", [LOCAL, REMOTE])
+def test_a_response_whose_caller_is_gone_frees_the_connection_to_the_worker(machine, monkeypatch):
+    """Guards against an unread response that holds its connections and their tasks."""
+
+    def fail(_connection, _data):
+        raise ConnectionResetError
+
+    def script(mesh):
+        # More than the buffers and the windows on the way hold.
+        configure_workers(mesh, body=PIECE * 64)
+        monkeypatch.setattr(CallerConnection, "send", fail)
+        mesh.request(mesh.machines[machine], "/mail/x", "POST", b"mail")
+        gevent.sleep(1.0)
+        worker = mesh.machines[0].worker_process
+        sidecar = mesh.machines[0].process
+        return [link for link in sidecar.connections.values() if link.peer.owner is worker]
+
+    assert play_mesh(script) == []
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,7 +5,7 @@
 from cranklane.outcome import Reason
 from cranklane.sidecar.admission import slots as module
 from cranklane.sidecar.admission.slots import Slots
-from cranklane.sidecar.admission.streamed_answer import StreamedAnswer
+from cranklane.sidecar.request.streamed_answer import StreamedAnswer
 from cranklane_lab.simulation.loop import run_virtual
 
 
