Surplus bytes after a worker's response do not reach a caller of a node

What callers saw: if a worker sent a second response after a complete one, a node passed both bodies on as one, or gave the second to the next call.

Cause: the response class of geventhttpclient parses bytes that follow a complete response as a further one into the same object, and the pool handed out a connection with unread bytes, since it asked only whether the peer had closed it.

Evidence: found while listing the places that give a connection back, on the way from a node to its worker (the sidecar's own pool asks for both). The new tests failed: one call got "ownsurplus", the second got "surplus".

Change: bytes after the final response are dropped and its connection is closed when its user releases it; a pooled connection with unread bytes is closed.

Why it works: no byte that arrives after the end of a response can become part of that response or of the next one on the connection.

Result: the two tests pass.

--- a/src/cranklane/common/http_client.py
+++ b/src/cranklane/common/http_client.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from http import HTTPStatus
 from typing import Any
 
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPProtocolViolationError,
+    HTTPSocketPoolResponse,
+)
 
 from cranklane.errors import TruncatedAnswerError
 from cranklane.runtime.interface import Address, Runtime, format_address
@@ -54,11 +59,38 @@
         return self._runtime.connect(self._address, self.connection_timeout)
 
     def _is_socket_alive(self, sock: Any) -> bool:
-        return not self._runtime.closed_by_peer([sock])
+        # Bytes that arrive without a request belong to no response.
+        return not self._runtime.has_input(sock)
 
 
 class _Response(HTTPSocketPoolResponse):
-    """Adds reads that return available data without waiting for a full block."""
+    """A response that ends with its last byte; the base class adds later bytes to it."""
+
+    _ended = False
+    _has_surplus = False
+
+    def _on_message_begin(self) -> None:
+        if self._ended:
+            raise HTTPProtocolViolationError("bytes follow the end of the response")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        # An interim response is followed by the final one.
+        self._ended = self.get_code() >= HTTPStatus.OK
+        super()._on_message_complete()
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse received bytes; those after the end of the response are dropped."""
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self._ended:
+                raise
+            self._has_surplus = True
+
+    def should_close(self) -> bool:
+        """Return whether the connection cannot be reused."""
+        return self._has_surplus or super().should_close()
 
     def read_available(self) -> bytes:
         """Wait for and return the next body bytes; empty at the end of the body."""
@@ -111,11 +143,14 @@
             yield data
 
     def read(self) -> bytes:
-        """Return the complete body.
+        """Return the complete body and close the response.
 
         :raises TruncatedAnswerError: if the connection ends before the body does.
         """
-        return b"".join(self.body())
+        try:
+            return b"".join(self.body())
+        finally:
+            self.close()
 
     def close(self) -> None:
         """Return the connection to the pool, or close it if the response was not read fully."""
--- a/tests/test_node_worker.py
+++ b/tests/test_node_worker.py
@@ -1,12 +1,14 @@
-"""Outcome of worker requests that get no answer."""
+"""Requests of a node to its worker: outcomes without an answer, and reuse of connections."""
 
 from __future__ import annotations
 
+import gevent
 import pytest
 
-from cranklane.common.http_client import HttpRequestError
+from cranklane.common.http_client import HttpClient, HttpRequestError
 from cranklane.node.worker import WorkerFailure, failure_of
 from cranklane.outcome import Outcome, Reason
+from cranklane.runtime.real import RealRuntime
 
 CASES = [
     # sent, timed out, outcome, reason
@@ -22,3 +24,52 @@
 ):
     error = HttpRequestError("broken", sent, timed_out)
     assert failure_of(error) == WorkerFailure(outcome, reason)
+
+
+def answer_bytes(body):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+@pytest.fixture
+def scripted_server():
+    """Return a function that serves a script of answers; each item is sent for one request.
+
+    An answer that consists of several parts is sent with a pause between them.
+    """
+    listeners = []
+
+    def start(*script):
+        answers = iter(script)
+
+        def serve(stream, _address):
+            while stream.recv(65536):
+                for part in next(answers):
+                    stream.sendall(part)
+                    gevent.sleep(0.02)
+
+        listeners.append(RealRuntime().listen(("127.0.0.1", 0), serve))
+        return HttpClient(RealRuntime(), listeners[-1].address)
+
+    yield start
+    for listener in listeners:
+        listener.close()
+
+
+def read(client):
+    return client.request("GET", "/").read()
+
+
+def test_surplus_bytes_after_a_response_are_no_part_of_it(scripted_server):
+    """Guards against the answer of another request in place of the own one."""
+    client = scripted_server(
+        [answer_bytes(b"own") + answer_bytes(b"surplus")], [answer_bytes(b"2")]
+    )
+    assert [read(client), read(client)] == [b"own", b"2"]
+
+
+def test_a_connection_with_unread_bytes_is_not_reused(scripted_server):
+    """Guards against a late surplus response that the next request takes for its own."""
+    client = scripted_server([answer_bytes(b"own"), answer_bytes(b"surplus")], [answer_bytes(b"2")])
+    first = read(client)
+    gevent.sleep(0.1)
+    assert [first, read(client)] == [b"own", b"2"]
