A cancelled call no longer closes its returned connection to the worker

What callers would see: a call at a node's worker fails (outcome unknown) when another call, which had been answered before, is cancelled.

Cause: the hook that closes the worker's connection on cancellation stayed until the whole answer was streamed to the calling node, which may wait for credit. The response class had returned the connection to the pool with the response's last byte, so the hook closed it under the next call. A refusal by the worker left the hook in the same way.

Evidence: by reading, while listing the places that give a connection back. The new test failed: the pool handed out the connection of an open response.

Change: a response keeps its connection until its user closes it; reading it whole closes it. WorkerStart removes the hook before the response is closed.

Why it works: a connection is in the pool only when no hook refers to it.

--- a/src/cranklane/common/http_client.py
+++ b/src/cranklane/common/http_client.py
@@ -64,7 +64,11 @@
 
 
 class _Response(HTTPSocketPoolResponse):
-    """A response that ends with its last byte; the base class adds later bytes to it."""
+    """A response that ends with its last byte and keeps its connection until it is released.
+
+    The base class returns the connection to the pool once the response is complete, while its
+    user may still close it, and takes bytes after the response for a part of it.
+    """
 
     _ended = False
     _has_surplus = False
@@ -75,9 +79,9 @@
         super()._on_message_begin()
 
     def _on_message_complete(self) -> None:
+        self.message_complete = True
         # An interim response is followed by the final one.
         self._ended = self.get_code() >= HTTPStatus.OK
-        super()._on_message_complete()
 
     def feed(self, data: str | bytes) -> None:
         """Parse received bytes; those after the end of the response are dropped."""
@@ -92,6 +96,15 @@
         """Return whether the connection cannot be reused."""
         return self._has_surplus or super().should_close()
 
+    def release(self) -> None:
+        """Close the connection of an incomplete response; keep that of a complete one."""
+        if not self._ended:
+            super().release()
+
+    def close(self) -> None:
+        """Return the connection to the pool, or close it if it cannot be reused."""
+        super().release()
+
     def read_available(self) -> bytes:
         """Wait for and return the next body bytes; empty at the end of the body."""
         try:
@@ -154,7 +167,7 @@
 
     def close(self) -> None:
         """Return the connection to the pool, or close it if the response was not read fully."""
-        self._response.release()
+        self._response.close()
 
 
 class HttpClient:
--- a/src/cranklane/node/call_runner.py
+++ b/src/cranklane/node/call_runner.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from itertools import chain
-from typing import Any
 
 from result import Err, Ok, Result
 
@@ -25,6 +23,7 @@
 from cranklane.node.once import OnceCalls, OnceLease, OnceRefusal
 from cranklane.node.worker import WorkerClient, WorkerFailure
 from cranklane.node.worker_service import WorkerService
+from cranklane.node.worker_start import WorkerStart
 from cranklane.outcome import Outcome, Reason, Repeat
 from cranklane.records.messages import AnswerHead
 from cranklane.runtime.interface import Runtime
@@ -124,10 +123,12 @@
     def _run_in_worker(self, call: InboundCall, lease: OnceLease | None) -> bool:
         context = call.context
         started = self._runtime.monotonic()
+        start = WorkerStart(context, lease)
         result = self._worker.run(
-            call.message, context.token, context.deadline - started, _start_check(call, lease)
+            call.message, context.token, context.deadline - started, start.may_start
         )
         if isinstance(result, Err):
+            start.end()
             if lease is not None:
                 lease.finish(result.err_value.outcome)
             return self._worker_failed(call, result.err_value)
@@ -140,6 +141,7 @@
             else:
                 self._store_and_send(call, response, lease)
         finally:
+            start.end()
             response.close()
         return True
 
@@ -178,20 +180,3 @@
             self._refuse(call, Outcome.UNKNOWN, Refusal(Reason.ANSWER_CUT))
             return
         send_stream(call, head, response, chain(chunks, body), self._metrics)
-
-
-def _start_check(call: InboundCall, lease: OnceLease | None) -> Callable[[Any], bool]:
-    """Return the check that :meth:`WorkerClient.run` makes before it sends the call."""
-    context = call.context
-
-    def may_start(connection: Any) -> bool:
-        if context.cancelled is not None:
-            return False
-        # On cancellation, close the connection so that the worker can stop.
-        context.add_cancel_hook(lambda _reason: connection.close())
-        return True
-
-    def may_start_once(_connection: Any) -> bool:
-        return context.cancelled is None and lease is not None and lease.may_start()
-
-    return may_start if lease is None else may_start_once
--- a/src/cranklane_lab/standins/worker.py
+++ b/src/cranklane_lab/standins/worker.py
@@ -220,8 +220,7 @@
         target = f"/{self._tenant}/{service}{path}?nonce={nonce}"
         try:
             response = self._request_with_stale_retry(target, headers)
-            for _ in response.body():
-                pass
+            response.read()
         except (HttpRequestError, TruncatedAnswerError):
             return False
         return response.status < 300
--- a/tests/test_node_worker.py
+++ b/tests/test_node_worker.py
@@ -6,8 +6,11 @@
 import pytest
 
 from cranklane.common.http_client import HttpClient, HttpRequestError
+from cranklane.node.allowance import Allowance
+from cranklane.node.context import CallContext
 from cranklane.node.worker import WorkerFailure, failure_of
-from cranklane.outcome import Outcome, Reason
+from cranklane.node.worker_start import WorkerStart
+from cranklane.outcome import Criticality, Outcome, Reason
 from cranklane.runtime.real import RealRuntime
 
 CASES = [
@@ -73,3 +76,34 @@
     first = read(client)
     gevent.sleep(0.1)
     assert [first, read(client)] == [b"own", b"2"]
+
+
+def test_a_connection_is_reused_only_after_its_response_is_closed(scripted_server):
+    """Guards against a cancelled call that closes the connection of another call."""
+    client = scripted_server([answer_bytes(b"own")])
+    connection = client.connect()
+    response = client.request("GET", "/", connection=connection)
+    assert b"".join(response.body()) == b"own"
+    assert client.connect() is not connection
+    response.close()
+    assert client.connect() is connection
+
+
+class ClosableConnection:
+    closed = False
+
+    def close(self):
+        self.closed = True
+
+
+@pytest.mark.parametrize(("ended", "closed"), [(False, True), (True, False)])
+def test_a_cancelled_call_closes_its_connection_only_until_it_returns_it(ended, closed):
+    """Guards against a cancelled call that closes the connection of another call."""
+    context = CallContext(1, "tenant", Criticality.NORMAL, 1.0, Allowance(1))
+    connection = ClosableConnection()
+    start = WorkerStart(context, None)
+    assert start.may_start(connection)
+    if ended:
+        start.end()
+    context.cancel(Reason.CANCELLED)
+    assert connection.closed is closed
