Bodies that were not sent whole are counted and shown in attempt lines

Cause: neither logs nor metrics told that a request had ended while its body was arriving, so an upload that was refused early, and the connection that this closes, looked like any other refusal or loss.

Change: counter cranklane_bodies_cut by service, and the field body_cut of the attempt line, set by the lease of the connection.

Result: the new test counts one for an early refusal and none for a whole upload.

--- a/src/cranklane/sidecar/request/attempt.py
+++ b/src/cranklane/sidecar/request/attempt.py
@@ -34,15 +34,17 @@
     :ivar rest: reads the remaining chunks of the body; None if ``request`` has all of it.
     :ivar rest_started: whether any of the remaining chunks may have been read.
     :ivar cancelled: whether the caller has disconnected.
+    :ivar body_cut: whether the attempt ended before its body was sent whole.
     """
 
-    __slots__ = ("request", "rest", "rest_started", "cancelled", "_on_cancel")
+    __slots__ = ("request", "rest", "rest_started", "cancelled", "body_cut", "_on_cancel")
 
     def __init__(self, request: ForwardRequest, rest: BodyReader | None = None) -> None:
         self.request = request
         self.rest = rest
         self.rest_started = False
         self.cancelled = False
+        self.body_cut = False
         self._on_cancel: Callable[[], None] | None = None
 
     def when_cancelled(self, action: Callable[[], None] | None) -> None:
--- a/src/cranklane/sidecar/request/connection_lease.py
+++ b/src/cranklane/sidecar/request/connection_lease.py
@@ -44,7 +44,7 @@
         if self._ended:
             return
         self._ended = True
-        body_sent = self._transfer is None or self._transfer.end()
+        body_sent = self._end_transfer()
         # From here on the connection may serve another request.
         self._attempt.when_cancelled(None)
         if body_sent and not self._attempt.cancelled:
@@ -59,5 +59,11 @@
         self._ended = True
         self._attempt.when_cancelled(None)
         self._close()
-        if self._transfer is not None:
-            self._transfer.end()
+        self._end_transfer()
+
+    def _end_transfer(self) -> bool:
+        """End the transfer of the body, if there is one; return whether all of it was sent."""
+        if self._transfer is None or self._transfer.end():
+            return True
+        self._attempt.body_cut = True
+        return False
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -82,7 +82,10 @@
     ) -> None:
         """Count an attempt; log a failed one with the state of its destination."""
         call = progress.call
+        body_cut = progress.current is not None and progress.current.body_cut
         self._metrics.attempt(call.service, reply.outcome, reply.reason)
+        if body_cut:
+            self._metrics.body_cut(call.service)
         if reply.outcome is Outcome.ANSWERED or not self._problem_limit.allows():
             return
         self._log.info(
@@ -94,6 +97,7 @@
             outcome=reply.outcome.label,
             reason=reply.reason.label,
             arrived=reply.arrived,
+            body_cut=body_cut,
             seconds=round(seconds, 4),
             running=reply.load.running,
             queued=reply.load.queued,
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -88,6 +88,11 @@
             "Attempts to have a worker run a request.",
             ("service", "outcome", "reason"),
         )
+        self._bodies_cut = _Counter(
+            "cranklane_bodies_cut",
+            "Attempts that ended before the body of their request was sent whole.",
+            ("service",),
+        )
         self._retries = _Counter(
             "cranklane_retry_decisions",
             "Decisions on retries that need a token of the retry budget.",
@@ -146,6 +151,7 @@
         counters = (
             self._requests,
             self._attempts,
+            self._bodies_cut,
             self._retries,
             self._admissions,
             self._ingress_refusals,
@@ -193,6 +199,10 @@
         """Count an attempt that has ended."""
         self._attempts.values[service, outcome, reason] += 1
 
+    def body_cut(self, service: str) -> None:
+        """Count an attempt that ended before the body of its request was sent whole."""
+        self._bodies_cut.values[(service,)] += 1
+
     def retry_decision(self, service: str, decision: Enum) -> None:
         """Count a decision on a retry, by its ``retry_spending.RetryDecision``."""
         self._retries.values[service, decision.value] += 1
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -241,3 +241,15 @@
         return [link for link in sidecar.connections.values() if link.peer.owner is worker]
 
     assert play_mesh(script) == []
+
+
+@pytest.mark.parametrize(("faults", "is_cut"), [({"refuse_early": 1}, True), ({}, False)])
+def test_bodies_that_were_not_sent_whole_are_counted(faults, is_cut):
+    """Guards against an operator who cannot tell why uploads are refused or connections closed."""
+
+    def script(mesh):
+        configure_workers(mesh, **faults)
+        Upload(mesh, REMOTE).join()
+        return mesh.machines[REMOTE].sidecar.metrics.text().decode()
+
+    assert ('cranklane_bodies_cut_total{service="s"} 1.0' in play_mesh(script)) is is_cut
