The soak answers uploads early and notices processes that end by themselves

Change: workers refuse or answer requests with a body before they read it, at once or after a pause, and read on later; callers send uploads of up to 12 MB, some with pauses, and stop once they are answered. New checks: a body that a worker reads late may end early but has no other bytes; no process exits without being asked to.

--- a/src/cranklane_lab/fleet/processes.py
+++ b/src/cranklane_lab/fleet/processes.py
@@ -51,11 +51,15 @@
 
 @dataclass
 class FleetProcess:
-    """Child process with its log file."""
+    """Child process with its log file.
+
+    :ivar end_requested: whether it was killed or told to stop while it was running.
+    """
 
     name: str
     process: subprocess.Popen
     log: Path
+    end_requested: bool = False
 
     @property
     def pid(self) -> int:
@@ -67,8 +71,14 @@
         """Whether the process has not exited."""
         return self.process.poll() is None
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether the process has exited although nobody asked it to."""
+        return not self.alive and not self.end_requested
+
     def kill(self) -> None:
         """Kill the process and wait for its exit."""
+        self.end_requested |= self.alive
         self.process.kill()
         self.process.wait()
 
@@ -82,6 +92,7 @@
 
     def terminate(self) -> None:
         """Request a planned stop with SIGTERM."""
+        self.end_requested |= self.alive
         self.process.terminate()
 
     def hang_up(self) -> None:
--- a/src/cranklane_lab/soak/checks.py
+++ b/src/cranklane_lab/soak/checks.py
@@ -6,11 +6,18 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from cranklane_lab.soak.loads import UPLOAD_ROUTE, is_whole_upload
+from cranklane_lab.fleet.processes import FleetProcess
+from cranklane_lab.soak.loads import (
+    SIGNATURE_BODY,
+    UPLOAD_PREFIX,
+    is_whole_upload,
+    upload_body,
+    upload_size,
+)
 from cranklane_lab.soak.site import Crash
 from cranklane_lab.standins.raw_http import RawAnswer
 from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
-from cranklane_lab.standins.routed_worker_state import RoutedRun
+from cranklane_lab.standins.routed_worker_state import LateBody, RoutedRun
 
 QUARANTINE_DELAY_SECONDS = 3.0
 """Time within which every machine learns that a request crashed its third worker."""
@@ -75,10 +82,30 @@
             )
         if run.value(NAMES.key):
             self.record_violation(f"{run.request} was forwarded with its key")
-        is_upload = run.target.startswith(f"/{UPLOAD_ROUTE}/".encode())
+        if run.answered_early:
+            # Its body is checked once the worker has read it.
+            return
+        is_upload = run.target.startswith(UPLOAD_PREFIX)
         if is_upload and not is_whole_upload(run.request, run.target, run.body):
             self.record_violation(f"{run.request} ran with a changed body of {len(run.body)} bytes")
 
+    def record_late_body(self, late_body: LateBody) -> None:
+        """Record a body that a worker read after its answer: it may end early, but not differ."""
+        if late_body.target.startswith(UPLOAD_PREFIX):
+            sent = upload_body(late_body.request, upload_size(late_body.target))
+        else:
+            sent = SIGNATURE_BODY
+        if late_body.malformed or not sent.startswith(late_body.data):
+            self.record_violation(
+                f"other bytes arrived where the rest of the body of {late_body.request} was due"
+            )
+
+    def check_processes(self, ended_by_themselves: list[FleetProcess]) -> None:
+        """Record the processes that exited although nobody asked them to."""
+        for process in ended_by_themselves:
+            status = process.process.returncode
+            self.record_violation(f"{process.name} ended by itself with status {status}")
+
     def record_read(self, acknowledged_before: int, version: int) -> None:
         """Record a read of the route table.
 
--- a/src/cranklane_lab/soak/loads.py
+++ b/src/cranklane_lab/soak/loads.py
@@ -8,6 +8,12 @@
 from typing import Any, NamedTuple
 
 UPLOAD_ROUTE = "up"
+UPLOAD_PREFIX = f"/{UPLOAD_ROUTE}/".encode()
+"""Prefix of the target of each upload; the rest is the size of its body."""
+
+SIGNATURE_BODY = b"x" * 500
+"""Body of a request on the route ``sign``."""
+
 NOT_IDEMPOTENT_ROUTES = ("sign", UPLOAD_ROUTE)
 
 ROUTES: dict[str, dict[str, Any]] = {
@@ -24,7 +30,18 @@
 """Routes of callers' requests; one of 16 is an upload."""
 
 UPLOAD_BYTES = (80_000, 400_000)
-"""Smallest and largest body of an upload; sidecars do not buffer bodies of this size whole."""
+"""Smallest and largest body of most uploads; sidecars do not buffer bodies of this size whole."""
+
+LARGE_UPLOAD_BYTES = 12_000_000
+"""Size of the other uploads: more than the socket buffers of all connections on the way hold."""
+
+LARGE_UPLOAD_FRACTION = 0.1
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Limit on the size of a body in the route tables."""
+
+UPLOAD_PAUSES_SECONDS = (0.0, 0.02)
+"""Pauses of callers between the pieces of an upload."""
 
 CHUNK_BYTES = 30_000
 """Size of a chunk of an upload in chunked framing."""
@@ -86,7 +103,16 @@
 
     :param target: request target; its last part is the size of the body.
     """
-    return body == upload_body(request_id, int(target.rpartition(b"/")[2]))
+    return body == upload_body(request_id, upload_size(target))
+
+
+def upload_size(target: bytes) -> int:
+    """Return the size of an upload's body by its request target.
+
+    >>> upload_size(b"/up/80000")
+    80000
+    """
+    return int(target.rpartition(b"/")[2])
 
 
 def chunked(body: bytes) -> Iterator[bytes]:
@@ -99,4 +125,6 @@
 
 def random_upload_size(random: Random) -> int:
     """Return the size of a random upload in bytes."""
+    if random.random() < LARGE_UPLOAD_FRACTION:
+        return LARGE_UPLOAD_BYTES
     return random.randint(*UPLOAD_BYTES)
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -19,11 +19,13 @@
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import FaultInjector
 from cranklane_lab.soak.loads import (
+    MAX_BODY_BYTES,
     NOT_IDEMPOTENT_ROUTES,
     ROUTE_CHOICES,
     ROUTES,
     TENANTS,
     UNLIMITED,
+    UPLOAD_PAUSES_SECONDS,
     UPLOAD_ROUTE,
     SoakTenant,
     random_upload_size,
@@ -83,7 +85,13 @@
         self._runtime = RealRuntime()
         self._rules = NoticeRules()
         self._observations = Observations()
-        self._site = SoakSite(folder, self._rules, self._observations.record_run, machines)
+        self._site = SoakSite(
+            folder,
+            self._rules,
+            self._observations.record_run,
+            self._observations.record_late_body,
+            machines,
+        )
         self._caller = Caller(self._runtime, self._site, self._rules, UNLIMITED)
         self._faults: list[str] = []
         self._stopping = False
@@ -100,6 +108,7 @@
                 self._observations.check_runs(self._site.workers)
                 self._observations.check_quarantine(self._site.crashes, self._site.workers)
                 self._check_notices()
+                self._observations.check_processes(self._site.ended_by_themselves())
         finally:
             self._stopping = True
             self._site.stop()
@@ -199,7 +208,9 @@
             machine = random.randrange(self._site.machines)
             if route == UPLOAD_ROUTE:
                 size = random_upload_size(random)
-                answer = caller.upload(machine, request_id, size, random.random() < 0.5)
+                is_chunked = random.random() < 0.5
+                pause = random.choice(UPLOAD_PAUSES_SECONDS)
+                answer = caller.upload(machine, request_id, size, is_chunked, pause)
             else:
                 answer = caller.send(machine, route, request_id)
             idempotent = route not in NOT_IDEMPOTENT_ROUTES
@@ -234,6 +245,7 @@
         """
         routes = {**ROUTES, f"v{version}": {"prefix": f"/v{version}/", "service": "s"}}
         document = route_table(version, base, routes, ("s", "t"), tenant_entries())
+        document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
         self._observations.sent_tables[version] = json.dumps(document, sort_keys=True)
         body = json.dumps(document).encode()
         deadline = self._runtime.monotonic() + seconds
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -20,7 +20,7 @@
 from cranklane_lab.soak.proxy import Proxy
 from cranklane_lab.standins.raw_http import exchange
 from cranklane_lab.standins.routed_worker import RoutedWorker
-from cranklane_lab.standins.routed_worker_state import RoutedRun
+from cranklane_lab.standins.routed_worker_state import LateBody, RoutedRun
 
 CONTROLLERS = 3
 TOLERATED_LOSSES = 1
@@ -66,6 +66,7 @@
 
     :param rules: receives what workers state and which requests reach them.
     :param on_run: called with the name of the tenant that sent it and each run as it starts.
+    :param on_late_body: called with each body that a worker read after its answer.
     :ivar machines: number of sidecars, each with a worker.
     :ivar controllers: controller processes by number.
     :ivar sidecars: sidecar processes by number.
@@ -78,17 +79,20 @@
         folder: Path,
         rules: NoticeRules,
         on_run: Callable[[str, RoutedRun], None],
+        on_late_body: Callable[[LateBody], None],
         machines: int = len(SERVICES),
     ) -> None:
         self._folder = folder
         self._rules = rules
         self._on_run = on_run
+        self._on_late_body = on_late_body
         self._origins: dict[str, Origin] = {}
         self._slow_factors: dict[str, float] = {}
         self._cold_factors: dict[str, float] = {}
         self.machines = machines
         self._ports = MeshPorts()
         self._runtime = RealRuntime()
+        self._started: list[FleetProcess] = []
         self.controllers: dict[int, FleetProcess] = {}
         self.sidecars: dict[int, FleetProcess] = {}
         self.workers: list[RoutedWorker] = []
@@ -160,7 +164,13 @@
 
     def _start(self, name: str, daemon: str, flags: dict[str, str]) -> FleetProcess:
         arguments = as_arguments(daemon, flags)
-        return start(name, "cranklane.cli.entry", arguments, self._folder)
+        process = start(name, "cranklane.cli.entry", arguments, self._folder)
+        self._started.append(process)
+        return process
+
+    def ended_by_themselves(self) -> list[FleetProcess]:
+        """Return the processes of the whole run that have exited without being asked to."""
+        return [process for process in self._started if process.ended_by_itself]
 
     def _new_worker(self, number: int, instance: str) -> RoutedWorker:
         host = f"127.0.2.{number + 1}"
@@ -177,6 +187,8 @@
         worker.state.echoes = True
         worker.state.states_load = True
         worker.state.on_run = self._record_run
+        worker.state.on_late_body = self._on_late_body
+        worker.state.keeps_late_bodies = False
         worker.state.on_notice = partial(self._record_stated, worker)
         worker.state.on_arrival = partial(self._record_arrival, worker)
         worker.state.crash_mark = CRASH_MARK
--- a/src/cranklane_lab/soak/worker_needs.py
+++ b/src/cranklane_lab/soak/worker_needs.py
@@ -1,4 +1,4 @@
-"""Lets workers state limits and departures and send answers without end, at random."""
+"""Lets workers state limits and departures, answer without end or before they read, at random."""
 
 from __future__ import annotations
 
@@ -20,6 +20,13 @@
 """Pauses between the pieces of an answer without end: a flood, and one below every timeout of a
 single read."""
 
+EARLY_FAULTS = ("refuse_early", "answer_early")
+MAX_EARLY_ANSWERS = 8
+EARLY_ANSWER_DELAYS_SECONDS = (0.0, 0.05, 0.3)
+LATE_READ_PAUSES_SECONDS = (0.0, 0.3)
+"""Time from the head of a request to its early answer, and from there to the first read of its
+body. In the longer ones, bodies fill the buffers of all connections on the way."""
+
 LEAVING_SECONDS = (1.0, 4.0)
 """Shortest and longest time from the statement of a departure to the exit."""
 
@@ -43,6 +50,8 @@
             self._end_limit,
             self._leave,
             self._send_without_end,
+            self._answer_early,
+            self._answer_early,
         )
         while not should_stop():
             number = self._random.randrange(len(self._site.workers))
@@ -51,6 +60,7 @@
         for worker in self._site.workers:
             worker.state.rate_limit = b""
             worker.state.endless_answers = 0
+            worker.state.refuse_early = worker.state.answer_early = 0
 
     def _state_limit(self, number: int) -> None:
         limit = self._random.choice(LIMITS)
@@ -72,6 +82,16 @@
             "without end"
         )
 
+    def _answer_early(self, number: int) -> None:
+        """Let a worker answer its next requests before it reads their bodies."""
+        state = self._site.workers[number].state
+        fault = self._random.choice(EARLY_FAULTS)
+        count = self._random.randint(1, MAX_EARLY_ANSWERS)
+        state.early_answer_delay = self._random.choice(EARLY_ANSWER_DELAYS_SECONDS)
+        state.late_read_pause = self._random.choice(LATE_READ_PAUSES_SECONDS)
+        setattr(state, fault, count)
+        self._on_change(f"worker-{number}: {fault} {count} after {state.early_answer_delay} s")
+
     def _leave(self, number: int) -> None:
         """State a departure, which no heartbeat mentions, and exit some time later."""
         worker = self._site.workers[number]
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -12,7 +12,12 @@
 import gevent
 
 from cranklane.common.header_names import HeaderNames
-from cranklane.common.http1.message import MalformedMessageError, RequestHead, TruncatedMessageError
+from cranklane.common.http1.message import (
+    Framing,
+    MalformedMessageError,
+    RequestHead,
+    TruncatedMessageError,
+)
 from cranklane.common.http1.reader import RequestReader
 from cranklane.common.http1.writer import status_line
 from cranklane.common.units import MILLISECONDS
@@ -157,11 +162,12 @@
             request = head.value(NAMES.request.lower()) or b""
             self._answer(stream, request, 503, b"", not_run=True)
             return False
-        if state.consume_fault("refuse_early"):
+        has_body = head.framing is not Framing.NONE
+        if has_body and state.consume_fault("refuse_early"):
             gevent.sleep(state.early_answer_delay)
             self._answer(stream, head.value(NAMES.request.lower()) or b"", 503, b"", not_run=True)
             return self._read_late(reader, head)
-        if state.consume_fault("answer_early"):
+        if has_body and state.consume_fault("answer_early"):
             return self._answer_early(stream, reader, head)
         while not state.reads_body:
             gevent.sleep(_POLL_SECONDS)
@@ -240,7 +246,8 @@
             pass
         request = (head.value(NAMES.request.lower()) or b"").decode()
         late_body = LateBody(request, head.target, data, malformed)
-        self.state.late_bodies.append(late_body)
+        if self.state.keeps_late_bodies:
+            self.state.late_bodies.append(late_body)
         if self.state.on_late_body is not None:
             self.state.on_late_body(late_body)
         return whole
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -63,11 +63,12 @@
     :ivar refuse: fault: refuse the request as not run.
     :ivar surplus_refusals: fault: send an extra response, without a request id, after a refusal.
     :ivar refuse_unread: fault: refuse the request as not run before its body is read.
-    :ivar refuse_early: fault: refuse the request as not run, then read its body all the same.
-    :ivar answer_early: fault: answer 200, then read the body of the request.
+    :ivar refuse_early: fault: refuse a request with a body as not run, then read the body.
+    :ivar answer_early: fault: answer a request with a body 200, then read the body.
     :ivar early_answer_delay: seconds from the head of a request to its early answer.
     :ivar late_read_pause: seconds between an early answer and the first read of the body.
     :ivar late_bodies: bodies read after an early answer.
+    :ivar keeps_late_bodies: whether they are kept.
     :ivar on_late_body: called with each of them.
     :ivar reads_body: whether it reads the bodies of requests.
     :ivar fail: fault: run the request and respond with 500.
@@ -115,6 +116,7 @@
     early_answer_delay: float = 0.0
     late_read_pause: float = 0.0
     late_bodies: list[LateBody] = field(default_factory=list)
+    keeps_late_bodies: bool = True
     on_late_body: Callable[[LateBody], None] | None = None
     reads_body: bool = True
     fail: int = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cranklane_lab.fleet.processes import start
 from cranklane_lab.soak.checks import Observations
 from cranklane_lab.soak.faults import RESTORE_POLL_SECONDS, FaultInjector
 from cranklane_lab.soak.loads import chunked, upload_body
@@ -14,7 +15,7 @@
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, Crash
 from cranklane_lab.standins.raw_http import RawAnswer
 from cranklane_lab.standins.routed_worker import NAMES
-from cranklane_lab.standins.routed_worker_state import RoutedRun
+from cranklane_lab.standins.routed_worker_state import LateBody, RoutedRun
 
 
 def workers_that_ran(*requests):
@@ -191,3 +192,29 @@
     killed = sum(isinstance(entry, str) and entry.startswith("kill") for entry in log)
     started = sum(isinstance(entry, str) and entry.startswith("start") for entry in log)
     assert started >= killed > 0
+
+
+@pytest.mark.parametrize(
+    ("target", "data", "malformed", "violations"),
+    [
+        (b"/up/70000", WHOLE_UPLOAD[:30_000], False, 0),
+        (b"/sign/x", b"x" * 500, False, 0),
+        (b"/up/70000", WHOLE_UPLOAD[:30_000] + b"POST /sign/x", False, 1),
+        (b"/up/70000", WHOLE_UPLOAD[:30_000], True, 1),
+    ],
+    ids=["ends early", "whole", "another request", "no chunk"],
+)
+def test_other_bytes_in_the_rest_of_a_body_are_a_violation(target, data, malformed, violations):
+    observations = Observations()
+    observations.record_late_body(LateBody("up-1", target, data, malformed))
+    assert len(observations.violations) == violations
+
+
+def test_a_process_that_ends_without_being_asked_to_is_a_violation(tmp_path):
+    processes = [start(name, "this", [], tmp_path) for name in ("asked", "by-itself")]
+    processes[0].kill()
+    processes[1].process.wait()
+    processes[1].kill()
+    observations = Observations()
+    observations.check_processes([process for process in processes if process.ended_by_itself])
+    assert observations.violations == ["by-itself ended by itself with status 0"]
