An upload that its caller breaks off is no longer charged to the worker

What callers saw: a worker whose callers leave in the middle of their uploads got fewer requests than others, as if it had failed them.

Cause: the task that sends the body met the end of the caller's connection before the periodic check for disconnected callers did, and closed the connection to the worker. The attempt then looked like a lost connection (worker_failed or peer_lost) and counted as a fault of the worker.

Evidence: found while listing who touches the connection to the worker.

Change: an attempt whose body cannot be read is cancelled, as by the check. The sender marks the body as started when it reads it, no longer when it may.

Why it works: a cancelled attempt closes its connections and counts for nobody.

--- a/src/cranklane/sidecar/request/attempt.py
+++ b/src/cranklane/sidecar/request/attempt.py
@@ -33,7 +33,7 @@
     :ivar request: the request as sent to the worker's sidecar.
     :ivar rest: reads the remaining chunks of the body; None if ``request`` has all of it.
     :ivar rest_started: whether any of the remaining chunks may have been read.
-    :ivar cancelled: whether the caller has disconnected.
+    :ivar cancelled: whether the caller has disconnected or its body could not be read.
     :ivar body_cut: whether the attempt ended before its body was sent whole.
     """
 
@@ -47,6 +47,20 @@
         self.body_cut = False
         self._on_cancel: Callable[[], None] | None = None
 
+    def read_rest(self) -> bytes:
+        """Return the next of the remaining chunks of the body; empty at its end.
+
+        If the body cannot be read, the attempt is cancelled: not the worker, but the caller has
+        ended it.
+        """
+        assert self.rest is not None
+        self.rest_started = True
+        try:
+            return self.rest()
+        except Exception:
+            self.cancel()
+            raise
+
     def when_cancelled(self, action: Callable[[], None] | None) -> None:
         """Set the action that cancels the current step, or None after the step.
 
@@ -57,7 +71,7 @@
             action()
 
     def cancel(self) -> None:
-        """Cancel the attempt after its caller has disconnected."""
+        """Cancel the attempt."""
         self.cancelled = True
         if self._on_cancel is not None:
             self._on_cancel()
--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -141,7 +141,6 @@
                 case ForwardAnswer():
                     return message
                 case ForwardContinue():
-                    attempt.rest_started = True
                     lease.send_body(self._runtime, partial(_send_body, records, attempt))
                 case Ping():
                     pass
@@ -220,7 +219,6 @@
     :raises TruncatedMessageError: if the caller's connection ends before the body does.
     :raises ConnectionLostError: if the peer's connection fails.
     """
-    assert attempt.rest is not None
-    while chunk := attempt.rest():
+    while chunk := attempt.read_rest():
         records.send(ForwardBody(False, chunk))
     records.send(ForwardBody(True, b""))
--- a/src/cranklane/sidecar/worker/body_sender.py
+++ b/src/cranklane/sidecar/worker/body_sender.py
@@ -20,8 +20,7 @@
     framing = Framing(attempt.request.framing)
     _write(connection, framing, attempt.request.body)
     if attempt.rest is not None:
-        attempt.rest_started = True
-        while data := attempt.rest():
+        while data := attempt.read_rest():
             _write(connection, framing, data)
     if framing is Framing.CHUNKED:
         connection.stream.sendall(LAST_CHUNK)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -86,6 +86,11 @@
         self._answering.join()
         return self.answer.status
 
+    def leave(self):
+        """Close the connection in the middle of the body."""
+        self._sending.kill()
+        self._connection.close()
+
     def join(self):
         """Wait until neither side sends any more."""
         gevent.joinall([self._answering, self._sending])
@@ -253,3 +258,21 @@
         return mesh.machines[REMOTE].sidecar.metrics.text().decode()
 
     assert ('cranklane_bodies_cut_total{service="s"} 1.0' in play_mesh(script)) is is_cut
+
+
+@pytest.mark.parametrize("machine", [LOCAL, REMOTE])
+def test_a_caller_that_breaks_off_its_body_is_no_fault_of_the_worker(machine):
+    """Guards against a worker that gets fewer requests because callers leave it."""
+
+    def script(mesh):
+        for number in range(6):
+            upload = Upload(mesh, machine, name=f"up-{number}")
+            gevent.sleep(0.35)
+            upload.leave()
+            gevent.sleep(0.5)
+        sidecar = mesh.machines[0].sidecar
+        metrics = mesh.machines[machine].sidecar.metrics.text().decode()
+        attempts = 'cranklane_attempts_total{outcome="unknown",reason="cancelled",service="s"} 6.0'
+        return sidecar.condition.now().faults, attempts in metrics
+
+    assert play_mesh(script) == (0.0, True)
