Comment on the connection of a refused upload

Cause: the worker's sidecar no longer closes it first; it reads on until the forwarding sidecar closes it.

Change: one comment. Result: none of behaviour.

--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -105,7 +105,7 @@
             )
         elif answer.outcome == Outcome.ANSWERED or attempt.request.whole:
             lease.release()
-        # Otherwise the server closes the connection: it has not read the rest of the body.
+        # Otherwise the server waits for the rest of the body or for the connection to close.
         return reply
 
     def _take(self, address: Address) -> _Connection:
