--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -178,6 +178,7 @@
 TROUBLES = {
     "refused": ({"refuse_early": 1}, "/file/x", nothing, 503),
     "answered": ({"answer_early": 1}, "/file/x", nothing, 200),
+    "answered at length": ({"answer_early": 1, "body": PIECE * 8}, "/file/x", nothing, 200),
     "timed out": ({}, "/short/x", nothing, 504),
     "worker crashed": ({}, "/file/x", crash_worker, 502),
     "sidecar killed": ({}, "/file/x", kill_sidecar, 502),
@@ -193,9 +194,7 @@
         *((trouble, LOCAL) for trouble in TROUBLES if trouble != "sidecar killed"),
     ],
 )
-def test_a_request_that_ends_while_its_body_arrives_leaves_one_reader_of_its_connection(
-    trouble, machine, chunked
-):
+def test_a_request_that_ends_while_its_body_arrives_leaves_one_reader(trouble, machine, chunked):
     """Guards against the end of a sidecar, which cut all requests in flight there."""
     faults, path, strike, expected = TROUBLES[trouble]
 
--- a/tests/test_mesh_mechanisms.py
+++ b/tests/test_mesh_mechanisms.py
@@ -8,6 +8,7 @@
 
 import test_call_tree
 import test_controllers
+import test_early_answers
 import test_mesh
 import test_mesh_overload
 import test_mesh_workers
@@ -28,10 +29,12 @@
 from cranklane.sidecar.admission.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
 from cranklane.sidecar.process import Sidecar
+from cranklane.sidecar.request.body_transfer import BodyTransfer
 from cranklane.sidecar.request.call_tree import CallTree
 from cranklane.sidecar.routing import cost, worker_choice
 from cranklane.sidecar.routing.destination import Destination
 from cranklane.sidecar.routing.dispatcher import Dispatcher
+from cranklane.sidecar.routing.forwarded_body import ForwardedBody
 from cranklane.sidecar.routing.retry_budget import RetryBudget
 from cranklane.sidecar.routing.worker_choice import WorkerChoice
 from cranklane.sidecar.worker.condition import Condition, WorkerCondition
@@ -252,8 +255,36 @@
         lambda self: self.last_index,
         lambda: test_controllers.test_two_lost_disks_and_a_loss_of_all_power_lose_nothing(1),
     ),
+    "end of the transfer of a body": (
+        BodyTransfer,
+        "end",
+        lambda self: self._complete,
+        lambda: early_end_of_a_request("answered", test_early_answers.REMOTE, False),
+    ),
+    "close of a connection whose body was cut": (
+        BodyTransfer,
+        "end",
+        lambda self: self._task.kill() or True,
+        lambda: early_answer_and_other_requests("refuse_early", test_early_answers.LOCAL, False),
+    ),
+    "reading of a body to its end after an early answer": (
+        ForwardedBody,
+        "skip",
+        lambda self: None,
+        lambda: request_after_an_early_answer("answer_early"),
+    ),
 }
 
+early_end_of_a_request = (
+    test_early_answers.test_a_request_that_ends_while_its_body_arrives_leaves_one_reader
+)
+early_answer_and_other_requests = (
+    test_early_answers.test_a_connection_that_owes_the_rest_of_a_body_gets_no_other_request
+)
+request_after_an_early_answer = (
+    test_early_answers.test_a_request_after_an_early_answer_is_not_lost_between_two_sidecars
+)
+
 OutcomeLimiter_admits = OutcomeLimiter.admits
 
 
