--- a/src/cranklane_lab/cost/site.py
+++ b/src/cranklane_lab/cost/site.py
@@ -13,7 +13,8 @@
 from cranklane_lab.fleet.processes import FleetProcess, free_port, start
 from cranklane_lab.standins.raw_http import exchange
 from cranklane_lab.standins.route_tables import HOST, route_table
-from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_answers import NAMES
+from cranklane_lab.standins.routed_worker import RoutedWorker
 
 SLOTS = 64
 API_KEY = "key-of-the-client"
--- a/src/cranklane_lab/evidence/notice_rules.py
+++ b/src/cranklane_lab/evidence/notice_rules.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from cranklane_lab.standins.routed_worker import NAMES, START_HEADER
+from cranklane_lab.standins.routed_answers import NAMES, START_HEADER
 
 WINDOW_SECONDS = 4.0
 """Length of each span in which the requests of a limited worker are counted."""
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -29,7 +29,8 @@
 from cranklane_lab.simulation.world import World
 from cranklane_lab.standins.raw_http import RawAnswer, exchange
 from cranklane_lab.standins.route_tables import HOST
-from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_answers import NAMES
+from cranklane_lab.standins.routed_worker import RoutedWorker
 
 SEED_COUNT = 3
 
--- a/src/cranklane_lab/soak/callers.py
+++ b/src/cranklane_lab/soak/callers.py
@@ -10,7 +10,7 @@
 from cranklane_lab.soak.site import SoakSite
 from cranklane_lab.standins.raw_http import RawAnswer, RawConnection, request_bytes
 from cranklane_lab.standins.route_tables import HOST
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 
 REQUEST_TIMEOUT_SECONDS = 5.0
 DEADLINE_MS = 4000
--- a/src/cranklane_lab/soak/checks.py
+++ b/src/cranklane_lab/soak/checks.py
@@ -16,7 +16,8 @@
 )
 from cranklane_lab.soak.site import Crash
 from cranklane_lab.standins.raw_http import RawAnswer
-from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_answers import NAMES
+from cranklane_lab.standins.routed_worker import RoutedWorker
 from cranklane_lab.standins.routed_worker_state import LateBody, RoutedRun
 
 QUARANTINE_DELAY_SECONDS = 3.0
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -11,7 +11,6 @@
 
 import gevent
 
-from cranklane.common.header_names import HeaderNames
 from cranklane.common.http1.message import (
     Framing,
     MalformedMessageError,
@@ -23,24 +22,20 @@
 from cranklane.common.units import MILLISECONDS
 from cranklane.runtime.interface import Address, Runtime
 from cranklane_lab.standins.raw_http import exchange
+from cranklane_lab.standins.routed_answers import NAMES, AnswerEncoder
 from cranklane_lab.standins.routed_worker_state import (
     LateBody,
     RoutedRun,
     RoutedWorkerState,
 )
 
-NAMES = HeaderNames()
 HEARTBEAT_SECONDS = 1.5
 HEALTH_PATH = "/healthz"
-INTEGRITY = b"whole"
 _POLL_SECONDS = 0.02
 
 _NEGLIGIBLE_SECONDS = 1e-6
 """Remaining work that counts as done; absorbs rounding."""
 
-START_HEADER = b"Stand-In-Start"
-"""Header of answers with a notice: the label of the worker's start."""
-
 CRASH_SECONDS = 0.05
 """Delay between the start of a crashing request and the crash."""
 
@@ -79,6 +74,7 @@
         self.phase = "ready"
         self.ended = False
         self.state = RoutedWorkerState()
+        self._answers = AnswerEncoder(self)
         self._streams: set[Any] = set()
         self._listener = runtime.listen(address, self._accept)
 
@@ -155,7 +151,8 @@
     def _serve(self, stream: Any, reader: RequestReader, head: RequestHead) -> bool:
         if head.target == HEALTH_PATH.encode():
             reader.finish()
-            return self._send_health(stream)
+            stream.sendall(self._answers.health(self.phase == "ready"))
+            return True
         state = self.state
         state.arrivals += 1
         if state.consume_fault("refuse_unread"):
@@ -183,7 +180,7 @@
             return self._answer(stream, request, 421, b"", not_run=True)
         is_shed = state.shed_fraction and self._runtime.random.random() < state.shed_fraction
         if is_shed or state.consume_fault("refuse"):
-            answer = self._bytes(request, 503, b"", not_run=True)
+            answer = self._answers.encode(request, 503, b"", not_run=True)
             if state.consume_fault("surplus_refusals"):
                 answer += status_line(200) + b"Content-Length: 0\r\n\r\n"
             stream.sendall(answer)
@@ -252,25 +249,6 @@
             self.state.on_late_body(late_body)
         return whole
 
-    def _send_health(self, stream: Any) -> bool:
-        is_well = self.phase == "ready" and not self.state.leaving
-        stream.sendall(
-            b"%s%s%s: %s\r\n%sContent-Length: 0\r\n\r\n"
-            % (
-                status_line(200 if is_well else 503),
-                self._notices() if self.state.states_in_health else b"",
-                NAMES.instance_answer,
-                self.instance.encode(),
-                self._load_line(),
-            )
-        )
-        return True
-
-    def _load_line(self) -> bytes:
-        percent = self.state.run_time_percent
-        fields = b"%d,0,%d%s" % (self.state.running, self.slots, b"," + percent if percent else b"")
-        return b"%s: %s\r\n" % (NAMES.load, fields)
-
     def _work(self, stream: Any, run: RoutedRun) -> bool:
         """Spend the work time of a request; return False if the caller disconnects."""
         state = self.state
@@ -306,11 +284,11 @@
         if state.consume_fault("late_answers"):
             self._answer(stream, b"another-request", 200, b"of another request")
         if state.consume_fault("cut_answers"):
-            encoded = self._bytes(request, state.status, state.body)
+            encoded = self._answers.encode(request, state.status, state.body)
             stream.sendall(encoded[: len(encoded) - max(1, len(state.body) // 2)])
             return False
         if state.consume_fault("unframed_answers"):
-            encoded = self._bytes(request, state.status, state.body, framed=False)
+            encoded = self._answers.encode(request, state.status, state.body, framed=False)
             stream.sendall(encoded)
             return False
         if state.consume_fault("unmarked_answers"):
@@ -324,9 +302,9 @@
     def _send_without_end(self, stream: Any, request: bytes) -> bool:
         part = self.state.endless_part
         if part == "body":
-            stream.sendall(self._bytes(request, 200, b"", framed=False))
+            stream.sendall(self._answers.encode(request, 200, b"", framed=False))
         elif part == "refusal":
-            stream.sendall(self._bytes(request, 503, b"", not_run=True, framed=False))
+            stream.sendall(self._answers.encode(request, 503, b"", not_run=True, framed=False))
         elif part == "head":
             stream.sendall(status_line(200))
         piece = (
@@ -345,42 +323,5 @@
         not_run: bool = False,
         marked: bool = True,
     ) -> bool:
-        stream.sendall(self._bytes(request, status, body, not_run, marked))
+        stream.sendall(self._answers.encode(request, status, body, not_run, marked))
         return True
-
-    def _bytes(
-        self,
-        request: bytes,
-        status: int,
-        body: bytes,
-        not_run: bool = False,
-        marked: bool = True,
-        framed: bool = True,
-    ) -> bytes:
-        lines = b"%s: %s\r\n" % (NAMES.request, request) + self._notices()
-        if self.state.states_load or self.state.run_time_percent:
-            lines += self._load_line()
-        if not_run:
-            lines += b"%s: 1\r\n%s: %s\r\n" % (
-                NAMES.not_run,
-                NAMES.instance_answer,
-                self.instance.encode(),
-            )
-        elif marked:
-            lines += b"%s: %s\r\n" % (NAMES.integrity, INTEGRITY)
-        if framed:
-            lines += b"Content-Length: %d\r\n" % len(body)
-        return status_line(status) + lines + b"\r\n" + body
-
-    def _notices(self) -> bytes:
-        """Return the headers in which an answer states a limit or that the worker is leaving."""
-        lines = b""
-        if self.state.on_notice is not None:
-            self.state.on_notice(float(self.state.rate_limit) if self.state.rate_limit else None)
-        if self.state.rate_limit:
-            lines += b"%s: %s\r\n" % (NAMES.rate_limit, self.state.rate_limit)
-        if self.state.leaving:
-            lines += b"%s: 1\r\n" % NAMES.leaving
-        if lines:
-            lines += b"%s: %s\r\n" % (START_HEADER, self.label.encode())
-        return lines
--- a/src/cranklane_lab/trees/play.py
+++ b/src/cranklane_lab/trees/play.py
@@ -14,7 +14,8 @@
 from cranklane_lab.simulation.world import World, simulate
 from cranklane_lab.standins.raw_http import exchange
 from cranklane_lab.standins.route_tables import HOST, route_table
-from cranklane_lab.standins.routed_worker import NAMES, RoutedWorker
+from cranklane_lab.standins.routed_answers import NAMES
+from cranklane_lab.standins.routed_worker import RoutedWorker
 from cranklane_lab.standins.routed_worker_state import RoutedRun
 from cranklane_lab.trees.generator import (
     LATE_WORTH_FRACTION,
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -8,7 +8,7 @@
 from cranklane.distribution.member_state import MemberState
 from cranklane.records.messages import Member, MemberDelta, WorkerNotice
 from cranklane.sidecar.routing.destinations import Destinations
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 from mesh_support import play
 from test_stated_limits import FOUR_OF_ONE_SERVICE, arrivals, send_load, statuses
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -9,7 +9,7 @@
 from cranklane_lab.simulation.world import simulate
 from cranklane_lab.standins.raw_http import RawConnection, exchange, request_bytes
 from cranklane_lab.standins.route_tables import HOST, route_table
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 from mesh_support import ROUTES, configure_workers, delay, play, runs
 
 
--- a/tests/test_mesh_workers.py
+++ b/tests/test_mesh_workers.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 from mesh_support import play, runs
 
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -16,7 +16,7 @@
 from cranklane.sidecar.routing.cost import SLOW_PERIOD_COST, cost
 from cranklane.sidecar.worker.answer_notice import AnswerNoticeReader
 from cranklane.sidecar.worker.instances import WorkerInstance
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 from cranklane_lab.standins.shared_machine import SlowPeriods
 from mesh_support import configure_workers, play
 from test_worker_choice import Clock, LocalSidecar
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from cranklane_lab.soak.proxy import ProxyMode
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, Crash
 from cranklane_lab.standins.raw_http import RawAnswer
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 from cranklane_lab.standins.routed_worker_state import LateBody, RoutedRun
 
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -27,7 +27,7 @@
 from cranklane_lab.simulation.world import simulate
 from cranklane_lab.standins.raw_http import exchange
 from cranklane_lab.standins.route_tables import route_table
-from cranklane_lab.standins.routed_worker import NAMES
+from cranklane_lab.standins.routed_answers import NAMES
 
 KEY = NAMES.key.decode()
 TENANT = NAMES.tenant.decode()
