The stand-in worker serves a request in short steps; plainer wording

Change: reading, refusing, running and answering are methods; comments and names only elsewhere.

Result: tests of the soak's checks, early and endless answers, uploads, leases, the mesh, crashing requests and documents pass.

--- a/src/cranklane/sidecar/request/body_transfer.py
+++ b/src/cranklane/sidecar/request/body_transfer.py
@@ -1,4 +1,4 @@
-"""Sends the body of a request in a task of its own while the response is awaited.
+"""Sends the body of a request in a separate task while the response is awaited.
 
 The task reads the connection from which the body arrives. A connection has one reader at a time,
 so the transfer must have ended before any other task reads there.
--- a/src/cranklane/sidecar/request/connection_lease.py
+++ b/src/cranklane/sidecar/request/connection_lease.py
@@ -32,7 +32,7 @@
         attempt.when_cancelled(close)
 
     def send_body(self, runtime: Runtime, send: Callable[[], None]) -> None:
-        """Start to send the request's body on the connection, in a task of its own."""
+        """Start to send the request's body on the connection, in a separate task."""
         self._transfer = BodyTransfer(runtime, send, self._close)
 
     def release(self) -> None:
--- a/src/cranklane/sidecar/routing/forwarded_body.py
+++ b/src/cranklane/sidecar/routing/forwarded_body.py
@@ -15,7 +15,7 @@
         self._complete = False
 
     def request(self) -> None:
-        """Tell the other sidecar to send the body; until then it sends none.
+        """Ask the other sidecar for the body; until then it sends none.
 
         :raises ConnectionLostError: if the connection fails.
         """
--- a/src/cranklane_lab/fleet/processes.py
+++ b/src/cranklane_lab/fleet/processes.py
@@ -53,7 +53,7 @@
 class FleetProcess:
     """Child process with its log file.
 
-    :ivar end_requested: whether it was killed or told to stop while it was running.
+    :ivar end_requested: whether a kill or a planned stop was requested while it was running.
     """
 
     name: str
@@ -72,8 +72,8 @@
         return self.process.poll() is None
 
     @property
-    def ended_by_itself(self) -> bool:
-        """Whether the process has exited although nobody asked it to."""
+    def exited_unexpectedly(self) -> bool:
+        """Whether the process has exited without a request to end."""
         return not self.alive and not self.end_requested
 
     def kill(self) -> None:
--- a/src/cranklane_lab/soak/checks.py
+++ b/src/cranklane_lab/soak/checks.py
@@ -101,11 +101,11 @@
                 f"other bytes arrived where the rest of the body of {late_body.request} was due"
             )
 
-    def check_processes(self, ended_by_themselves: list[FleetProcess]) -> None:
-        """Record the processes that exited although nobody asked them to."""
-        for process in ended_by_themselves:
+    def check_processes(self, exited_unexpectedly: list[FleetProcess]) -> None:
+        """Record the processes that exited without a request to end."""
+        for process in exited_unexpectedly:
             status = process.process.returncode
-            self.record_violation(f"{process.name} ended by itself with status {status}")
+            self.record_violation(f"{process.name} exited unexpectedly with status {status}")
 
     def record_read(self, acknowledged_before: int, version: int) -> None:
         """Record a read of the route table.
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -108,7 +108,7 @@
                 self._observations.check_runs(self._site.workers)
                 self._observations.check_quarantine(self._site.crashes, self._site.workers)
                 self._check_notices()
-                self._observations.check_processes(self._site.ended_by_themselves())
+                self._observations.check_processes(self._site.exited_unexpectedly())
         finally:
             self._stopping = True
             self._site.stop()
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -168,9 +168,9 @@
         self._started.append(process)
         return process
 
-    def ended_by_themselves(self) -> list[FleetProcess]:
-        """Return the processes of the whole run that have exited without being asked to."""
-        return [process for process in self._started if process.ended_by_itself]
+    def exited_unexpectedly(self) -> list[FleetProcess]:
+        """Return the processes of the whole run that have exited without a request to end."""
+        return [process for process in self._started if process.exited_unexpectedly]
 
     def _new_worker(self, number: int, instance: str) -> RoutedWorker:
         host = f"127.0.2.{number + 1}"
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -149,79 +149,98 @@
             stream.close()
 
     def _serve(self, stream: Any, reader: RequestReader, head: RequestHead) -> bool:
+        """Serve one request; return whether the connection stays open."""
         if head.target == HEALTH_PATH.encode():
             reader.finish()
             stream.sendall(self._answers.health(self.phase == "ready"))
             return True
         state = self.state
         state.arrivals += 1
+        request = head.value(NAMES.request.lower()) or b""
         if state.consume_fault("refuse_unread"):
-            request = head.value(NAMES.request.lower()) or b""
             self._answer(stream, request, 503, b"", not_run=True)
             return False
         has_body = head.framing is not Framing.NONE
         if has_body and state.consume_fault("refuse_early"):
             gevent.sleep(state.early_answer_delay)
-            self._answer(stream, head.value(NAMES.request.lower()) or b"", 503, b"", not_run=True)
+            self._answer(stream, request, 503, b"", not_run=True)
             return self._read_late(reader, head)
         if has_body and state.consume_fault("answer_early"):
             return self._answer_early(stream, reader, head)
-        while not state.reads_body:
-            gevent.sleep(_POLL_SECONDS)
-        body = b""
-        while chunk := reader.next_piece():
-            body += chunk
-        reader.finish()
-        request = head.value(NAMES.request.lower()) or b""
+        body = self._read_body(reader)
         if state.on_arrival is not None:
             state.on_arrival(request.decode())
         expected = head.value(NAMES.instance.lower())
         if expected is not None and expected != self.instance.encode():
             return self._answer(stream, request, 421, b"", not_run=True)
-        is_shed = state.shed_fraction and self._runtime.random.random() < state.shed_fraction
-        if is_shed or state.consume_fault("refuse"):
-            answer = self._answers.encode(request, 503, b"", not_run=True)
-            if state.consume_fault("surplus_refusals"):
-                answer += status_line(200) + b"Content-Length: 0\r\n\r\n"
-            stream.sendall(answer)
-            return True
+        if self._refuses():
+            return self._refuse(stream, request)
         if state.endless_part == "refusal" and state.consume_fault("endless_answers"):
             return self._send_without_end(stream, request)
+        return self._run(stream, head, body)
+
+    def _read_body(self, reader: RequestReader) -> bytes:
+        while not self.state.reads_body:
+            gevent.sleep(_POLL_SECONDS)
+        body = b""
+        while chunk := reader.next_piece():
+            body += chunk
+        reader.finish()
+        return body
+
+    def _refuses(self) -> bool:
+        shed_fraction = self.state.shed_fraction
+        is_shed = shed_fraction and self._runtime.random.random() < shed_fraction
+        return bool(is_shed) or self.state.consume_fault("refuse")
+
+    def _refuse(self, stream: Any, request: bytes) -> bool:
+        answer = self._answers.encode(request, 503, b"", not_run=True)
+        if self.state.consume_fault("surplus_refusals"):
+            answer += status_line(200) + b"Content-Length: 0\r\n\r\n"
+        stream.sendall(answer)
+        return True
+
+    def _run(self, stream: Any, head: RequestHead, body: bytes) -> bool:
+        """Run a request and answer it; return whether the connection stays open."""
+        state = self.state
+        request = head.value(NAMES.request.lower()) or b""
+        run = self._start_run(head, body)
+        if state.crash_mark and state.crash_mark in run.target:
+            gevent.sleep(CRASH_SECONDS)
+            assert state.on_crash is not None
+            state.on_crash(run)
+            return False
+        if state.work is not None:
+            status = state.work(run)
+            answer_body = state.body if status == state.status else b"failed"
+            return self._answer(stream, request, status, answer_body)
+        if not self._work(stream, run):
+            return False
+        return self._finish(stream, request)
+
+    def _start_run(self, head: RequestHead, body: bytes, answered_early: bool = False) -> RoutedRun:
+        """Record that a request starts to run."""
+        state = self.state
         run = RoutedRun(
-            request.decode(),
+            (head.value(NAMES.request.lower()) or b"").decode(),
             head.method,
             head.target,
             head.headers,
             body,
             self._runtime.monotonic(),
             state.work_time_factor,
+            answered_early=answered_early,
         )
         state.runs.append(run)
         if state.on_run is not None:
             state.on_run(run)
-        if state.crash_mark and state.crash_mark in run.target:
-            gevent.sleep(CRASH_SECONDS)
-            assert state.on_crash is not None
-            state.on_crash(run)
-            return False
-        if state.work is not None:
-            status = state.work(run)
-            body = state.body if status == state.status else b"failed"
-            return self._answer(stream, request, status, body)
-        if not self._work(stream, run):
-            return False
-        return self._finish(stream, request)
+        return run
 
     def _answer_early(self, stream: Any, reader: RequestReader, head: RequestHead) -> bool:
         """Answer a request as run before its body is read; return whether the body was whole."""
         gevent.sleep(self.state.early_answer_delay)
+        self._start_run(head, b"", answered_early=True)
         request = head.value(NAMES.request.lower()) or b""
-        now = self._runtime.monotonic()
-        run = RoutedRun(request.decode(), head.method, head.target, head.headers, b"", now)
-        run.answered_early = True
-        self.state.runs.append(run)
-        if self.state.on_run is not None:
-            self.state.on_run(run)
         body = b"ran " + request if self.state.echoes else self.state.body
         self._answer(stream, request, 200, body)
         return self._read_late(reader, head)
--- a/tests/test_connection_lease.py
+++ b/tests/test_connection_lease.py
@@ -12,7 +12,7 @@
 
 
 class Uses:
-    """An attempt with its lease, and what became of the connection."""
+    """An attempt with its lease, and the calls that ended the use of the connection."""
 
     def __init__(self):
         self.ends = []
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -190,7 +190,7 @@
     ("trouble", "machine"),
     [
         *((trouble, REMOTE) for trouble in TROUBLES),
-        # The caller's connection ends with the sidecar of its own machine.
+        # A killed sidecar at the local machine ends the caller's connection as well.
         *((trouble, LOCAL) for trouble in TROUBLES if trouble != "sidecar killed"),
     ],
 )
@@ -249,7 +249,7 @@
 
 @pytest.mark.parametrize(("faults", "is_cut"), [({"refuse_early": 1}, True), ({}, False)])
 def test_bodies_that_were_not_sent_whole_are_counted(faults, is_cut):
-    """Guards against an operator who cannot tell why uploads are refused or connections closed."""
+    """Guards against uploads and connections that end without a reason in the metrics."""
 
     def script(mesh):
         configure_workers(mesh, **faults)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -210,11 +210,11 @@
     assert len(observations.violations) == violations
 
 
-def test_a_process_that_ends_without_being_asked_to_is_a_violation(tmp_path):
-    processes = [start(name, "this", [], tmp_path) for name in ("asked", "by-itself")]
+def test_an_unexpected_exit_of_a_process_is_a_violation(tmp_path):
+    processes = [start(name, "this", [], tmp_path) for name in ("killed", "crashed")]
     processes[0].kill()
     processes[1].process.wait()
     processes[1].kill()
     observations = Observations()
-    observations.check_processes([process for process in processes if process.ended_by_itself])
-    assert observations.violations == ["by-itself ended by itself with status 0"]
+    observations.check_processes([process for process in processes if process.exited_unexpectedly])
+    assert observations.violations == ["crashed exited unexpectedly with status 0"]
