--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -77,6 +77,16 @@
     first.kill()
 
 
+def test_a_connection_is_readable_after_its_reading_task_has_ended(pair):
+    """Guards against a task that is ended while it reads and still counts as the reader."""
+    client, server = pair
+    first = gevent.spawn(client.recv, 100)
+    gevent.sleep(0.01)
+    first.kill()
+    server.sendall(b"next")
+    assert client.recv(100) == b"next"
+
+
 def test_nagle_is_disabled_at_both_ends(pair):
     for stream in pair:
         assert stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0
