Callers of the tests of early answers are stand-ins of the lab

Cause: a quarter of tests/test_early_answers.py were callers, untyped and out of reach of other tests.

Change: Upload, UploadShape and senders of small requests in standins/mesh_callers.py. The tests ask the same of the same requests.

--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -6,7 +6,14 @@
 import pytest
 
 from cranklane.sidecar.ingress.caller_connection import CallerConnection
-from cranklane_lab.standins.raw_http import RawConnection, request_bytes
+from cranklane_lab.standins.mesh_callers import (
+    PIECE,
+    Upload,
+    UploadShape,
+    is_beginning_of_upload,
+    send_small_requests,
+    send_small_requests_at_once,
+)
 from mesh_support import configure_workers, play_uploads
 
 ROUTES = {
@@ -14,10 +21,9 @@
     "mail": {"prefix": "/mail/", "service": "s", "repeat": "unsafe"},
     "short": {"prefix": "/short/", "service": "s", "repeat": "upload", "timeout_ms": 600},
 }
-PATTERN = b"0123456789abcdef"
-PIECE = PATTERN * 4096
-PIECES = 10
-PIECE_INTERVAL_SECONDS = 0.1
+LARGE_PIECES = 64
+"""Size of an upload that the windows on the way do not hold."""
+
 EARLY_ANSWER_SECONDS = 0.2
 """Time from the head of a request to its early answer; the windows are full by then."""
 
@@ -30,104 +36,6 @@
     return play_uploads(script, ROUTES, services=("s", "t"), slots=20)
 
 
-class Upload:
-    """An upload whose body is sent piece by piece until it is answered.
-
-    :param pieces: size of the body in pieces.
-    :param interval: seconds between the pieces.
-    :ivar answer: the response; None without one.
-    """
-
-    def __init__(
-        self,
-        mesh,
-        machine,
-        path="/file/x",
-        chunked=False,
-        pieces=PIECES,
-        interval=PIECE_INTERVAL_SECONDS,
-        name="up",
-    ):
-        process = mesh.client_process(f"uploader-{name}", mesh.machines[machine].host)
-        self._connection = RawConnection(process, mesh.machines[machine].callers)
-        self._chunked = chunked
-        self._pieces = pieces
-        self._interval = interval
-        framing = (
-            b"Transfer-Encoding: chunked"
-            if chunked
-            else b"Content-Length: %d" % (pieces * len(PIECE))
-        )
-        self._connection.send(
-            b"POST %s HTTP/1.1\r\nHost: shop.example\r\nCranklane-Request-Id: %s\r\n"
-            b"Cranklane-Deadline-Ms: 20000\r\n%s\r\n\r\n" % (path.encode(), name.encode(), framing)
-        )
-        self.answer = None
-        self._sending = gevent.spawn(self._send)
-        self._answering = gevent.spawn(self._receive)
-
-    def _send(self):
-        piece = b"%x\r\n%s\r\n" % (len(PIECE), PIECE) if self._chunked else PIECE
-        try:
-            for _ in range(self._pieces):
-                self._connection.send(piece)
-                gevent.sleep(self._interval)
-            if self._chunked:
-                self._connection.send(b"0\r\n\r\n")
-        except OSError:
-            # The sidecar has closed the connection after its answer.
-            pass
-
-    def _receive(self):
-        self.answer = self._connection.answer()
-
-    def status(self):
-        """Wait for the response and return its status."""
-        self._answering.join()
-        return self.answer.status
-
-    def leave(self):
-        """Close the connection in the middle of the body."""
-        self._sending.kill()
-        self._connection.close()
-
-    def join(self):
-        """Wait until neither side sends any more."""
-        gevent.joinall([self._answering, self._sending])
-
-
-def send_mail(mesh, machine, seconds, client=0):
-    """Send small requests on one connection; return their statuses."""
-    process = mesh.client_process(f"mail-{client}", mesh.machines[machine].host)
-    connection = RawConnection(process, mesh.machines[machine].callers)
-    statuses = set()
-    ends_at = mesh.world.loop.now() + seconds
-    number = 0
-    while mesh.world.loop.now() < ends_at:
-        number += 1
-        headers = {
-            "Host": "shop.example",
-            "Cranklane-Request-Id": f"mail-{client}-{number}",
-            "Cranklane-Deadline-Ms": "3000",
-        }
-        connection.send(request_bytes("POST", f"/mail/{number}", headers, b"mail"))
-        answer = connection.answer()
-        statuses.add(answer.status if answer is not None else 0)
-    return statuses
-
-
-def send_mail_from_several(mesh, machine, seconds):
-    """Like :func:`send_mail`, on several connections at once."""
-    clients = [gevent.spawn(send_mail, mesh, machine, seconds, client) for client in range(4)]
-    return set().union(*(client.get() for client in clients))
-
-
-def is_prefix_of_upload(late_body):
-    """Return whether a worker received bytes of the upload alone where its body was due."""
-    expected = (PATTERN * (len(late_body.data) // len(PATTERN) + 1))[: len(late_body.data)]
-    return not late_body.malformed and late_body.data == expected
-
-
 @pytest.mark.parametrize("chunked", [False, True])
 @pytest.mark.parametrize("machine", [LOCAL, REMOTE])
 @pytest.mark.parametrize("fault", ["refuse_early", "answer_early"])
@@ -139,14 +47,14 @@
             mesh, early_answer_delay=EARLY_ANSWER_SECONDS, late_read_pause=0.5, **{fault: 1}
         )
         # More than the windows on the way hold, so that the sender of the body is blocked.
-        upload = Upload(mesh, machine, chunked=chunked, pieces=64, interval=0.0)
+        upload = Upload(mesh, machine, UploadShape("/file/x", LARGE_PIECES, 0.0, chunked))
         assert mesh.wait_for(lambda: mesh.machines[0].worker.state.arrivals, 3.0)
         # The pool hands out the connection that was given back last.
         gevent.sleep(EARLY_ANSWER_SECONDS + 0.1)
-        statuses = send_mail_from_several(mesh, machine, 1.5)
+        statuses = send_small_requests_at_once(mesh, machine, "/mail/", 1.5)
         upload.join()
         late_bodies = mesh.machines[0].worker.state.late_bodies
-        return statuses, [is_prefix_of_upload(late_body) for late_body in late_bodies]
+        return statuses, [is_beginning_of_upload(late_body) for late_body in late_bodies]
 
     assert play_mesh(script) == ({200}, [True])
 
@@ -158,7 +66,7 @@
     def script(mesh):
         configure_workers(mesh, refuse=1, surplus_refusals=1)
         refused = mesh.request(mesh.machines[machine], "/mail/x", "POST", b"mail").status
-        return refused, send_mail(mesh, machine, 0.5)
+        return refused, send_small_requests(mesh, machine, "/mail/", 0.5)
 
     assert play_mesh(script) == (503, {200})
 
@@ -200,7 +108,7 @@
 
     def script(mesh):
         configure_workers(mesh, **faults)
-        upload = Upload(mesh, machine, path, chunked)
+        upload = Upload(mesh, machine, UploadShape(path, chunked=chunked))
         gevent.sleep(0.35)
         strike(mesh)
         status = upload.status()
@@ -220,9 +128,9 @@
             mesh, early_answer_delay=EARLY_ANSWER_SECONDS, late_read_pause=0.5, **{fault: 1}
         )
         # The windows on the way hold the whole body, but the worker's sidecar has not read it all.
-        upload = Upload(mesh, REMOTE, pieces=7, interval=0.0)
+        upload = Upload(mesh, REMOTE, UploadShape(pieces=7, interval=0.0))
         first = upload.status()
-        return first, send_mail(mesh, REMOTE, 0.5)
+        return first, send_small_requests(mesh, REMOTE, "/mail/", 0.5)
 
     assert play_mesh(script)[1] == {200}
 
@@ -253,7 +161,7 @@
 
     def script(mesh):
         configure_workers(mesh, **faults)
-        Upload(mesh, REMOTE).join()
+        Upload(mesh, REMOTE, UploadShape()).join()
         return mesh.machines[REMOTE].sidecar.metrics.text().decode()
 
     assert ('cranklane_bodies_cut_total{service="s"} 1.0' in play_mesh(script)) is is_cut
@@ -265,7 +173,7 @@
 
     def script(mesh):
         for number in range(6):
-            upload = Upload(mesh, machine, name=f"up-{number}")
+            upload = Upload(mesh, machine, UploadShape(), f"up-{number}")
             gevent.sleep(0.35)
             upload.leave()
             gevent.sleep(0.5)
