Test of unexpected exits: the killed process runs until it is killed

Cause: the test killed a process that ends by itself within milliseconds. The check itself was right.

Change: that process sleeps for a minute. The same is asked of both processes.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -211,7 +211,11 @@
 
 
 def test_an_unexpected_exit_of_a_process_is_a_violation(tmp_path):
-    processes = [start(name, "this", [], tmp_path) for name in ("killed", "crashed")]
+    sleep = ["-n1", "-r1", "import time; time.sleep(60)"]
+    processes = [
+        start("killed", "timeit", sleep, tmp_path),
+        start("crashed", "this", [], tmp_path),
+    ]
     processes[0].kill()
     processes[1].process.wait()
     processes[1].kill()
