--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -36,6 +36,9 @@
 _NEGLIGIBLE_SECONDS = 1e-6
 """Remaining work that counts as done; absorbs rounding."""
 
+DEPARTED = "departed"
+"""Phase of a worker that has deregistered and still serves; no heartbeat states it."""
+
 CRASH_SECONDS = 0.05
 """Delay between the start of a crashing request and the crash."""
 
@@ -48,7 +51,7 @@
     :param slots: concurrency that it announces.
     :param states_start_time: whether its messages state when it started.
     :ivar started_at_ms: Unix time of its start in milliseconds; None if not stated.
-    :ivar phase: ``ready`` or ``draining``.
+    :ivar phase: ``ready``, ``draining`` or :data:`DEPARTED`.
     :ivar ended: whether it has exited.
     """
 
@@ -85,6 +88,10 @@
 
     def send_heartbeat(self) -> int:
         """Send one heartbeat; return the response's status, 0 without a response."""
+        return self.deliver_heartbeat(self.next_heartbeat())
+
+    def next_heartbeat(self) -> bytes:
+        """Return the body of the next heartbeat, to be delivered now or late."""
         self._sequence += 1
         cold_seconds = max(0.0, self.state.cold_until - self._runtime.monotonic())
         body = {
@@ -95,7 +102,11 @@
             "cold_remaining_ms": int(cold_seconds * MILLISECONDS),
             **self._start_time(),
         }
-        return self._post("heartbeat", json.dumps(body).encode())
+        return json.dumps(body).encode()
+
+    def deliver_heartbeat(self, body: bytes) -> int:
+        """Send a heartbeat made earlier; return the response's status, 0 without a response."""
+        return self._post("heartbeat", body)
 
     def _start_time(self) -> dict[str, int]:
         return {} if self.started_at_ms is None else {"born": self.started_at_ms}
@@ -110,9 +121,14 @@
         start_time = self._start_time()
         return self._post("deregister", json.dumps(start_time).encode() if start_time else b"")
 
+    def depart(self) -> int:
+        """Deregister, send no further heartbeats and keep serving; return the response's status."""
+        self.phase = DEPARTED
+        return self.deregister()
+
     def send_heartbeats(self) -> None:
-        """Send heartbeats until the worker exits."""
-        while not self.ended:
+        """Send heartbeats until the worker exits or departs."""
+        while not self.ended and self.phase != DEPARTED:
             self.send_heartbeat()
             gevent.sleep(self._heartbeat_seconds)
 
