Log departures of workers and heartbeats that change nothing

What callers saw: requests at a worker that leaves; no log line told why a worker was used again.

Cause: a departure stated by a draining heartbeat or an answer, and every ignored heartbeat, left no line. Change: worker_departure (start, stated by what, state before) and heartbeat_ignored (start, sequence, phase, reason, current start and state). No logic is changed.

--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -157,13 +157,17 @@
         former, former_state = self.instance, self.state
         self._complete_instance(instance)
         if not self._instances.advance(instance, heartbeat.sequence):
+            self._log_ignored(heartbeat, "late")
             return
         if instance != self.instance:
             if self._is_superseded(instance):
+                self._log_ignored(heartbeat, "superseded")
                 return
             self._adopt_instance(instance)
         self._last_heartbeat_at = self._runtime.monotonic()
         if self._instances.has_planned_exit(instance):
+            if heartbeat.phase is WorkerPhase.READY:
+                self._log_ignored(heartbeat, "departed")
             return
         self.service = heartbeat.service
         usable = usable_slots(heartbeat.slots)
@@ -175,7 +179,7 @@
             self._slots.resize(usable)
             self._on_change()
         if heartbeat.phase is WorkerPhase.DRAINING:
-            self._begin_planned_exit(instance, WorkerState.DRAINING)
+            self._begin_planned_exit(instance, WorkerState.DRAINING, "heartbeat")
         else:
             self._set_state(WorkerState.READY)
 
@@ -224,7 +228,7 @@
         if not self.instance.id:
             self._adopt_instance(instance)
         if instance == self.instance:
-            self._begin_planned_exit(instance, WorkerState.GONE)
+            self._begin_planned_exit(instance, WorkerState.GONE, "deregistration")
         else:
             self._instances.record_planned_exit(instance)
 
@@ -233,7 +237,7 @@
         if not instance.may_be(self.instance):
             self._instances.record_planned_exit(instance)
         elif not self._instances.has_planned_exit(self.instance):
-            self._begin_planned_exit(self.instance, WorkerState.DRAINING)
+            self._begin_planned_exit(self.instance, WorkerState.DRAINING, "answer")
 
     def _resolve(self, instance: WorkerInstance) -> WorkerInstance:
         """Return the instance that a message is from; it may state the id alone."""
@@ -250,8 +254,28 @@
             self.instance = instance
             self._on_change()
 
-    def _begin_planned_exit(self, instance: WorkerInstance, state: WorkerState) -> None:
+    def _log_ignored(self, heartbeat: WorkerHeartbeat, reason: str) -> None:
+        """Log a heartbeat that changes nothing."""
+        self._log.info(
+            "heartbeat_ignored",
+            instance=heartbeat.instance.label,
+            sequence=heartbeat.sequence,
+            phase=heartbeat.phase.value,
+            reason=reason,
+            current=self.instance.label,
+            state=self.state.value,
+        )
+
+    def _begin_planned_exit(
+        self, instance: WorkerInstance, state: WorkerState, stated_by: str
+    ) -> None:
         self._instances.record_planned_exit(instance)
+        self._log.info(
+            "worker_departure",
+            instance=instance.label,
+            stated_by=stated_by,
+            former=self.state.value,
+        )
         if self.state is WorkerState.GONE:
             return
         self._set_state(state)
