The soak has workers that leave, late heartbeats and restarts of their sidecars

What callers saw: requests at a worker whose departure was acknowledged; the soak could not see it, since no worker of it ever said that it leaves.

Change: workers drain first or only deregister, serve on for 2.5 to 10 s and come back, every other time under their id; heartbeats from before arrive late and twice; the sidecar is restarted by kills, series of kills and planned stops; some health checks state the opposite of the truth; crashed starts have late heartbeats too. The check is the rule's: no request 2 s after the acknowledgement, while the machine of the request and that of the worker are undisturbed for 3 s. Callers pause around an acknowledgement, since a sidecar with a request under way is told by its reply.

--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -255,7 +255,7 @@
             def stated(limit: float | None) -> None:
                 rules.stated(machine.worker.label, now(), limit)
 
-            def arrived(request: str) -> None:
+            def arrived(request: str, _is_misdirected: bool) -> None:
                 origin, sent_at = self._origins[request]
                 rules.arrived(machine.worker.label, Arrival(now(), origin, sent_at))
 
--- a/src/cranklane_lab/soak/faults.py
+++ b/src/cranklane_lab/soak/faults.py
@@ -68,6 +68,12 @@
                 self._disturb(number, fault)
             gevent.sleep(SIDECAR_FAULT_GAP_SECONDS * (0.5 + self._random.random()))
 
+    def restart_sidecar(self, number: int) -> None:
+        """Restart a sidecar in a random way, unless another fault on it is in progress."""
+        restarts = (self._kill_sidecar, self._stop_sidecar, self._restart_sidecar_in_series)
+        if number not in self._disturbed:
+            self._disturb(number, self._random.choice(restarts))
+
     def _disturb(self, number: int, fault: Callable[[int], None]) -> None:
         self._disturbed.add(number)
         self._on_disturbed(number)
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -11,12 +11,15 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
 from cranklane.runtime.interface import Address
 from cranklane.runtime.real import RealRuntime
+from cranklane_lab.evidence.departure_rules import DepartureRules
 from cranklane_lab.evidence.notice_rules import NoticeRules
 from cranklane_lab.soak.callers import Caller
 from cranklane_lab.soak.checks import Observations
+from cranklane_lab.soak.departures import Departures
 from cranklane_lab.soak.faults import FaultInjector
 from cranklane_lab.soak.loads import (
     MAX_BODY_BYTES,
@@ -60,6 +63,7 @@
     :ivar folder: folder of the process logs.
     :ivar ends: number of worker crashes by request target.
     :ivar served: number of runs by tenant.
+    :ivar departures: number of workers whose departure was acknowledged.
     """
 
     seed: int
@@ -72,6 +76,7 @@
     folder: str = ""
     ends: dict[str, int] = field(default_factory=dict)
     served: dict[str, int] = field(default_factory=dict)
+    departures: int = 0
 
 
 class Soak:
@@ -84,10 +89,12 @@
         self._random = Random(seed)
         self._runtime = RealRuntime()
         self._rules = NoticeRules()
+        self._departure_rules = DepartureRules()
         self._observations = Observations()
         self._site = SoakSite(
             folder,
             self._rules,
+            self._departure_rules,
             self._observations.record_run,
             self._observations.record_late_body,
             machines,
@@ -95,6 +102,8 @@
         self._caller = Caller(self._runtime, self._site, self._rules, UNLIMITED)
         self._faults: list[str] = []
         self._stopping = False
+        self._may_send = Event()
+        self._may_send.set()
         self._request_count = 0
 
     def run(self) -> SoakResult:
@@ -123,6 +132,7 @@
             str(self._folder),
             dict(Counter(crash.target.decode() for crash in self._site.crashes)),
             dict(self._observations.served),
+            self._departure_rules.departures,
         )
 
     def _record_fault(self, text: str) -> None:
@@ -140,15 +150,26 @@
 
     def _check_notices(self) -> None:
         """Check the rules on workers that stated a limit or a departure."""
-        for violation in self._rules.violations():
+        for violation in [*self._rules.violations(), *self._departure_rules.violations()]:
             self._observations.record_violation(violation)
 
-    def _excuse(self, machine: int) -> None:
-        self._rules.excuse(f"sidecar-{machine}", self._runtime.monotonic())
+    def _machine_disturbed(self, machine: int) -> None:
+        now = self._runtime.monotonic()
+        self._rules.excuse(f"sidecar-{machine}", now)
+        self._departure_rules.disturbed(f"sidecar-{machine}", now)
 
     def _run_with_faults(self) -> None:
         injector = FaultInjector(
-            self._site, Random(self._random.random()), self._record_fault, self._excuse
+            self._site, Random(self._random.random()), self._record_fault, self._machine_disturbed
+        )
+        departures = Departures(
+            self._site,
+            self._departure_rules,
+            injector,
+            self._may_send,
+            Random(self._random.random()),
+            self._runtime.monotonic,
+            self._record_fault,
         )
         needs = WorkerNeeds(self._site, Random(self._random.random()), self._record_fault)
         tasks = [
@@ -164,6 +185,7 @@
                 for _ in range(SIDECAR_FAULT_TASKS)
             ),
             gevent.spawn(needs.run, lambda: self._stopping),
+            gevent.spawn(departures.run, lambda: self._stopping),
             gevent.spawn(injector.inject_controller_faults, lambda: self._stopping),
         ]
         periods = SlowPeriods(self._site, Random(self._random.random()))
@@ -202,6 +224,7 @@
         random = Random(self._random.random())
         caller = Caller(self._runtime, self._site, self._rules, tenant)
         while not self._stopping:
+            self._may_send.wait()
             route = random.choice(ROUTE_CHOICES)
             self._request_count += 1
             request_id = f"{route}-{self._seed}-{self._request_count}"
--- a/src/cranklane_lab/soak/site.py
+++ b/src/cranklane_lab/soak/site.py
@@ -14,6 +14,7 @@
 import gevent
 
 from cranklane.runtime.real import RealRuntime
+from cranklane_lab.evidence.departure_rules import DepartureRules, WorkerArrival
 from cranklane_lab.evidence.notice_rules import Arrival, NoticeRules
 from cranklane_lab.fleet.mesh_flags import MeshPorts, as_arguments
 from cranklane_lab.fleet.processes import FleetProcess, start
@@ -36,6 +37,9 @@
 COLD_FACTORS = (2.0, 3.0, 4.0)
 """Time after a restart in which a worker is slow, and the factors of its run time."""
 
+LATE_HEARTBEAT_SECONDS = (1.0, 2.5, 4.0, 6.0)
+"""Times from the crash of a worker to the delivery of a heartbeat that it sent before."""
+
 WORKER_RESTART_SECONDS = 1.5
 """Time between the crash of a worker and its restart."""
 
@@ -65,6 +69,7 @@
     """Processes on loopback addresses, which advertise the addresses of their proxies.
 
     :param rules: receives what workers state and which requests reach them.
+    :param departure_rules: receives which requests reach them.
     :param on_run: called with the name of the tenant that sent it and each run as it starts.
     :param on_late_body: called with each body that a worker read after its answer.
     :ivar machines: number of sidecars, each with a worker.
@@ -78,12 +83,14 @@
         self,
         folder: Path,
         rules: NoticeRules,
+        departure_rules: DepartureRules,
         on_run: Callable[[str, RoutedRun], None],
         on_late_body: Callable[[LateBody], None],
         machines: int = len(SERVICES),
     ) -> None:
         self._folder = folder
         self._rules = rules
+        self._departure_rules = departure_rules
         self._on_run = on_run
         self._on_late_body = on_late_body
         self._origins: dict[str, Origin] = {}
@@ -190,7 +197,7 @@
         worker.state.on_late_body = self._on_late_body
         worker.state.keeps_late_bodies = False
         worker.state.on_notice = partial(self._record_stated, worker)
-        worker.state.on_arrival = partial(self._record_arrival, worker)
+        worker.state.on_arrival = partial(self._record_arrival, number, worker)
         worker.state.crash_mark = CRASH_MARK
         worker.state.on_crash = partial(self._crash_worker, number)
         self._runtime.spawn(worker.send_heartbeats)
@@ -203,10 +210,16 @@
     def _record_stated(self, worker: RoutedWorker, limit: float | None) -> None:
         self._rules.stated(worker.label, self._runtime.monotonic(), limit)
 
-    def _record_arrival(self, worker: RoutedWorker, request: str) -> None:
+    def _record_arrival(
+        self, number: int, worker: RoutedWorker, request: str, is_misdirected: bool
+    ) -> None:
         origin = self._origins[request]
-        arrival = Arrival(self._runtime.monotonic(), f"sidecar-{origin.machine}", origin.sent_at)
-        self._rules.arrived(worker.label, arrival)
+        now = self._runtime.monotonic()
+        origin_name = f"sidecar-{origin.machine}"
+        self._rules.arrived(worker.label, Arrival(now, origin_name, origin.sent_at))
+        if not is_misdirected:
+            arrival = WorkerArrival(now, request, origin_name, f"sidecar-{number}")
+            self._departure_rules.arrived(worker.label, arrival)
 
     def _record_run(self, run: RoutedRun) -> None:
         self._on_run(self._origins[run.request].tenant, run)
@@ -248,6 +261,8 @@
         if worker.ended:
             return
         self.crashes.append(Crash(self._runtime.monotonic(), run.target))
+        delay = LATE_HEARTBEAT_SECONDS[len(self.crashes) % len(LATE_HEARTBEAT_SECONDS)]
+        gevent.spawn_later(delay, worker.deliver_heartbeat, worker.next_heartbeat())
         worker.end()
         gevent.spawn_later(WORKER_RESTART_SECONDS, self._restart_worker, number)
 
--- a/src/cranklane_lab/standins/routed_answers.py
+++ b/src/cranklane_lab/standins/routed_answers.py
@@ -70,7 +70,7 @@
         :param is_ready: whether the worker's phase is ready.
         """
         state = self._worker.state
-        is_well = is_ready and not state.leaving
+        is_well = (is_ready and not state.leaving) is not state.health_is_wrong
         status = HTTPStatus.OK if is_well else HTTPStatus.SERVICE_UNAVAILABLE
         notices = self._notices() if state.states_in_health else b""
         lines = notices + self._instance_line() + self._load_line()
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -184,10 +184,11 @@
         if has_body and state.consume_fault("answer_early"):
             return self._answer_early(stream, reader, head)
         body = self._read_body(reader)
-        if state.on_arrival is not None:
-            state.on_arrival(request.decode())
         expected = head.value(NAMES.instance.lower())
-        if expected is not None and expected != self.instance.encode():
+        is_misdirected = expected is not None and expected != self.instance.encode()
+        if state.on_arrival is not None:
+            state.on_arrival(request.decode(), is_misdirected)
+        if is_misdirected:
             return self._answer(stream, request, 421, b"", not_run=True)
         if self._refuses():
             return self._refuse(stream, request)
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -77,6 +77,7 @@
     :ivar endless_pause: seconds between the pieces of an endless response.
     :ivar run_time_percent: fourth field of the load header; empty for none.
     :ivar states_load: whether its answers have the load header also without that field.
+    :ivar health_is_wrong: fault: the health check states the opposite of the truth.
     :ivar cold_until: monotonic second up to which its heartbeats state that it is slow.
     :ivar body: body of a response.
     :ivar echoes: whether a response body names its request instead.
@@ -90,7 +91,8 @@
     :ivar leaving: whether its answers state that it is leaving.
     :ivar states_in_health: whether answers to health checks state the same.
     :ivar on_notice: called before each answer with the limit that it states, if any.
-    :ivar on_arrival: called with the id of each received request.
+    :ivar on_arrival: called with the id of each received request, and whether it is meant for
+        another instance.
     :ivar on_run: called with each run as it starts.
     :ivar arrivals: number of received requests.
     :ivar connections: number of accepted connections.
@@ -125,6 +127,7 @@
     endless_pause: float = 0.001
     run_time_percent: bytes = b""
     states_load: bool = False
+    health_is_wrong: bool = False
     cold_until: float = 0.0
     body: bytes = b"answer"
     echoes: bool = False
@@ -137,7 +140,7 @@
     leaving: bool = False
     states_in_health: bool = False
     on_notice: Callable[[float | None], None] | None = None
-    on_arrival: Callable[[str], None] | None = None
+    on_arrival: Callable[[str, bool], None] | None = None
     on_run: Callable[[RoutedRun], None] | None = None
     arrivals: int = 0
     connections: int = 0
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,4 +1,4 @@
-"""A worker whose departure was acknowledged gets no new requests, whatever ends or arrives later."""
+"""A worker whose departure was acknowledged gets no requests, whatever ends or arrives later."""
 
 from __future__ import annotations
 
