--- a/src/cranklane/sidecar/ingress/disconnect.py
+++ b/src/cranklane/sidecar/ingress/disconnect.py
@@ -9,7 +9,7 @@
 
 from cranklane.runtime.interface import Runtime
 
-CHECK_INTERVAL_SECONDS = 0.25
+CHECK_INTERVAL_SECONDS = 0.2
 """Interval between checks: limits the work wasted after a disconnect; each check wakes the CPU.
 Work for a caller that has disconnected ends within half a second."""
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -204,7 +204,7 @@
         gevent.sleep(0.5)
         return [run.cancelled for run in runs(mesh)]
 
-    assert play(script) == [True]
+    assert [play(script, seed) for seed in range(1, 11)] == [[True]] * 10
 
 
 def test_a_route_timeout_is_answered_504():
