--- a/src/cranklane/controller/process.py
+++ b/src/cranklane/controller/process.py
@@ -14,6 +14,9 @@
 from cranklane.common.metrics_server import GaugeRegistry, MetricsServer
 from cranklane.common.small_http import SmallHttp
 from cranklane.controller.confirmation import StateFreshness
+from cranklane.controller.controller_state import ControllerStateMachine
+from cranklane.controller.departure_store import DepartureStore
+from cranklane.controller.departure_writer import DepartureWriter
 from cranklane.controller.fleet_quotas import FleetQuotas
 from cranklane.controller.route_api import RouteApi
 from cranklane.controller.route_editor import RouteEditor
@@ -96,6 +99,7 @@
         self.settings = settings
         self._log = logger(process="controller", node=settings.name)
         self.store = RouteTableStore()
+        self.departures = DepartureStore()
         self._nodes = NodeService(
             runtime,
             settings.name,
@@ -109,6 +113,9 @@
         self.publisher = self._nodes.publisher
         self.replica = self._make_replica()
         self._freshness = StateFreshness(self.replica, runtime.monotonic)
+        self._departure_writer = DepartureWriter(
+            runtime, self.replica, self.departures, self._make_hello
+        )
         self._sidecars = self._make_sidecar_service()
         voters = 2 * settings.tolerated_losses + 1
         self.changes = MembershipChange(self.replica, voters)
@@ -124,7 +131,8 @@
         address = settings.advertise or settings.listen
         info = ReplicaInfo(GROUP, address, address, settings.http)
         storage = self.runtime.storage(settings.data)
-        return Replica(self.runtime, storage, self.store, info, self._on_applied, self._log)
+        machine = ControllerStateMachine(self.store, self.departures)
+        return Replica(self.runtime, storage, machine, info, self._on_applied, self._log)
 
     def _make_sidecar_service(self) -> SidecarService:
         quotas = FleetQuotas(
@@ -137,6 +145,8 @@
         return SidecarService(
             self._freshness,
             quotas,
+            self.departures,
+            self._departure_writer,
             lambda: self.store.revision,
             self.publisher.wake,
             self._nodes.usage_changed,
@@ -157,6 +167,7 @@
         self.runtime.spawn(bootstrap.run)
         self._nodes.serve_sidecars(self._sidecars)
         self.runtime.spawn(self._freshness.run)
+        self.runtime.spawn(self._departure_writer.run)
         self._nodes.start(self.replica)
         self._log.info(
             "started", version=self.store.version, term=self.replica.term, seeds=settings.seeds
--- a/src/cranklane/controller/sidecar_service.py
+++ b/src/cranklane/controller/sidecar_service.py
@@ -1,4 +1,4 @@
-"""Heartbeat responses, tenant usage and admission ratios for a controller's sidecars.
+"""Heartbeat responses, departures, tenant usage and admission ratios for a controller's sidecars.
 
 Heartbeat responses carry the age of the route table, from :class:`StateFreshness`. Usage totals
 and admission ratios belong to :class:`FleetQuotas`.
@@ -12,9 +12,14 @@
 
 from cranklane.common.units import MICROSECONDS
 from cranklane.controller.confirmation import StateFreshness
+from cranklane.controller.departure_store import DepartureStore
+from cranklane.controller.departure_writer import DepartureWriter
 from cranklane.controller.fleet_quotas import QUOTA_INTERVAL_SECONDS, FleetQuotas
 from cranklane.records.connection import RecordConnection
 from cranklane.records.messages import (
+    Departure,
+    DepartureCommand,
+    Departures,
     Heartbeat,
     HeartbeatAnswer,
     TenantShares,
@@ -35,12 +40,16 @@
         self,
         freshness: StateFreshness,
         quotas: FleetQuotas,
+        departures: DepartureStore,
+        departure_writer: DepartureWriter,
         revision: Callable[[], int],
         on_shares_changed: Callable[[], None],
         on_usage_changed: Callable[[], None],
     ) -> None:
         self._freshness = freshness
         self._quotas = quotas
+        self._departures = departures
+        self._departure_writer = departure_writer
         self._revision = revision
         self._on_shares_changed = on_shares_changed
         self._on_usage_changed = on_usage_changed
@@ -82,6 +91,22 @@
         )
         records.send(answer)
 
+    def departures_position(self, node: str) -> int:
+        """Position of the latest change of the departures of a sidecar's worker."""
+        return self._departures.position_of(node)
+
+    def departures_of(self, node: str) -> Departures:
+        """Return the stored departures of a sidecar's worker."""
+        return Departures(self._departures.of(node))
+
+    def store_departures(self, node: str, instances: list[str]) -> bool:
+        """Store departures of a sidecar's worker; return False if that failed or is uncertain."""
+        return self._departure_writer.store([Departure(node, instance) for instance in instances])
+
+    def commit_departures(self, command: DepartureCommand) -> bool:
+        """Commit departures for another controller; return False if that failed."""
+        return self._departure_writer.commit(command)
+
     def take_usage(self, report: UsageReport) -> None:
         """Add a sidecar's usage report."""
         self._quotas.take_usage(report.usage)
--- a/src/cranklane/distribution/node_service.py
+++ b/src/cranklane/distribution/node_service.py
@@ -18,7 +18,14 @@
 from cranklane.distribution.sidecar_support import SidecarSupport
 from cranklane.distribution.subscriber_updates import RowSource
 from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Hello, MemberReport, ReplicaMember, Subscribe
+from cranklane.records.messages import (
+    DepartureCommand,
+    DepartureReply,
+    Hello,
+    MemberReport,
+    ReplicaMember,
+    Subscribe,
+)
 from cranklane.replication.replica import Replica
 from cranklane.runtime.interface import Runtime
 
@@ -47,6 +54,7 @@
         self._log = log
         self._timing = timing
         self._replica: Replica | None = None
+        self._sidecars: SidecarSupport | None = None
         self._contact = GroupContact(timing, runtime.monotonic)
         self.membership = Membership(name, runtime.monotonic, self._members_changed)
         replicas = self._replica_addresses if sends_replicas else None
@@ -57,6 +65,7 @@
         """Enable heartbeat answers, usage reports and admission ratios for sidecars."""
         self.publisher.serve_sidecars(sidecars)
         self._exchange.sidecars = sidecars
+        self._sidecars = sidecars
         self._runtime.spawn(sidecars.run)
 
     def usage_changed(self) -> None:
@@ -81,6 +90,8 @@
                 self.publisher.serve(records, message)
             case MemberReport():
                 self._exchange.serve(records, message)
+            case DepartureCommand() if self._sidecars is not None:
+                records.send(DepartureReply(self._sidecars.commit_departures(message)))
             case _:
                 records.close()
 
--- a/src/cranklane/distribution/publisher.py
+++ b/src/cranklane/distribution/publisher.py
@@ -18,7 +18,15 @@
 from cranklane.distribution.subscriber_updates import RowSource, SubscriberUpdates
 from cranklane.errors import ConnectionLostError, MalformedRecordError
 from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Heartbeat, IncarnationKnown, Ping, Subscribe, UsageReport
+from cranklane.records.messages import (
+    DepartureReport,
+    Departures,
+    Heartbeat,
+    IncarnationKnown,
+    Ping,
+    Subscribe,
+    UsageReport,
+)
 from cranklane.runtime.interface import Runtime
 
 IDLE_TIMEOUT_SECONDS = 6.0
@@ -110,11 +118,28 @@
                     self._sidecars.answer_heartbeat(subscriber.records, message)
             case UsageReport() if self._sidecars is not None:
                 self._sidecars.take_usage(message)
+            case DepartureReport() if self._sidecars is not None:
+                self._runtime.spawn(
+                    self._store_departures, self._sidecars, subscriber, message.instances
+                )
             case _:
                 raise MalformedRecordError(
                     f"{type(message).__name__} is not expected from a subscriber"
                 )
 
+    @staticmethod
+    def _store_departures(
+        sidecars: SidecarSupport, subscriber: Subscriber, instances: list[str]
+    ) -> None:
+        """Store the departures of a subscriber's worker, and confirm them."""
+        if not sidecars.store_departures(subscriber.identity.node, instances):
+            return
+        try:
+            subscriber.records.send(Departures(instances))
+        except ConnectionLostError:
+            # The sidecar reports them again, here or elsewhere.
+            return
+
     def count_active_since(self, moment: float) -> int:
         """Return the number of subscribers that sent a record since a monotonic second."""
         return sum(item.last_record_at >= moment for item in self.subscribers.values())
--- a/src/cranklane/distribution/sidecar_support.py
+++ b/src/cranklane/distribution/sidecar_support.py
@@ -8,11 +8,18 @@
 from typing import Protocol
 
 from cranklane.records.connection import RecordConnection
-from cranklane.records.messages import Heartbeat, TenantShares, UsageReport, UsageTotals
+from cranklane.records.messages import (
+    DepartureCommand,
+    Departures,
+    Heartbeat,
+    TenantShares,
+    UsageReport,
+    UsageTotals,
+)
 
 
 class SidecarSupport(Protocol):
-    """Heartbeat answers, tenant usage and tenant admission ratios."""
+    """Heartbeat answers, departures of workers, tenant usage and tenant admission ratios."""
 
     @property
     def usage_position(self) -> int:
@@ -31,6 +38,18 @@
         :raises ConnectionLostError: when the connection is closed.
         """
 
+    def departures_position(self, node: str) -> int:
+        """Position of the latest change of the departures of a sidecar's worker."""
+
+    def departures_of(self, node: str) -> Departures:
+        """Return the stored departures of a sidecar's worker."""
+
+    def store_departures(self, node: str, instances: list[str]) -> bool:
+        """Store departures of a sidecar's worker; return False if that failed or is uncertain."""
+
+    def commit_departures(self, command: DepartureCommand) -> bool:
+        """Commit departures for another control process; return False if that failed."""
+
     def take_usage(self, report: UsageReport) -> None:
         """Add a sidecar's usage report."""
 
--- a/src/cranklane/distribution/subscriber.py
+++ b/src/cranklane/distribution/subscriber.py
@@ -15,6 +15,7 @@
     :ivar sent_services: services whose rows and members were sent, None for all.
     :ivar sent_members: position of the members sent last, 0 for none.
     :ivar sent_replicas: addresses of control processes sent last.
+    :ivar sent_departures: position of the departures sent last, None for none.
     :ivar sent_shares: position of the admission ratios sent last.
     :ivar subscribed_at: monotonic second of the subscription.
     :ivar last_record_at: monotonic second of the last received record, 0 for none.
@@ -28,6 +29,7 @@
         self.sent_services: frozenset[str] | None = frozenset()
         self.sent_members = 0
         self.sent_replicas: list[str] = []
+        self.sent_departures: int | None = None
         self.sent_shares = 0
         self.subscribed_at = 0.0
         self.last_record_at = 0.0
--- a/src/cranklane/distribution/subscriber_updates.py
+++ b/src/cranklane/distribution/subscriber_updates.py
@@ -1,4 +1,4 @@
-"""Updates of configuration, members, replicas and admission ratios for subscribers.
+"""Updates of configuration, members, replicas, departures and admission ratios for subscribers.
 
 Owns the cache of frames that subscribers share.
 """
@@ -44,7 +44,7 @@
 
     :param replicas: returns the addresses of control processes for subscribers, None to send
         none.
-    :ivar sidecars: provides admission ratios, None without sidecars.
+    :ivar sidecars: provides departures and admission ratios, None without sidecars.
     """
 
     def __init__(
@@ -65,12 +65,25 @@
 
         :raises ConnectionLostError: when the connection is closed.
         """
-        sent = self._send_replicas(subscriber)
+        # First, so that a sidecar which has just started knows them before it serves.
+        sent = self._send_departures(subscriber)
+        sent |= self._send_replicas(subscriber)
         sent |= self._send_configuration(subscriber)
         sent |= self._send_members(subscriber)
         sent |= self._send_shares(subscriber)
         return sent
 
+    def _send_departures(self, subscriber: Subscriber) -> bool:
+        if self.sidecars is None:
+            return False
+        node = subscriber.identity.node
+        position = self.sidecars.departures_position(node)
+        if position == subscriber.sent_departures:
+            return False
+        subscriber.sent_departures = position
+        subscriber.records.send(self.sidecars.departures_of(node))
+        return True
+
     def mark_current(self, subscriber: Subscriber) -> None:
         """Mark the rows as sent if the subscriber has the newest configuration already."""
         if subscriber.identity.version >= self._source.revision:
--- a/src/cranklane/distribution/subscription.py
+++ b/src/cranklane/distribution/subscription.py
@@ -24,6 +24,7 @@
 from cranklane.records.messages import (
     ConfigDelta,
     ControlReplicas,
+    Departures,
     Heartbeat,
     HeartbeatAnswer,
     Hello,
@@ -172,7 +173,9 @@
                 self._callbacks.on_members(message)
             case ControlReplicas():
                 self._announced = [parse_address(text) for text in message.addresses]
-            case HeartbeatAnswer() | TenantShares() if self._callbacks.on_answer is not None:
+            case HeartbeatAnswer() | TenantShares() | Departures() if (
+                self._callbacks.on_answer is not None
+            ):
                 self._callbacks.on_answer(message)
             case IncarnationKnown():
                 self._raise_incarnation(message.incarnation)
--- a/src/cranklane/distribution/subscription_callbacks.py
+++ b/src/cranklane/distribution/subscription_callbacks.py
@@ -54,7 +54,8 @@
         configuration version.
     :ivar on_members: called with member changes.
     :ivar on_change: called after a configuration change was adopted.
-    :ivar on_answer: called with heartbeat answers and tenant shares; None requests no answers.
+    :ivar on_answer: called with heartbeat answers, tenant shares and departures; None requests no
+        answers.
     """
 
     heartbeat: Callable[[], Heartbeat]
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -2883,6 +2883,230 @@
         return cls(revision, version, document, taken)
 
 
+class Departure(Record):
+    """The departure of a worker: ``instance`` identifies the start of the worker beside ``node`` that takes no new requests."""
+
+    KIND: ClassVar[int] = 45
+    LAYOUT: ClassVar[Struct] = Struct("!HH")
+    __slots__ = ('node', 'instance',)
+
+    def __init__(
+        self,
+        node: str = "",
+        instance: str = "",
+    ) -> None:
+        self.node: str = node
+        self.instance: str = instance
+
+    def pack(self) -> bytes:
+        node = self.node.encode()
+        instance = self.instance.encode()
+        try:
+            head = self.LAYOUT.pack(len(node), len(instance))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, node, instance))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Departure:
+        try:
+            node_size, instance_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + node_size
+            node = payload[start:end].decode()
+            start = end
+            end = start + instance_size
+            instance = payload[start:end].decode()
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Departure of {len(payload)} bytes, not {start}")
+        return cls(node, instance)
+
+
+class DepartureReport(Record):
+    """Departures of a sidecar's worker that control is asked to store."""
+
+    KIND: ClassVar[int] = 46
+    LAYOUT: ClassVar[Struct] = Struct("!I")
+    __slots__ = ('instances',)
+
+    def __init__(
+        self,
+        instances: list[str] | None = None,
+    ) -> None:
+        self.instances: list[str] = instances if instances is not None else []
+
+    def pack(self) -> bytes:
+        instances = pack_strings(self.instances)
+        try:
+            head = self.LAYOUT.pack(len(instances))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, instances))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> DepartureReport:
+        try:
+            instances_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + instances_size
+            instances = unpack_strings(payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"DepartureReport of {len(payload)} bytes, not {start}")
+        return cls(instances)
+
+
+class Departures(Record):
+    """Stored departures of the receiving sidecar's worker. First record of a subscription, response to a DepartureReport, and sent after each change."""
+
+    KIND: ClassVar[int] = 47
+    LAYOUT: ClassVar[Struct] = Struct("!I")
+    __slots__ = ('instances',)
+
+    def __init__(
+        self,
+        instances: list[str] | None = None,
+    ) -> None:
+        self.instances: list[str] = instances if instances is not None else []
+
+    def pack(self) -> bytes:
+        instances = pack_strings(self.instances)
+        try:
+            head = self.LAYOUT.pack(len(instances))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, instances))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Departures:
+        try:
+            instances_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + instances_size
+            instances = unpack_strings(payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"Departures of {len(payload)} bytes, not {start}")
+        return cls(instances)
+
+
+class DepartureCommand(Record):
+    """Stores departures: a command of the controllers' log, and the request for it to the leader."""
+
+    KIND: ClassVar[int] = 48
+    LAYOUT: ClassVar[Struct] = Struct("!I")
+    __slots__ = ('departures',)
+
+    def __init__(
+        self,
+        departures: list[Departure] | None = None,
+    ) -> None:
+        self.departures: list[Departure] = departures if departures is not None else []
+
+    def pack(self) -> bytes:
+        departures = pack_records(self.departures)
+        try:
+            head = self.LAYOUT.pack(len(departures))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, departures))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> DepartureCommand:
+        try:
+            departures_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + departures_size
+            departures = unpack_records(Departure.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"DepartureCommand of {len(payload)} bytes, not {start}")
+        return cls(departures)
+
+
+class DepartureReply(Record):
+    """Response to a DepartureCommand."""
+
+    KIND: ClassVar[int] = 49
+    LAYOUT: ClassVar[Struct] = Struct("!?")
+    __slots__ = ('stored',)
+
+    def __init__(
+        self,
+        stored: bool = False,
+    ) -> None:
+        self.stored: bool = stored
+
+    def pack(self) -> bytes:
+        try:
+            head = self.LAYOUT.pack(self.stored)
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return head
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> DepartureReply:
+        try:
+            stored, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"DepartureReply of {len(payload)} bytes, not {start}")
+        return cls(stored)
+
+
+class ControllerState(Record):
+    """Complete state of a controller; ``table`` is a RouteTableState."""
+
+    KIND: ClassVar[int] = 68
+    LAYOUT: ClassVar[Struct] = Struct("!II")
+    __slots__ = ('table', 'departures',)
+
+    def __init__(
+        self,
+        table: bytes = b"",
+        departures: list[Departure] | None = None,
+    ) -> None:
+        self.table: bytes = table
+        self.departures: list[Departure] = departures if departures is not None else []
+
+    def pack(self) -> bytes:
+        table = self.table
+        departures = pack_records(self.departures)
+        try:
+            head = self.LAYOUT.pack(len(table), len(departures))
+        except StructError as error:
+            raise MalformedRecordError(f"cannot pack: {error}") from error
+        return b''.join((head, table, departures))
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> ControllerState:
+        try:
+            table_size, departures_size, = cls.LAYOUT.unpack_from(payload)
+            start = cls.LAYOUT.size
+            end = start + table_size
+            table = payload[start:end]
+            start = end
+            end = start + departures_size
+            departures = unpack_records(Departure.unpack, payload[start:end])
+            start = end
+        except (StructError, UnicodeDecodeError) as error:
+            raise MalformedRecordError(f"cannot unpack: {error}") from error
+        if start != len(payload):
+            raise MalformedRecordError(f"ControllerState of {len(payload)} bytes, not {start}")
+        return cls(table, departures)
+
+
 class ForwardRequest(Record):
     """Forwards a request to another sidecar, whose worker is to run it. Times in milliseconds count from the time of sending: ``deadline_ms`` until the caller gives up, ``start_within_ms`` until the latest useful start. ``expected_latency_us`` is the sender's estimate of the route's run time over all workers; 0: unknown. ``root_priority``, ``root_age_ms``, ``root_objective_ms`` and ``root_deadline_ms`` describe the root request of the call tree; the last two are the time left until its objective and its deadline. ``is_retry``: this run, or one above it in the tree, is a retry. ``suspected``: the worker that ran the request before crashed, possibly because of it. ``isolated``: all senders route this suspected request here, to run in isolation. ``hand_back``: refuse the request if the worker is in a slow period, which the sender does not know of. ``tenant`` owns the request; empty if requests need no key. ``lines`` holds the request line and the headers, ``body`` the part of the body read so far; ``whole``: that is all of it. ``tree`` describes the call tree (``sidecar/request/tree_ticket.py``). ``notice``: what this worker last stated to the sender; empty if nothing."""
 
@@ -3454,6 +3678,12 @@
     65: RouteTableCommand,
     66: TakenTable,
     67: RouteTableState,
+    45: Departure,
+    46: DepartureReport,
+    47: Departures,
+    48: DepartureCommand,
+    49: DepartureReply,
+    68: ControllerState,
     80: ForwardRequest,
     81: ForwardBody,
     82: ForwardContinue,
--- a/src/cranklane/records/schema.py
+++ b/src/cranklane/records/schema.py
@@ -392,6 +392,40 @@
         "Complete state of a route table store; ``document`` is compressed.",
         "revision:u64 version:u64 document:bytes taken:[TakenTable]",
     ),
+    Record(
+        45,
+        "Departure",
+        "The departure of a worker: ``instance`` identifies the start of the worker beside "
+        "``node`` that takes no new requests.",
+        "node:str instance:str",
+    ),
+    Record(
+        46,
+        "DepartureReport",
+        "Departures of a sidecar's worker that control is asked to store.",
+        "instances:strings",
+    ),
+    Record(
+        47,
+        "Departures",
+        "Stored departures of the receiving sidecar's worker. First record of a subscription, "
+        "response to a DepartureReport, and sent after each change.",
+        "instances:strings",
+    ),
+    Record(
+        48,
+        "DepartureCommand",
+        "Stores departures: a command of the controllers' log, and the request for it to the "
+        "leader.",
+        "departures:[Departure]",
+    ),
+    Record(49, "DepartureReply", "Response to a DepartureCommand.", "stored:bool"),
+    Record(
+        68,
+        "ControllerState",
+        "Complete state of a controller; ``table`` is a RouteTableState.",
+        "table:bytes departures:[Departure]",
+    ),
     Record(
         80,
         "ForwardRequest",
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -34,9 +34,10 @@
 from cranklane.sidecar.request.streamed_answer import StreamedAnswer
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
-from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES, WorkerExits
-from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
+from cranklane.sidecar.worker.exit import WorkerExits
+from cranklane.sidecar.worker.registry import WorkerRegistry
 from cranklane.sidecar.worker.slowness import latency_ratio
+from cranklane.sidecar.worker.worker_state import PLANNED_EXIT_STATES, WorkerState
 
 
 class LocalWorker(NamedTuple):
--- a/src/cranklane/sidecar/admission/worker_notices.py
+++ b/src/cranklane/sidecar/admission/worker_notices.py
@@ -13,10 +13,10 @@
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.pace import WorkerPace
 from cranklane.sidecar.worker.answer_notice import AnswerNotice
-from cranklane.sidecar.worker.exit import PLANNED_EXIT_STATES
 from cranklane.sidecar.worker.instances import WorkerInstance
 from cranklane.sidecar.worker.registry import WorkerRegistry
 from cranklane.sidecar.worker.stated_limit import LimitChange, StatedLimit
+from cranklane.sidecar.worker.worker_state import PLANNED_EXIT_STATES
 
 
 class WorkerNotices:
--- a/src/cranklane/sidecar/control_link.py
+++ b/src/cranklane/sidecar/control_link.py
@@ -15,6 +15,7 @@
 from cranklane.distribution.subscription import Subscription
 from cranklane.distribution.subscription_callbacks import SubscriptionCallbacks, SubscriptionTiming
 from cranklane.records.messages import (
+    Departures,
     Heartbeat,
     HeartbeatAnswer,
     MemberDelta,
@@ -32,6 +33,8 @@
 from cranklane.sidecar.table.adopted_table import AdoptedTable
 from cranklane.sidecar.table.table_lease import TableLease, TableLeaseLog
 from cranklane.sidecar.worker.condition import WorkerCondition
+from cranklane.sidecar.worker.departure_reports import DepartureReports
+from cranklane.sidecar.worker.registry import WorkerRegistry
 
 TIMING = SubscriptionTiming(
     heartbeat=0.5, idle_timeout=1.6, max_backoff=0.8, raises_incarnation=True
@@ -43,6 +46,13 @@
 """Seconds over which tenants' usage is accumulated before it is reported. A surge of 7.5 times a
 tenant's rate stays within its bound with reports up to 0.3 s old."""
 
+DEPARTURE_REPORT_INTERVAL_SECONDS = 0.25
+"""Interval at which departures are reported until they are stored."""
+
+MAX_DEPARTURE_WAIT_SECONDS = 3.0
+"""Time after the start within which control states the departures of the worker. Without control
+for longer, a worker that runs would be lost service: what it states itself counts then."""
+
 MAX_LOGGED_MEMBERS = 20
 """Limit on the members listed in one log line, as a start transfers the whole fleet."""
 
@@ -56,6 +66,8 @@
     destinations: Destinations
     directory: SidecarDirectory
     quarantine: QuarantineGossip
+    worker: WorkerRegistry
+    departures: DepartureReports
 
 
 class ControlLink:
@@ -116,6 +128,19 @@
             gevent.sleep(USAGE_REPORT_DELAY_SECONDS)
             self.subscription.send(self._usage)
 
+    def report_departures(self) -> None:
+        """Report departures of the worker until they are stored; never returns."""
+        departures = self._state.departures
+        while True:
+            departures.pending.wait()
+            self.subscription.send(departures.report)
+            departures.wait_until_stored(DEPARTURE_REPORT_INTERVAL_SECONDS)
+
+    def limit_wait_for_departures(self) -> None:
+        """Let the worker be used without word from control, if that takes too long."""
+        gevent.sleep(MAX_DEPARTURE_WAIT_SECONDS)
+        self._state.worker.departures_learned([])
+
     def _usage(self) -> UsageReport | None:
         usage = self._state.quota.take_usage()
         return UsageReport(usage) if usage else None
@@ -127,8 +152,11 @@
         return self._local_member.heartbeat()
 
     def _apply_answer(self, message: Message) -> None:
-        """Apply the response to a heartbeat, or the fractions of tenants' requests to admit."""
+        """Apply the response to a heartbeat, departures, or fractions of tenants' requests."""
         match message:
+            case Departures():
+                self._state.departures.confirmed(message.instances)
+                self._state.worker.departures_learned(message.instances)
             case HeartbeatAnswer():
                 self._apply_heartbeat_answer(message)
             case TenantShares():
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -46,6 +46,7 @@
 from cranklane.sidecar.tree_admission.ticket import TicketIssuer
 from cranklane.sidecar.worker.api import WorkerApi
 from cranklane.sidecar.worker.condition import Condition, WorkerCondition
+from cranklane.sidecar.worker.departure_reports import DepartureReports
 from cranklane.sidecar.worker.discovery import WorkerDiscovery
 from cranklane.sidecar.worker.instances import NO_INSTANCE
 from cranklane.sidecar.worker.registry import WorkerRegistry
@@ -82,6 +83,7 @@
         self.slots = Slots(runtime.monotonic, runtime.spawn)
         self.capacity = WorkerCapacity(runtime.monotonic, self.decisions.worker_pace_changed)
         self.slots.run_time_factor = self.capacity.pace.factor
+        self.departures = DepartureReports()
         self.worker = WorkerRegistry(
             runtime,
             settings.worker,
@@ -91,6 +93,7 @@
             self._worker_changed,
             self._log,
             self._slow_start_changed,
+            self.departures.add,
         )
         self.condition = WorkerCondition(runtime.monotonic, self._condition_changed)
         incarnation = int(runtime.wall() * MILLISECONDS)
@@ -187,6 +190,8 @@
             destinations=self.destinations,
             directory=self.directory,
             quarantine=self.quarantine,
+            worker=self.worker,
+            departures=self.departures,
         )
         self.control = ControlLink(
             self._runtime, self.settings, self.local_member, self.condition, state, self._log
@@ -211,7 +216,7 @@
         settings = self.settings
         self._listen(settings.listen, self.peer_server.accept)
         self._serve(settings.readiness, ReadinessApi(self.is_ready).handle)
-        self._serve(settings.registry, WorkerApi(self.worker, self._log).handle)
+        self._serve(settings.registry, WorkerApi(self.worker, self.departures, self._log).handle)
         self._listen(settings.callers, self.ingress.accept)
         if settings.metrics:
             quarantine_api = QuarantineApi(
@@ -221,7 +226,10 @@
                 MetricsServer(self.metrics.text).handle,
             )
             self._serve(settings.metrics, quarantine_api.handle)
+        self.worker.await_departures()
         self._runtime.spawn(self.control.subscription.follow)
+        self._runtime.spawn(self.control.report_departures)
+        self._runtime.spawn(self.control.limit_wait_for_departures)
         self._runtime.spawn(self.worker.watch)
         self._runtime.spawn(self.decisions.log_summaries)
         self._runtime.spawn(self.control.report_usage)
--- a/src/cranklane/sidecar/worker/api.py
+++ b/src/cranklane/sidecar/worker/api.py
@@ -4,6 +4,9 @@
 (``ready`` or ``draining``), ``sequence`` and ``cold_remaining_ms``, and
 ``POST /v1/instances/ID/deregister``. Both may state ``born``, the Unix time of the worker's start
 in milliseconds: ID and ``born`` identify the instance, one start of the worker's process.
+
+A draining heartbeat and a deregistration are acknowledged once control has stored the departure;
+until then the answer is 503, and the worker calls again. Requests for it are refused at once.
 """
 
 from __future__ import annotations
@@ -15,8 +18,10 @@
 from result import Err, Ok, Result
 
 from cranklane.common.small_http import SmallAnswer
+from cranklane.sidecar.worker.departure_reports import DepartureReports
+from cranklane.sidecar.worker.heartbeat import WorkerHeartbeat, WorkerPhase
 from cranklane.sidecar.worker.instances import UNKNOWN_START, WorkerInstance
-from cranklane.sidecar.worker.registry import WorkerHeartbeat, WorkerPhase, WorkerRegistry
+from cranklane.sidecar.worker.registry import WorkerRegistry
 
 INSTANCES_PATH = "/v1/instances/"
 
@@ -29,15 +34,23 @@
 MAX_TEXT_BYTES = 1024
 """Longest name of a service; a record to control holds less than 64 KiB."""
 
+STORED_TIMEOUT_SECONDS = 0.8
+"""Time for control to store a departure; a worker waits one second for the answer."""
+
 _OK = SmallAnswer(HTTPStatus.OK, b"{}")
 _NOT_FOUND = SmallAnswer(HTTPStatus.NOT_FOUND, b'{"problem":"no such call"}')
+_NOT_STORED = SmallAnswer(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    b'{"problem":"the departure is not stored yet; requests are refused already; call again"}',
+)
 
 
 class WorkerApi:
     """Handles calls of the worker and updates the registry."""
 
-    def __init__(self, worker: WorkerRegistry, log: Any) -> None:
+    def __init__(self, worker: WorkerRegistry, departures: DepartureReports, log: Any) -> None:
         self._worker = worker
+        self._departures = departures
         self._log = log
 
     def handle(self, method: str, path: str, body: bytes) -> SmallAnswer:
@@ -55,7 +68,10 @@
         parsed = parse_heartbeat(instance_id, body)
         if isinstance(parsed, Err):
             return self._refuse("heartbeat_refused", instance_id, parsed.err_value)
-        self._worker.heartbeat(parsed.ok_value)
+        heartbeat = parsed.ok_value
+        self._worker.heartbeat(heartbeat)
+        if heartbeat.phase is WorkerPhase.DRAINING:
+            return self._acknowledge_departure(heartbeat.instance)
         return _OK
 
     def _deregister(self, instance_id: str, body: bytes) -> SmallAnswer:
@@ -65,7 +81,14 @@
         instance = parsed.ok_value
         self._log.info("worker_deregistered", instance=instance.label)
         self._worker.deregister(instance)
-        return _OK
+        return self._acknowledge_departure(instance)
+
+    def _acknowledge_departure(self, instance: WorkerInstance) -> SmallAnswer:
+        """Return the acknowledgement of a departure once it is stored, else a refusal."""
+        if self._departures.wait_until_stored(STORED_TIMEOUT_SECONDS):
+            return _OK
+        self._log.warning("departure_not_stored", instance=instance.label)
+        return _NOT_STORED
 
     def _refuse(self, event: str, instance_id: str, problem: str) -> SmallAnswer:
         """Log a message of the worker that cannot be used, and return the response to it."""
--- a/src/cranklane/sidecar/worker/exit.py
+++ b/src/cranklane/sidecar/worker/exit.py
@@ -15,10 +15,8 @@
 from cranklane.sidecar.request.identity import Identity, identity_of
 from cranklane.sidecar.worker.exit_check import WorkerExitCheck
 from cranklane.sidecar.worker.instances import NO_INSTANCE, WorkerInstance
-from cranklane.sidecar.worker.registry import WorkerRegistry, WorkerState
-
-PLANNED_EXIT_STATES = (WorkerState.DRAINING, WorkerState.GONE)
-"""States in which an exit of the worker is planned, not a crash."""
+from cranklane.sidecar.worker.registry import WorkerRegistry
+from cranklane.sidecar.worker.worker_state import PLANNED_EXIT_STATES
 
 
 class InterruptedRun(NamedTuple):
--- a/src/cranklane/sidecar/worker/instances.py
+++ b/src/cranklane/sidecar/worker/instances.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import Any, NamedTuple
+from typing import NamedTuple, TypeVar
 
 MAX_INSTANCES = 64
 """Limit on the remembered instances; bounds memory. Late messages of an instance arrive before 64
 others have followed it."""
 
 
+_Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
+
 UNKNOWN_START = 0
 """Start time of an instance that has not stated it."""
 
@@ -68,12 +71,21 @@
 
 
 class InstanceHistory:
-    """Newest sequence number of each worker instance, and the announced planned exits."""
+    """Newest sequence number of each worker instance, and the departed instances.
+
+    An instance has departed once it has drained, deregistered or stated in an answer that it
+    leaves. That is final: only another start of the worker is used again.
+    """
 
     def __init__(self) -> None:
         # Ordered by first heartbeat.
         self._sequences: OrderedDict[WorkerInstance, int] = OrderedDict()
-        self._planned_exits: OrderedDict[WorkerInstance, None] = OrderedDict()
+        # Each with the Unix time in milliseconds at which it was recorded.
+        self._planned_exits: OrderedDict[WorkerInstance, int] = OrderedDict()
+
+    def is_newer(self, instance: WorkerInstance, sequence: int) -> bool:
+        """Return whether a heartbeat follows all others of its instance."""
+        return sequence > self._sequences.get(instance, -1)
 
     def advance(self, instance: WorkerInstance, sequence: int) -> bool:
         """Record a heartbeat's sequence number; return False if the heartbeat is late.
@@ -83,18 +95,53 @@
         >>> history.advance(first, 7), history.advance(first, 7), history.advance(again, 1)
         (True, False, True)
         """
-        if sequence <= self._sequences.get(instance, -1):
+        if not self.is_newer(instance, sequence):
             return False
-        _store_bounded(self._sequences, instance, sequence)
+        store_bounded(self._sequences, instance, sequence)
         return True
 
-    def record_planned_exit(self, instance: WorkerInstance) -> None:
-        """Record that an instance drains or has deregistered; it never becomes ready again."""
-        _store_bounded(self._planned_exits, instance, None)
+    def record_planned_exit(self, instance: WorkerInstance, recorded_at_ms: int = 0) -> None:
+        """Record that an instance has departed; it never becomes ready again.
+
+        :param recorded_at_ms: Unix time in milliseconds. If the start time of the instance is not
+            known, its id stands for the starts up to then; 0: for none that states its time.
+        """
+        store_bounded(self._planned_exits, instance, recorded_at_ms)
 
     def has_planned_exit(self, instance: WorkerInstance) -> bool:
-        """Return whether an instance drains or has deregistered."""
-        return instance in self._planned_exits
+        """Return whether an instance has departed.
+
+        An instance whose start time is not known may be any start of its id, so it has departed if
+        one of them has.
+
+        >>> history = InstanceHistory()
+        >>> history.record_planned_exit(WorkerInstance("a", 2000), 5000)
+        >>> history.record_planned_exit(WorkerInstance("b"), 5000)
+        >>> [history.has_planned_exit(WorkerInstance("a", start)) for start in (0, 1000, 2000)]
+        [True, False, True]
+        >>> [history.has_planned_exit(WorkerInstance("b", start)) for start in (0, 4000, 6000)]
+        [True, True, False]
+        """
+        if instance in self._planned_exits:
+            return True
+        if instance.started_at_ms == UNKNOWN_START:
+            return any(departed.id == instance.id for departed in self._planned_exits)
+        recorded_at_ms = self._planned_exits.get(WorkerInstance(instance.id), 0)
+        return instance.started_at_ms <= recorded_at_ms
+
+    def latest_start(self, instance_id: str) -> WorkerInstance:
+        """Return the known start of an id with the latest start time; or the id alone.
+
+        >>> history = InstanceHistory()
+        >>> history.advance(WorkerInstance("a", 1000), 7)
+        True
+        >>> history.record_planned_exit(WorkerInstance("a", 2000))
+        >>> history.latest_start("a"), history.latest_start("b")
+        (WorkerInstance(id='a', started_at_ms=2000), WorkerInstance(id='b', started_at_ms=0))
+        """
+        known = (*self._sequences, *self._planned_exits)
+        starts = [instance for instance in known if instance.id == instance_id]
+        return max(starts, default=WorkerInstance(instance_id))
 
     def forget_sequences(self, instance_id: str) -> None:
         """Forget the sequence numbers of an id, so that its next heartbeat is accepted."""
@@ -124,9 +171,38 @@
         return False
 
 
-def _store_bounded(
-    entries: OrderedDict[WorkerInstance, Any], instance: WorkerInstance, value: Any
+class ConsecutiveHeartbeats:
+    """Counts the heartbeats of an instance that arrive one soon after the other.
+
+    A running worker keeps sending them; late ones are few.
+    """
+
+    def __init__(self) -> None:
+        self._instance = NO_INSTANCE
+        self._counted_at = 0.0
+        self._count = 0
+
+    def count(self, instance: WorkerInstance, now: float, max_gap: float) -> int:
+        """Count a heartbeat; return the number of consecutive ones of its instance.
+
+        :param max_gap: longest time in seconds between two consecutive heartbeats.
+
+        >>> heartbeats, first = ConsecutiveHeartbeats(), WorkerInstance("a", 1000)
+        >>> [heartbeats.count(first, now, 2.0) for now in (1.0, 2.0, 4.5, 5.0)]
+        [1, 2, 1, 2]
+        """
+        if instance != self._instance or now - self._counted_at > max_gap:
+            self._count = 0
+        self._instance = instance
+        self._counted_at = now
+        self._count += 1
+        return self._count
+
+
+def store_bounded(
+    entries: OrderedDict[_Key, _Value], key: _Key, value: _Value, limit: int = MAX_INSTANCES
 ) -> None:
-    entries[instance] = value
-    while len(entries) > MAX_INSTANCES:
+    """Store an entry, and drop the oldest ones beyond a limit."""
+    entries[key] = value
+    while len(entries) > limit:
         entries.popitem(last=False)
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -1,14 +1,14 @@
 """Tracks the instance, state and slots of the local worker.
 
 Decides from heartbeats and connection errors whether the worker is ready, draining, unreachable
-or lost. A draining worker gets no further requests, since all of them pass through this sidecar.
+or lost. A departed worker gets no further requests, since all of them pass through this sidecar.
+docs/design/departures.md lists the outcome of each message in each state.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from enum import Enum
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import gevent
 
@@ -18,87 +18,37 @@
 from cranklane.runtime.interface import Address, Runtime, parse_address
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.slow_start import SlowStart, SlowStartChange, StartCause
+from cranklane.sidecar.worker.heartbeat import WorkerHeartbeat, WorkerPhase
 from cranklane.sidecar.worker.instances import (
     NO_INSTANCE,
     UNKNOWN_START,
+    ConsecutiveHeartbeats,
     InstanceHistory,
     WorkerInstance,
 )
 from cranklane.sidecar.worker.pool import WorkerPool
 from cranklane.sidecar.worker.probe import ProbedWorker
-
-USABLE_FRACTION = 0.95
-"""Fraction of a worker's slots that is used; some workers slow down when nearly full."""
-
-SMALL_WORKER_SLOTS = 10
-"""Number of slots below which all are used: leaving one free would cost a large fraction."""
-
-MISSED_HEARTBEATS = 3.5
-"""Heartbeat intervals of silence after which the worker is lost; tolerates three missed ones."""
+from cranklane.sidecar.worker.start_causes import StartCauses
+from cranklane.sidecar.worker.worker_state import (
+    PLANNED_EXIT_STATES,
+    WorkerState,
+    is_lost,
+    member_state,
+    usable_slots,
+    was_suspended,
+)
 
 SILENT_HEARTBEATS = 1.5
 """Heartbeat intervals of silence after which an instance with an earlier start time replaces the
 current one, whose clock may have been ahead. Less silence suggests a late heartbeat instead."""
 
-SUSPENSION_HEARTBEATS = 2.0
-"""Heartbeat intervals between two checks from which the machine was presumably suspended. Below
-:data:`MISSED_HEARTBEATS`, so that a suspension does not make the worker lost, but above the delay
-of a busy process."""
-
-
-YOUNG_SECONDS = 3.0
-"""Age up to which a worker that this process meets first is taken to have just started."""
-
-
-class WorkerPhase(Enum):
-    """Phase that a worker states in its heartbeats."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
-class WorkerState(Enum):
-    """State of the worker; requests are sent only in ``READY``."""
-
-    UNKNOWN = "unheard"
-    """No heartbeat since this process started or the instance changed."""
-    READY = "ready"
-    DRAINING = "draining"
-    UNREACHABLE = "unreachable"
-    """It accepted no connection; its next heartbeat makes it ready again."""
-    LOST = "lost"
-    """Its heartbeats have stopped."""
-    GONE = "gone"
-    """It has deregistered."""
-
+CONFIRMING_HEARTBEATS = 2
+"""Consecutive heartbeats by which an instance that was heard before a departed one shows that it
+is the one that runs."""
 
-_MEMBER_STATES = {
-    WorkerState.READY: MemberState.LIVE,
-    WorkerState.DRAINING: MemberState.DRAINING,
-}
-
-
-_RECOVERY_CAUSES = {
-    WorkerState.UNREACHABLE: StartCause.UNREACHABLE,
-    WorkerState.LOST: StartCause.LOST,
-}
-
-
-class WorkerHeartbeat(NamedTuple):
-    """A heartbeat of a worker.
-
-    :ivar instance: the start of the worker that sends it.
-    :ivar slots: number of concurrent requests.
-    :ivar sequence: increases with each heartbeat of an instance.
-    :ivar cold_ms: for how long the worker states to remain slow; None if not stated.
-    """
-
-    instance: WorkerInstance
-    service: str
-    slots: int
-    phase: WorkerPhase
-    sequence: int
-    cold_ms: int | None = None
+CONFIRMING_HEARTBEATS_OF_EARLIER_START = 6
+"""The same for an earlier start under the id of a departed one. The worker accepts requests by its
+id alone, so late heartbeats must not be taken for a start whose clock was set back."""
 
 
 class WorkerRegistry:
@@ -109,6 +59,7 @@
     :param slots: resized to the worker's usable slots.
     :param on_change: called when the state to announce to other processes has changed.
     :ivar address: address of the worker; None if this machine has none.
+    :param on_departure: called with each instance that states its departure, once.
     :param on_slow_start: called at the beginning and at the end of each slow start.
     :ivar instance: the worker's newest instance; ``NO_INSTANCE`` while unknown.
     :ivar slow_start: limits the slots in use after the worker has started or recovered.
@@ -124,6 +75,7 @@
         on_change: Callable[[], None],
         log: Any,
         on_slow_start: Callable[[SlowStartChange], None] = lambda _change: None,
+        on_departure: Callable[[WorkerInstance], None] = lambda _instance: None,
     ) -> None:
         self._runtime = runtime
         self.address: Address | None = parse_address(address) if address else None
@@ -136,7 +88,11 @@
         self.pool = WorkerPool(runtime, self.address) if self.address else None
         self.slow_start = SlowStart(runtime.monotonic, slots.set_window, on_slow_start)
         slots.widen = self.slow_start.widen
-        self._stated_cold = False
+        self._start_causes = StartCauses(runtime.wall)
+        self._returning = ConsecutiveHeartbeats()
+        self._on_departure = on_departure
+        self._knows_departures = True
+        self._deferred_heartbeat: WorkerHeartbeat | None = None
         self.service = service
         self.instance = NO_INSTANCE
         self.state = WorkerState.UNKNOWN
@@ -144,78 +100,124 @@
     @property
     def member_state(self) -> MemberState:
         """State to announce to control and other sidecars."""
-        return _MEMBER_STATES.get(self.state, MemberState.GONE)
+        return member_state(self.state)
 
     @property
     def slots(self) -> int:
         """Usable slots of the worker."""
         return self._slots.stated
 
+    def await_departures(self) -> None:
+        """Take no worker for ready before :meth:`departures_learned` is called."""
+        self._knows_departures = False
+
+    def departures_learned(self, labels: Iterable[str]) -> None:
+        """Apply the departures that control has stored for this machine's worker.
+
+        :param labels: the departed instances.
+        """
+        for instance in map(WorkerInstance.from_label, labels):
+            is_current = instance.id == self.instance.id and self.instance.started_at_ms in (
+                instance.started_at_ms,
+                UNKNOWN_START,
+            )
+            if is_current and self.state not in PLANNED_EXIT_STATES:
+                self._begin_planned_exit(WorkerState.GONE, "control")
+            elif not self._instances.has_planned_exit(instance):
+                self._log.info("worker_departure", instance=instance.label, stated_by="control")
+            self._instances.record_planned_exit(instance)
+        if self._knows_departures:
+            return
+        self._knows_departures = True
+        heartbeat, self._deferred_heartbeat = self._deferred_heartbeat, None
+        if heartbeat is not None:
+            self.heartbeat(heartbeat)
+
     def heartbeat(self, heartbeat: WorkerHeartbeat) -> None:
-        """Apply a heartbeat; late ones and those of superseded instances are ignored."""
+        """Apply a heartbeat; late ones and those of superseded instances are ignored.
+
+        A departure is never ignored: it is final for its instance, in whatever order it arrives.
+        """
         instance = self._resolve(heartbeat.instance)
         former, former_state = self.instance, self.state
         self._complete_instance(instance)
-        if not self._instances.advance(instance, heartbeat.sequence):
-            self._log_ignored(heartbeat, "late")
+        if heartbeat.phase is WorkerPhase.DRAINING:
+            self._depart(instance, WorkerState.DRAINING, "heartbeat")
+        elif not self._knows_departures:
+            self._deferred_heartbeat = heartbeat
             return
-        if instance != self.instance:
-            if self._is_superseded(instance):
-                self._log_ignored(heartbeat, "superseded")
-                return
-            self._adopt_instance(instance)
-        self._last_heartbeat_at = self._runtime.monotonic()
-        if self._instances.has_planned_exit(instance):
+        ignored = self._reason_to_ignore(instance, heartbeat.sequence)
+        self._instances.advance(instance, heartbeat.sequence)
+        if ignored:
             if heartbeat.phase is WorkerPhase.READY:
-                self._log_ignored(heartbeat, "departed")
+                self._log_ignored(heartbeat, ignored)
             return
+        if instance != self.instance:
+            self._adopt_instance(instance, "heartbeat")
+        self._last_heartbeat_at = self._runtime.monotonic()
         self.service = heartbeat.service
         usable = usable_slots(heartbeat.slots)
-        cause = self._slow_start_cause(former, former_state, heartbeat.cold_ms)
-        if cause is not None and heartbeat.phase is WorkerPhase.READY:
+        cause = self._start_causes.cause(instance, heartbeat.cold_ms, former, former_state)
+        if cause is not None:
             self.slow_start.begin(cause, usable, heartbeat.cold_ms)
         if usable != self._slots.stated:
             self.slow_start.resize(usable)
             self._slots.resize(usable)
             self._on_change()
-        if heartbeat.phase is WorkerPhase.DRAINING:
-            self._begin_planned_exit(instance, WorkerState.DRAINING, "heartbeat")
-        else:
-            self._set_state(WorkerState.READY)
+        self._set_state(WorkerState.READY)
 
-    def _slow_start_cause(
-        self, former: WorkerInstance, former_state: WorkerState, cold_ms: int | None
-    ) -> StartCause | None:
-        """Return why a heartbeat begins a slow start; None if it does not.
+    def _reason_to_ignore(self, instance: WorkerInstance, sequence: int) -> str:
+        """Return why a heartbeat does not make its instance ready; empty if it does."""
+        if self._instances.has_planned_exit(instance):
+            return "departed"
+        if not self._instances.is_newer(instance, sequence):
+            return "late"
+        if not self.instance.id or instance == self.instance:
+            return ""
+        return self._reason_superseded(instance)
+
+    def _reason_superseded(self, instance: WorkerInstance) -> str:
+        """Return why an instance is not the one that runs now; empty if it may be."""
+        latest = self._instances.latest_start(instance.id)
+        if instance.started_at_ms < latest.started_at_ms:
+            return self._reason_earlier_start(instance, latest)
+        if instance.id == self.instance.id or not self._instances.is_older(instance, self.instance):
+            return ""
+        if self.state is WorkerState.READY:
+            return "superseded"
+        if self.state in PLANNED_EXIT_STATES:
+            return "" if self._is_confirmed(instance, CONFIRMING_HEARTBEATS) else "superseded"
+        return ""
+
+    def _reason_earlier_start(self, instance: WorkerInstance, latest: WorkerInstance) -> str:
+        """Return why an earlier start than the latest of its id does not run; empty if it may."""
+        if self._instances.has_planned_exit(latest):
+            confirmed = self._is_confirmed(instance, CONFIRMING_HEARTBEATS_OF_EARLIER_START)
+            return "" if confirmed else "earlier start"
+        if self.state is not WorkerState.READY or instance.id != self.instance.id:
+            return ""
+        heard_before = self._instances.is_older(instance, self.instance)
+        return "earlier start" if heard_before or not self._is_silent() else ""
+
+    def _is_confirmed(self, instance: WorkerInstance, heartbeats: int) -> bool:
+        """Count a heartbeat; return whether as many have arrived one after the other."""
+        max_gap = SILENT_HEARTBEATS * self._heartbeat_seconds
+        now = self._runtime.monotonic()
+        return self._returning.count(instance, now, max_gap) >= heartbeats
 
-        :param former: instance before the heartbeat.
-        :param former_state: state before the heartbeat.
+    def apply_probe(self, worker: ProbedWorker) -> bool:
+        """Apply the result of a probe; return False if it does not make the worker ready.
+
+        A probe does not state the start time, so an id of which a start has departed is left to its
+        next heartbeat.
         """
-        states_cold = bool(cold_ms)
-        turned_cold = states_cold and not self._stated_cold
-        self._stated_cold = states_cold
-        if former.id and not self.instance.may_be(former):
-            return StartCause.NEW_INSTANCE
-        if former != self.instance:
-            # It may have run for long before this process was started.
-            is_cold = states_cold if cold_ms is not None else self._is_young()
-            return StartCause.NEW_INSTANCE if is_cold else None
-        if former_state in _RECOVERY_CAUSES:
-            return _RECOVERY_CAUSES[former_state]
-        return StartCause.STATED_COLD if turned_cold else None
-
-    def _is_young(self) -> bool:
-        """Return whether the worker states that it has just started."""
-        if self.instance.started_at_ms == UNKNOWN_START:
+        instance = WorkerInstance(worker.instance)
+        if self.instance.id or not self._knows_departures:
             return False
-        age = self._runtime.wall() - self.instance.started_at_ms / MILLISECONDS
-        return 0.0 <= age < YOUNG_SECONDS
-
-    def apply_probe(self, worker: ProbedWorker) -> bool:
-        """Apply the result of a probe; return False if a heartbeat has arrived before."""
-        if self.instance.id:
+        if self._instances.has_planned_exit(instance):
+            self._log.info("probe_ignored", instance=instance.label, reason="departed")
             return False
-        self._adopt_instance(WorkerInstance(worker.instance))
+        self._adopt_instance(instance, "probe")
         self._last_heartbeat_at = self._runtime.monotonic()
         self._slots.resize(usable_slots(worker.slots))
         self._set_state(WorkerState.READY)
@@ -225,19 +227,34 @@
         """Record that an instance is about to exit."""
         instance = self._resolve(stated)
         self._complete_instance(instance)
-        if not self.instance.id:
-            self._adopt_instance(instance)
-        if instance == self.instance:
-            self._begin_planned_exit(instance, WorkerState.GONE, "deregistration")
-        else:
-            self._instances.record_planned_exit(instance)
+        self._depart(instance, WorkerState.GONE, "deregistration")
 
     def leaving(self, instance: WorkerInstance) -> None:
         """Record that an answer of an instance states that it is about to exit."""
-        if not instance.may_be(self.instance):
-            self._instances.record_planned_exit(instance)
-        elif not self._instances.has_planned_exit(self.instance):
-            self._begin_planned_exit(self.instance, WorkerState.DRAINING, "answer")
+        current = instance.may_be(self.instance)
+        self._depart(self.instance if current else instance, WorkerState.DRAINING, "answer")
+
+    def _depart(self, instance: WorkerInstance, state: WorkerState, stated_by: str) -> None:
+        """Record the departure of an instance, and stop sending it requests.
+
+        Another id than the current one does not replace it: the departure may be late, and the
+        worker rejects requests for another id.
+        """
+        if not self.instance.id or self._is_later_start(instance):
+            self._adopt_instance(instance, stated_by)
+        is_known = self._instances.has_planned_exit(instance)
+        self._instances.record_planned_exit(instance, int(self._runtime.wall() * MILLISECONDS))
+        if instance == self.instance:
+            self._begin_planned_exit(state, stated_by)
+        elif not is_known:
+            self._log.info("worker_departure", instance=instance.label, stated_by=stated_by)
+        if not is_known:
+            self._on_departure(instance)
+
+    def _is_later_start(self, instance: WorkerInstance) -> bool:
+        """Return whether an instance is a later start under the id of the current one."""
+        current = self.instance
+        return instance.id == current.id and instance.started_at_ms > current.started_at_ms
 
     def _resolve(self, instance: WorkerInstance) -> WorkerInstance:
         """Return the instance that a message is from; it may state the id alone."""
@@ -250,9 +267,26 @@
     def _complete_instance(self, instance: WorkerInstance) -> None:
         """Add the start time to an instance that was found by a probe, which does not state it."""
         lacks_start_time = self.instance == WorkerInstance(instance.id)
-        if lacks_start_time and instance.started_at_ms != UNKNOWN_START:
-            self.instance = instance
-            self._on_change()
+        if not lacks_start_time or instance.started_at_ms == UNKNOWN_START:
+            return
+        if self.state in PLANNED_EXIT_STATES and not self._instances.has_planned_exit(instance):
+            # A later start than the one that has departed.
+            return
+        self.instance = instance
+        self._on_change()
+
+    def _begin_planned_exit(self, state: WorkerState, stated_by: str) -> None:
+        """Refuse requests for the current instance from now on."""
+        if self.state in (state, WorkerState.GONE):
+            return
+        self._log.info(
+            "worker_departure",
+            instance=self.instance.label,
+            stated_by=stated_by,
+            former=self.state.value,
+        )
+        self._set_state(state)
+        self._slots.refuse_waiting(Reason.DRAINING)
 
     def _log_ignored(self, heartbeat: WorkerHeartbeat, reason: str) -> None:
         """Log a heartbeat that changes nothing."""
@@ -260,27 +294,11 @@
             "heartbeat_ignored",
             instance=heartbeat.instance.label,
             sequence=heartbeat.sequence,
-            phase=heartbeat.phase.value,
             reason=reason,
             current=self.instance.label,
             state=self.state.value,
         )
 
-    def _begin_planned_exit(
-        self, instance: WorkerInstance, state: WorkerState, stated_by: str
-    ) -> None:
-        self._instances.record_planned_exit(instance)
-        self._log.info(
-            "worker_departure",
-            instance=instance.label,
-            stated_by=stated_by,
-            former=self.state.value,
-        )
-        if self.state is WorkerState.GONE:
-            return
-        self._set_state(state)
-        self._slots.refuse_waiting(Reason.DRAINING)
-
     def unreachable(self) -> None:
         """Record that the worker accepted no connection."""
         if self.state is WorkerState.READY:
@@ -290,7 +308,8 @@
         """Record that an instance of another id than the known one's answered."""
         if instance_id and instance_id != self.instance.id:
             self._log.warning("worker_replaced", known=self.instance.label, answered=instance_id)
-            self._set_state(WorkerState.UNREACHABLE)
+            if self.state not in PLANNED_EXIT_STATES:
+                self._set_state(WorkerState.UNREACHABLE)
             self._instances.forget_sequences(instance_id)
 
     def watch(self) -> None:
@@ -310,28 +329,18 @@
             if is_lost(self.state, now - self._last_heartbeat_at, period):
                 self._set_state(WorkerState.LOST)
 
-    def _is_superseded(self, instance: WorkerInstance) -> bool:
-        """Return whether an instance is older than the current one."""
-        if not self.instance.id:
-            return False
-        if self._instances.has_planned_exit(instance):
-            return True
-        if self.state not in (WorkerState.READY, WorkerState.DRAINING):
-            return False
-        if self._instances.is_older(instance, self.instance):
-            return True
-        current = self.instance
-        has_same_id = instance.id == current.id
-        started_earlier = has_same_id and instance.started_at_ms < current.started_at_ms
-        return started_earlier and not self._is_silent()
-
     def _is_silent(self) -> bool:
         """Return whether the current instance has missed a heartbeat."""
         silent_seconds = self._runtime.monotonic() - self._last_heartbeat_at
         return silent_seconds > SILENT_HEARTBEATS * self._heartbeat_seconds
 
-    def _adopt_instance(self, instance: WorkerInstance) -> None:
-        self._log.info("worker_instance", instance=instance.label, former=self.instance.label)
+    def _adopt_instance(self, instance: WorkerInstance, stated_by: str) -> None:
+        self._log.info(
+            "worker_instance",
+            instance=instance.label,
+            former=self.instance.label,
+            stated_by=stated_by,
+        )
         self.instance = instance
         self.state = WorkerState.UNKNOWN
         if self.pool is not None:
@@ -349,29 +358,3 @@
         )
         self.state = state
         self._on_change()
-
-
-def was_suspended(seconds: float, heartbeat_seconds: float) -> bool:
-    """Return whether this machine was suspended between two checks of the heartbeats.
-
-    :param seconds: time between the checks, by a clock that also runs during a suspension.
-    """
-    return seconds > SUSPENSION_HEARTBEATS * heartbeat_seconds
-
-
-def is_lost(state: WorkerState, silent_seconds: float, heartbeat_seconds: float) -> bool:
-    """Return whether a worker's silence means that it is lost.
-
-    Only workers in use are checked: draining and deregistered ones are expected to fall silent.
-    """
-    in_use = state in (WorkerState.READY, WorkerState.UNREACHABLE)
-    return in_use and silent_seconds > MISSED_HEARTBEATS * heartbeat_seconds
-
-
-def usable_slots(slots: int) -> int:
-    """Return the number of a worker's slots that may be used.
-
-    >>> usable_slots(4), usable_slots(14), usable_slots(44)
-    (4, 13, 41)
-    """
-    return slots if slots < SMALL_WORKER_SLOTS else int(slots * USABLE_FRACTION)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -3,22 +3,29 @@
 from __future__ import annotations
 
 import gevent
+import pytest
 
+from cranklane.sidecar.control_link import MAX_DEPARTURE_WAIT_SECONDS
+from cranklane.sidecar.worker.worker_state import WorkerState
+from cranklane_lab.standins.routed_worker import HEARTBEAT_SECONDS
 from mesh_support import play
 from test_stated_limits import FOUR_OF_ONE_SERVICE, arrivals, send_load, statuses
 
 DRAIN_SECONDS = 2.0
 """Time after the acknowledgement of a departure from which no request may reach the worker."""
 
+NEXT_START_SECONDS = 0.3
+"""Time from the start of a worker, whose first heartbeat is at once, to its use by others."""
+
 
 def play_mesh(script, seed=1):
     return play(script, seed=seed, services=FOUR_OF_ONE_SERVICE, slots=20)
 
 
-def requests_after_departure(mesh, restart, deliver):
+def requests_after_departure(mesh, disturb, deliver):
     """Return the requests that reach a worker after its departure, and the share answered.
 
-    :param restart: called half a second after the acknowledgement.
+    :param disturb: called half a second after the acknowledgement.
     :param deliver: called with the worker and a heartbeat from before the departure, once requests
         may no longer reach it.
     """
@@ -29,7 +36,7 @@
     gevent.sleep(0.5)
     assert worker.depart() == 200
     gevent.sleep(0.5)
-    restart()
+    disturb()
     gevent.sleep(DRAIN_SECONDS)
     before = arrivals(mesh)
     deliver(worker, held_up)
@@ -42,12 +49,124 @@
 SEEDS = (1, 2, 3)
 
 
+def deliver_late(worker, held_up):
+    worker.deliver_heartbeat(held_up)
+
+
 def test_a_late_heartbeat_after_a_restart_of_its_sidecar_does_not_revive_a_worker():
     def script(mesh):
-        return requests_after_departure(
-            mesh,
-            restart=lambda: mesh.restart_sidecar(mesh.machines[0]),
-            deliver=lambda worker, held_up: worker.deliver_heartbeat(held_up),
-        )
+        def restart():
+            mesh.restart_sidecar(mesh.machines[0])
+
+        return requests_after_departure(mesh, restart, deliver_late)
 
     assert [play_mesh(script, seed) for seed in SEEDS] == [(0, 1.0)] * len(SEEDS)
+
+
+def kill_all(mesh, sidecars_first):
+    """Kill all controllers and sidecars at the same moment, and start them again."""
+    for machine in (*mesh.controllers, *mesh.machines):
+        machine.process.kill()
+    gevent.sleep(0.3)
+
+    def start_controllers():
+        for number in range(len(mesh.controllers)):
+            mesh.restart_controller(number)
+
+    def start_sidecars():
+        for machine in mesh.machines:
+            mesh.restart_sidecar(machine)
+
+    order = (start_sidecars, start_controllers)
+    for start in order if sidecars_first else reversed(order):
+        start()
+        gevent.sleep(0.3)
+
+
+@pytest.mark.parametrize("sidecars_first", [False, True])
+def test_an_acknowledged_departure_survives_a_kill_of_all_processes(sidecars_first):
+    def script(mesh):
+        def disturb():
+            kill_all(mesh, sidecars_first)
+            gevent.sleep(2.0)
+
+        return requests_after_departure(mesh, disturb, deliver_late)
+
+    assert play_mesh(script)[0] == 0
+
+
+def test_a_wrong_health_check_does_not_revive_a_worker_after_a_restart_of_its_sidecar():
+    def script(mesh):
+        mesh.machines[0].worker.state.health_is_wrong = True
+
+        def restart():
+            mesh.restart_sidecar(mesh.machines[0])
+
+        return requests_after_departure(mesh, restart, lambda _worker, _held_up: None)
+
+    assert play_mesh(script) == (0, 1.0)
+
+
+def test_a_departure_stated_by_an_answer_survives_a_restart_of_the_sidecar():
+    def script(mesh):
+        machine = mesh.machines[0]
+        machine.worker.state.leaving = True
+        mesh.request(machine, "/read/x")
+        send_load(mesh, 1.0, [])
+        # The next answers do not state it, so only control can tell the next process.
+        machine.worker.state.leaving = False
+        for other in mesh.machines[1:]:
+            other.sidecar.destinations._notices.clear()
+        mesh.restart_sidecar(machine)
+        gevent.sleep(1.0)
+        before = arrivals(mesh)
+        send_load(mesh, 4.0, [])
+        return arrivals(mesh) - before
+
+    assert play_mesh(script) == 0
+
+
+def test_a_departure_is_not_acknowledged_while_control_cannot_store_it():
+    def script(mesh):
+        machine = mesh.machines[0]
+        for controller in mesh.controllers[:2]:
+            controller.process.kill()
+        gevent.sleep(2.0)
+        refused = machine.worker.depart()
+        before = arrivals(mesh)
+        send_load(mesh, 2.0, [])
+        later = arrivals(mesh) - before
+        for number in (0, 1):
+            mesh.restart_controller(number)
+        gevent.sleep(4.0)
+        return refused, later, machine.worker.depart()
+
+    assert play_mesh(script) == (503, 0, 200)
+
+
+@pytest.mark.parametrize("same_id", [False, True])
+def test_the_next_start_is_used_at_once_after_a_departure_and_a_restart_of_the_sidecar(same_id):
+    def script(mesh):
+        machine = mesh.machines[4]
+        assert machine.worker.depart() == 200
+        machine.worker.end()
+        machine.worker_process.kill()
+        mesh.restart_sidecar(machine)
+        gevent.sleep(1.0)
+        mesh.restart_worker(machine, same_id=same_id)
+        gevent.sleep(NEXT_START_SECONDS)
+        return [mesh.request(mesh.machines[0], "/other/x").status for _ in range(5)]
+
+    assert play_mesh(script) == [200] * 5
+
+
+def test_a_worker_that_runs_is_used_although_its_restarted_sidecar_finds_no_control():
+    def script(mesh):
+        for controller in mesh.controllers:
+            controller.process.kill()
+        machine = mesh.machines[0]
+        mesh.restart_sidecar(machine)
+        gevent.sleep(MAX_DEPARTURE_WAIT_SECONDS + HEARTBEAT_SECONDS)
+        return machine.sidecar.worker.state
+
+    assert play_mesh(script) is WorkerState.READY
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -29,8 +29,13 @@
 from cranklane.sidecar.worker.fault_ratio import FaultRatio
 from cranklane.sidecar.worker.instances import InstanceHistory, WorkerInstance
 from cranklane.sidecar.worker.pool import WorkerPool
-from cranklane.sidecar.worker.registry import WorkerState, is_lost, usable_slots, was_suspended
 from cranklane.sidecar.worker.slowness import ExpectedLatencies, Slowness
+from cranklane.sidecar.worker.worker_state import (
+    WorkerState,
+    is_lost,
+    usable_slots,
+    was_suspended,
+)
 
 
 @pytest.mark.parametrize(
@@ -126,9 +131,9 @@
     history = InstanceHistory()
     history.record_planned_exit(WorkerInstance("gone"))
     for number in range(63):
-        history.record_planned_exit(str(number))
+        history.record_planned_exit(WorkerInstance(str(number)))
     assert history.has_planned_exit(WorkerInstance("gone"))
-    history.record_planned_exit("one more")
+    history.record_planned_exit(WorkerInstance("one more"))
     assert not history.has_planned_exit(WorkerInstance("gone"))
 
 
--- a/tests/test_worker_instances.py
+++ b/tests/test_worker_instances.py
@@ -14,13 +14,10 @@
 from cranklane.records.messages import Heartbeat
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.worker.api import parse_deregistration, parse_heartbeat
+from cranklane.sidecar.worker.heartbeat import WorkerHeartbeat, WorkerPhase
 from cranklane.sidecar.worker.instances import WorkerInstance
-from cranklane.sidecar.worker.registry import (
-    WorkerHeartbeat,
-    WorkerPhase,
-    WorkerRegistry,
-    WorkerState,
-)
+from cranklane.sidecar.worker.registry import WorkerRegistry
+from cranklane.sidecar.worker.worker_state import WorkerState
 from cranklane_lab.standins.routed_worker import HEARTBEAT_SECONDS
 from mesh_support import play
 
