A request that waited for a connection is not sent after the departure

What callers saw: by reading, a request admitted just before a departure could reach the worker as late as its connection took (up to 1 s), or after a suspension of the machine at any time later.

Cause: the state of the worker was checked at the admission only. Change: it is checked again just before the first byte; the request is then refused as not run and goes elsewhere.

--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -257,6 +257,7 @@
         deadline = admitted.arrived_at + request.deadline_ms / MILLISECONDS
         suspicion_level = admitted.suspicion.suspicion_level
         listener = RunListener(
+            may_send=self._worker.may_send,
             sent=partial(self._exits.began, admitted.number, request, suspicion_level),
             noticed=partial(self.notices.answered, admitted.instance, admitted.started_at),
             worker_exited=partial(self._exits.connection_lost, admitted.instance),
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -65,11 +65,14 @@
 class RunListener(NamedTuple):
     """Callbacks of one run.
 
+    :ivar may_send: returns whether the request may still be sent to the worker; it may have waited
+        for a connection since its admission.
     :ivar sent: called just before the first byte is sent.
     :ivar noticed: called with what the headers of the worker's answer state.
     :ivar worker_exited: checks whether the worker has exited since the run began.
     """
 
+    may_send: Callable[[], bool]
     sent: Callable[[], None]
     noticed: Callable[[AnswerNotice], None]
     worker_exited: Callable[[], bool]
@@ -139,6 +142,8 @@
         remaining = deadline - self._runtime.monotonic()
         if remaining <= 0 or attempt.cancelled:
             return refusal(Reason.CANCELLED if attempt.cancelled else Reason.DEADLINE_PASSED)
+        if not listener.may_send():
+            return refusal(Reason.DRAINING)
         connection.stream.settimeout(remaining)
         connection.reader.receive_until(deadline, self._runtime.monotonic)
         listener.sent()
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -107,8 +107,12 @@
         """Usable slots of the worker."""
         return self._slots.stated
 
+    def may_send(self) -> bool:
+        """Return whether an admitted request may still be sent: the worker has not departed."""
+        return self.state not in PLANNED_EXIT_STATES
+
     def await_departures(self) -> None:
-        """Take no worker for ready before :meth:`departures_learned` is called."""
+        """Take no worker for ready before the departures are learned, or known by nobody."""
         self._knows_departures = False
 
     def departures_learned(self, labels: Iterable[str]) -> None:
@@ -126,9 +130,18 @@
             elif not self._instances.has_planned_exit(instance):
                 self._log.info("worker_departure", instance=instance.label, stated_by="control")
             self._instances.record_planned_exit(instance)
+        self._use_worker("control")
+
+    def departures_unknown(self) -> None:
+        """Use the worker by what it states itself, if control has not stated the departures."""
+        self._use_worker("nobody")
+
+    def _use_worker(self, learned_from: str) -> None:
+        """Take the worker for ready from now on, if its latest heartbeat says so."""
         if self._knows_departures:
             return
         self._knows_departures = True
+        self._log.info("departures_known", learned_from=learned_from)
         heartbeat, self._deferred_heartbeat = self._deferred_heartbeat, None
         if heartbeat is not None:
             self.heartbeat(heartbeat)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -170,3 +170,27 @@
         return machine.sidecar.worker.state
 
     assert play_mesh(script) is WorkerState.READY
+
+
+def test_a_request_that_waited_for_a_connection_is_not_sent_after_the_departure(monkeypatch):
+    def script(mesh):
+        machine = mesh.machines[0]
+        pool = machine.sidecar.worker.pool
+        take = pool.take
+
+        def take_late(always_check):
+            connection = take(always_check)
+            gevent.sleep(1.0)
+            return connection
+
+        monkeypatch.setattr(pool, "take", take_late)
+        answers = []
+        load = gevent.spawn(send_load, mesh, 0.5, answers)
+        gevent.sleep(0.4)
+        departure = machine.worker.depart()
+        before = arrivals(mesh)
+        load.join()
+        gevent.sleep(2.0)
+        return departure, arrivals(mesh) - before, statuses(answers)
+
+    assert play_mesh(script) == (200, 0, 1.0)
