A sidecar that knows no start yet ignores earlier starts of a departed one

What callers saw: requests at a departed worker after both a crash under its id and a restart of its sidecar, by a late heartbeat of the crashed start.

Cause: without a current start, a heartbeat was not compared with the departed starts of its id.

Change: the comparison comes first.

--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -185,7 +185,7 @@
             return "departed"
         if not self._instances.is_newer(instance, sequence):
             return "late"
-        if not self.instance.id or instance == self.instance:
+        if instance == self.instance:
             return ""
         return self._reason_superseded(instance)
 
--- a/tests/test_departure_messages.py
+++ b/tests/test_departure_messages.py
@@ -24,6 +24,20 @@
 """Heartbeats of one start that are on their way at once: they are some seconds late."""
 
 
+MESSAGES = (
+    "heartbeat_in_time",
+    "heartbeat_held_up",
+    "heartbeat_sent_twice",
+    "drain",
+    "deregister",
+    "deregister_without_start_time",
+    "answer_states_departure",
+    "probe_by_health",
+    "probe_by_wrong_health",
+    "misdirected_request",
+)
+
+
 class Log:
     def info(self, *_arguments, **_fields):
         pass
@@ -38,6 +52,7 @@
     instance: WorkerInstance
     sequence: int = 0
     acknowledged: bool = False
+    drains: bool = False
     held_up: list[WorkerHeartbeat] = field(default_factory=list)
 
     def heartbeat(self, phase=WorkerPhase.READY):
@@ -54,16 +69,60 @@
         self.stored = []
         self.starts = []
         self.running = None
-        self.control_is_reachable = True
         self.restart_sidecar(True)
 
     def wall_ms(self):
         return int(self.now * 1000)
 
-    # Events on the machine.
+    # Few rules with many variants each: a failure needs several kinds of events in one example.
+
+    @rule(event=st.sampled_from(["restart", "restart without control", "control answers"]))
+    def sidecar_event(self, event):
+        if event == "control answers":
+            self.control_answers()
+        else:
+            self.restart_sidecar(event == "restart")
+
+    @rule(event=st.sampled_from(["start", "start under the id", "start under the id", "end"]))
+    def worker_event(self, event):
+        if event == "end":
+            self.hold_up_last_heartbeat()
+            self.running = None
+        else:
+            self.start_worker(event != "start")
+
+    @precondition(lambda self: self.running is not None)
+    @rule(message=st.sampled_from(MESSAGES))
+    def message(self, message):
+        getattr(self, message)()
+
+    @rule(data=st.data())
+    def late_heartbeat(self, data):
+        held_up = [(start, beat) for start in self.starts for beat in start.held_up]
+        if not held_up:
+            return
+        start, heartbeat = data.draw(st.sampled_from(held_up))
+        if data.draw(st.booleans()):
+            start.held_up.remove(heartbeat)
+        self.registry.heartbeat(heartbeat)
 
-    @rule(answers=st.booleans())
-    def restart_sidecar(self, answers):
+    @rule(event=st.sampled_from([0.1, 1.5, 6.0, "refused connection", "late deregistration"]))
+    def other_event(self, event):
+        if event == "refused connection":
+            if self.running is None:
+                self.registry.unreachable()
+        elif event == "late deregistration":
+            for start in self.starts:
+                if start.acknowledged:
+                    self.registry.deregister(start.instance)
+        else:
+            self.now += event
+            if is_lost(self.registry.state, self.now - self.heard_at, HEARTBEAT_SECONDS):
+                self.registry._set_state(WorkerState.LOST)
+
+    # The machine.
+
+    def restart_sidecar(self, control_answers):
         runtime = SimpleNamespace(monotonic=lambda: self.now, wall=lambda: self.now)
         self.registry = WorkerRegistry(
             runtime,
@@ -78,123 +137,81 @@
         self.registry.await_departures()
         self.knows = False
         self.heard_at = self.now
-        if answers:
+        if control_answers:
             self.control_answers()
 
-    @precondition(lambda self: not self.knows)
-    @rule()
     def control_answers(self):
         self.registry.departures_learned(list(self.stored))
         self.knows = True
 
-    @precondition(lambda self: self.running is None)
-    @rule(keeps_id=st.booleans())
     def start_worker(self, keeps_id):
+        """Start the worker; the last heartbeat of the start that ends by this may arrive later."""
+        self.hold_up_last_heartbeat()
         self.now += 0.01
         name = "a" if keeps_id or not self.starts else f"b{len(self.starts)}"
         self.running = WorkerStart(WorkerInstance(name, self.wall_ms()))
         self.starts.append(self.running)
-        self.registry.heartbeat(self.running.heartbeat())
-        self.heard_at = self.now
+        self.heartbeat_in_time()
         if self.knows:
             assert self.registry.state is WorkerState.READY
             assert self.registry.instance == self.running.instance
 
-    @precondition(lambda self: self.running is not None)
-    @rule()
-    def worker_ends(self):
-        self.running = None
-
-    @rule(seconds=st.sampled_from([0.1, 1.5, 6.0]))
-    def time_passes(self, seconds):
-        self.now += seconds
-        if is_lost(self.registry.state, self.now - self.heard_at, HEARTBEAT_SECONDS):
-            self.registry._set_state(WorkerState.LOST)
+    def hold_up_last_heartbeat(self):
+        if self.running and not self.running.acknowledged:
+            self.heartbeat_held_up()
 
     # Messages of the running start.
 
-    @precondition(lambda self: self.running is not None)
-    @rule()
     def heartbeat_in_time(self):
-        phase = WorkerPhase.DRAINING if self.running.acknowledged else WorkerPhase.READY
+        phase = WorkerPhase.DRAINING if self.running.drains else WorkerPhase.READY
         self.registry.heartbeat(self.running.heartbeat(phase))
         self.heard_at = self.now
 
-    @precondition(lambda self: self.running and len(self.running.held_up) < MAX_HELD_UP)
-    @rule(is_delivered=st.booleans())
-    def heartbeat_held_up(self, is_delivered):
-        if self.running.acknowledged:
-            return
-        heartbeat = self.running.heartbeat()
-        self.running.held_up.append(heartbeat)
-        if is_delivered:
-            self.registry.heartbeat(heartbeat)
+    def heartbeat_held_up(self):
+        if not self.running.acknowledged and len(self.running.held_up) < MAX_HELD_UP:
+            self.running.held_up.append(self.running.heartbeat())
+
+    def heartbeat_sent_twice(self):
+        self.heartbeat_held_up()
+        if self.running.held_up:
+            self.registry.heartbeat(self.running.held_up[-1])
             self.heard_at = self.now
 
-    @precondition(lambda self: self.running is not None)
-    @rule()
     def drain(self):
-        self.registry.heartbeat(self.running.heartbeat(WorkerPhase.DRAINING))
+        self.running.drains = True
         self.running.acknowledged = True
+        self.heartbeat_in_time()
 
-    @precondition(lambda self: self.running is not None)
-    @rule()
     def deregister(self):
-        self.registry.deregister(self.running.instance)
         self.running.acknowledged = True
+        self.registry.deregister(self.running.instance)
 
-    @precondition(lambda self: self.running and self.knows_running())
-    @rule()
     def deregister_without_start_time(self):
-        self.registry.deregister(WorkerInstance(self.running.instance.id))
-        self.running.acknowledged = True
+        if self.knows_running():
+            self.running.acknowledged = True
+            self.registry.deregister(WorkerInstance(self.running.instance.id))
 
-    @precondition(lambda self: self.running and self.knows_running())
-    @rule()
     def answer_states_departure(self):
-        self.registry.leaving(self.registry.instance)
-        self.running.acknowledged = True
+        if self.knows_running():
+            self.running.acknowledged = True
+            self.registry.leaving(self.registry.instance)
 
     def knows_running(self):
         known = self.registry.instance
         return known.id and known.may_be(self.running.instance)
 
-    # Messages of any start, late, and what the sidecar finds by itself.
+    def probe_by_health(self):
+        if not self.running.acknowledged:
+            self.probe_by_wrong_health()
 
-    @rule(data=st.data())
-    def late_heartbeat(self, data):
-        held_up = [(start, beat) for start in self.starts for beat in start.held_up]
-        if not held_up:
-            return
-        start, heartbeat = data.draw(st.sampled_from(held_up))
-        if data.draw(st.booleans()):
-            start.held_up.remove(heartbeat)
-        self.registry.heartbeat(heartbeat)
-
-    @precondition(lambda self: any(start.acknowledged for start in self.starts))
-    @rule(data=st.data())
-    def late_deregistration(self, data):
-        departed = [start for start in self.starts if start.acknowledged]
-        self.registry.deregister(data.draw(st.sampled_from(departed)).instance)
-
-    @precondition(lambda self: self.running is not None)
-    @rule(health_is_wrong=st.booleans())
-    def probe(self, health_is_wrong):
-        if self.running.acknowledged is health_is_wrong:
-            self.registry.apply_probe(ProbedWorker(self.running.instance.id, 4))
-            self.heard_at = self.now
+    def probe_by_wrong_health(self):
+        self.registry.apply_probe(ProbedWorker(self.running.instance.id, 4))
+        self.heard_at = self.now
 
-    @precondition(lambda self: self.running is not None)
-    @rule()
     def misdirected_request(self):
-        if self.registry.state is WorkerState.READY:
+        if self.registry.state is not WorkerState.UNKNOWN:
             self.registry.note_unexpected_instance(self.running.instance.id)
 
-    @precondition(lambda self: self.running is None)
-    @rule()
-    def refused_connection(self):
-        self.registry.unreachable()
-
     @invariant()
     def a_departed_start_gets_no_requests(self):
         if self.running is None or not self.running.acknowledged:
@@ -204,4 +221,6 @@
 
 
 TestWorkerMessages = WorkerMessages.TestCase
-TestWorkerMessages.settings = settings(max_examples=300, stateful_step_count=25, deadline=None)
+TestWorkerMessages.settings = settings(
+    max_examples=600, stateful_step_count=30, deadline=None, derandomize=True
+)
