--- a/tests/test_departure_messages.py
+++ b/tests/test_departure_messages.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
+import pytest
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -224,3 +225,80 @@
 TestWorkerMessages.settings = settings(
     max_examples=600, stateful_step_count=30, deadline=None, derandomize=True
 )
+
+
+def deliver_late(machine):
+    """Deliver the heartbeat of the first start that is still on its way."""
+    machine.registry.heartbeat(machine.starts[0].held_up[0])
+
+
+def two_starts_under_one_id(machine):
+    machine.worker_event("start under the id")
+    machine.worker_event("start under the id")
+
+
+def depart_and_restart(machine):
+    two_starts_under_one_id(machine)
+    machine.deregister()
+    machine.sidecar_event("restart")
+    deliver_late(machine)
+
+
+def depart_after_a_late_start_was_used(machine):
+    two_starts_under_one_id(machine)
+    machine.other_event(6.0)
+    deliver_late(machine)
+    machine.deregister()
+
+
+def misdirected_after_departure(machine):
+    two_starts_under_one_id(machine)
+    machine.deregister()
+    machine.registry.note_unexpected_instance("another")
+    assert machine.registry.state is WorkerState.GONE
+    deliver_late(machine)
+
+
+def depart_as_found_by_a_probe(machine):
+    machine.worker_event("start")
+    machine.sidecar_event("restart")
+    machine.probe_by_health()
+    machine.answer_states_departure()
+    machine.heartbeat_in_time()
+
+
+def late_draining_heartbeat(machine):
+    machine.worker_event("start")
+    draining = machine.running.heartbeat(WorkerPhase.DRAINING)
+    machine.heartbeat_in_time()
+    machine.registry.heartbeat(draining)
+    machine.running.acknowledged = True
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        depart_and_restart,
+        depart_after_a_late_start_was_used,
+        misdirected_after_departure,
+        depart_as_found_by_a_probe,
+        late_draining_heartbeat,
+    ],
+)
+def test_a_departed_start_stays_unused(events):
+    machine = WorkerMessages()
+    events(machine)
+    assert machine.running.acknowledged
+    machine.a_departed_start_gets_no_requests()
+    machine.worker_event("start under the id")
+
+
+def test_a_late_draining_heartbeat_of_another_id_does_not_end_the_use_of_the_worker():
+    machine = WorkerMessages()
+    machine.worker_event("start")
+    draining = machine.running.heartbeat(WorkerPhase.DRAINING)
+    machine.worker_event("start")
+    machine.sidecar_event("restart")
+    machine.heartbeat_in_time()
+    machine.registry.heartbeat(draining)
+    assert machine.registry.state is WorkerState.READY
