--- a/src/cranklane/records/generate.py
+++ b/src/cranklane/records/generate.py
@@ -9,7 +9,8 @@
 import sys
 from pathlib import Path
 
-from cranklane.records.schema import RECORDS, Record
+from cranklane.records.definition import Record
+from cranklane.records.schema import RECORDS
 
 _NUMBERS = {"u8": "B", "u16": "H", "u32": "I", "u64": "Q", "f64": "d", "bool": "?"}
 _PYTHON = {
