A departure of a worker found by a probe is stored with its start time

What callers saw: by the table of orders, requests at a worker that had stated its departure in an answer, after a second restart of its sidecar.

Cause: the first process knew the worker by a probe, without its start time, and had the departure stored so; the heartbeat that added the start time stored nothing, and to the next process that heartbeat was another start. Change: the departure is stored again with the start time. Repeated reports of one departure share one entry of the command.

Measured: the order of events takes the worker for ready before and not after; tests of departures pass.

--- a/src/cranklane/controller/departure_writer.py
+++ b/src/cranklane/controller/departure_writer.py
@@ -30,9 +30,18 @@
     """Departures of one command, and whether they were stored."""
 
     def __init__(self) -> None:
-        self.departures: list[Departure] = []
+        self._departures: dict[tuple[str, str], Departure] = {}
         self.stored: AsyncResult[bool] = AsyncResult()
 
+    def add(self, departures: list[Departure]) -> None:
+        """Add departures; sidecars report each one again and again until it is stored."""
+        for departure in departures:
+            self._departures[departure.node, departure.instance] = departure
+
+    def command(self) -> DepartureCommand:
+        """Return the command that stores them."""
+        return DepartureCommand(list(self._departures.values()))
+
 
 class DepartureWriter:
     """Stores departures for the sidecars of one controller.
@@ -59,7 +68,7 @@
         if self._store.contains_all(departures):
             return True
         batch = self._next_batch
-        batch.departures += departures
+        batch.add(departures)
         self._requested.set()
         return bool(batch.stored.get())
 
@@ -69,7 +78,7 @@
             self._requested.wait()
             self._requested.clear()
             batch, self._next_batch = self._next_batch, _Batch()
-            batch.stored.set(self._write(DepartureCommand(batch.departures)))
+            batch.stored.set(self._write(batch.command()))
 
     def _write(self, command: DepartureCommand) -> bool:
         if self._replica.is_leader:
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -59,7 +59,7 @@
     :param slots: resized to the worker's usable slots.
     :param on_change: called when the state to announce to other processes has changed.
     :ivar address: address of the worker; None if this machine has none.
-    :param on_departure: called with each instance that states its departure, once.
+    :param on_departure: called with the instance for each statement of a departure.
     :param on_slow_start: called at the beginning and at the end of each slow start.
     :ivar instance: the worker's newest instance; ``NO_INSTANCE`` while unknown.
     :ivar slow_start: limits the slots in use after the worker has started or recovered.
@@ -256,13 +256,15 @@
         if not self.instance.id or self._is_later_start(instance):
             self._adopt_instance(instance, stated_by)
         is_known = self._instances.has_planned_exit(instance)
-        self._instances.record_planned_exit(instance, int(self._runtime.wall() * MILLISECONDS))
+        self._record_departure(instance)
         if instance == self.instance:
             self._begin_planned_exit(state, stated_by)
         elif not is_known:
             self._log.info("worker_departure", instance=instance.label, stated_by=stated_by)
-        if not is_known:
-            self._on_departure(instance)
+
+    def _record_departure(self, instance: WorkerInstance) -> None:
+        self._instances.record_planned_exit(instance, int(self._runtime.wall() * MILLISECONDS))
+        self._on_departure(instance)
 
     def _is_later_start(self, instance: WorkerInstance) -> bool:
         """Return whether an instance is a later start under the id of the current one."""
@@ -286,6 +288,8 @@
             # A later start than the one that has departed.
             return
         self.instance = instance
+        if self.state in PLANNED_EXIT_STATES:
+            self._record_departure(instance)
         self._on_change()
 
     def _begin_planned_exit(self, state: WorkerState, stated_by: str) -> None:
--- a/tests/test_departure_messages.py
+++ b/tests/test_departure_messages.py
@@ -267,6 +267,16 @@
     machine.heartbeat_in_time()
 
 
+def restart_after_a_probe_was_completed(machine):
+    machine.worker_event("start")
+    machine.sidecar_event("restart")
+    machine.probe_by_health()
+    machine.answer_states_departure()
+    machine.heartbeat_in_time()
+    machine.sidecar_event("restart")
+    machine.heartbeat_in_time()
+
+
 def late_draining_heartbeat(machine):
     machine.worker_event("start")
     draining = machine.running.heartbeat(WorkerPhase.DRAINING)
@@ -282,6 +292,7 @@
         depart_after_a_late_start_was_used,
         misdirected_after_departure,
         depart_as_found_by_a_probe,
+        restart_after_a_probe_was_completed,
         late_draining_heartbeat,
     ],
 )
