The order of heartbeats is decided in a module of its own, with typed reasons

The registry held the decision which start of the worker runs beside the state that it changes, and named its reasons by texts. Plainer words in comments and names.

No behaviour changes, but the line departures_known says timeout in place of nobody.

--- a/src/cranklane/controller/departure_writer.py
+++ b/src/cranklane/controller/departure_writer.py
@@ -108,7 +108,7 @@
             records.close()
 
     def commit(self, command: DepartureCommand) -> bool:
-        """Commit a command, if this process leads; return whether it was committed."""
+        """Commit a command, if this process leads; return whether that succeeded."""
         if self._store.contains_all(command.departures) and self._replica.may_read:
             return True
         return isinstance(self._replica.propose(encode_departures(command)), Ok)
--- a/src/cranklane/sidecar/control_link.py
+++ b/src/cranklane/sidecar/control_link.py
@@ -139,7 +139,7 @@
     def limit_wait_for_departures(self) -> None:
         """Let the worker be used without word from control, if that takes too long."""
         gevent.sleep(MAX_DEPARTURE_WAIT_SECONDS)
-        self._state.worker.departures_unknown()
+        self._state.worker.end_wait_for_departures()
 
     def _usage(self) -> UsageReport | None:
         usage = self._state.quota.take_usage()
--- a/src/cranklane/sidecar/worker/instances.py
+++ b/src/cranklane/sidecar/worker/instances.py
@@ -80,7 +80,7 @@
     def __init__(self) -> None:
         # Ordered by first heartbeat.
         self._sequences: OrderedDict[WorkerInstance, int] = OrderedDict()
-        # Each with the Unix time in milliseconds at which it was recorded.
+        # With the Unix time of the record in milliseconds.
         self._planned_exits: OrderedDict[WorkerInstance, int] = OrderedDict()
 
     def is_newer(self, instance: WorkerInstance, sequence: int) -> bool:
@@ -104,7 +104,7 @@
         """Record that an instance has departed; it never becomes ready again.
 
         :param recorded_at_ms: Unix time in milliseconds. If the start time of the instance is not
-            known, its id stands for the starts up to then; 0: for none that states its time.
+            known, all starts of its id up to then have departed; 0: none that states its time.
         """
         store_bounded(self._planned_exits, instance, recorded_at_ms)
 
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -19,10 +19,10 @@
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.slow_start import SlowStart, SlowStartChange, StartCause
 from cranklane.sidecar.worker.heartbeat import WorkerHeartbeat, WorkerPhase
+from cranklane.sidecar.worker.heartbeat_order import CurrentWorker, HeartbeatOrder, Ignored
 from cranklane.sidecar.worker.instances import (
     NO_INSTANCE,
     UNKNOWN_START,
-    ConsecutiveHeartbeats,
     InstanceHistory,
     WorkerInstance,
 )
@@ -38,18 +38,6 @@
     was_suspended,
 )
 
-SILENT_HEARTBEATS = 1.5
-"""Heartbeat intervals of silence after which an instance with an earlier start time replaces the
-current one, whose clock may have been ahead. Less silence suggests a late heartbeat instead."""
-
-CONFIRMING_HEARTBEATS = 2
-"""Consecutive heartbeats by which an instance that was heard before a departed one shows that it
-is the one that runs."""
-
-CONFIRMING_HEARTBEATS_OF_EARLIER_START = 6
-"""The same for an earlier start under the id of a departed one. The worker accepts requests by its
-id alone, so late heartbeats must not be taken for a start whose clock was set back."""
-
 
 class WorkerRegistry:
     """State of the local worker.
@@ -85,11 +73,11 @@
         self._log = log
         self._last_heartbeat_at = 0.0
         self._instances = InstanceHistory()
+        self._order = HeartbeatOrder(self._instances, heartbeat_seconds)
         self.pool = WorkerPool(runtime, self.address) if self.address else None
         self.slow_start = SlowStart(runtime.monotonic, slots.set_window, on_slow_start)
         slots.widen = self.slow_start.widen
         self._start_causes = StartCauses(runtime.wall)
-        self._returning = ConsecutiveHeartbeats()
         self._on_departure = on_departure
         self._knows_departures = True
         self._deferred_heartbeat: WorkerHeartbeat | None = None
@@ -112,7 +100,7 @@
         return self.state not in PLANNED_EXIT_STATES
 
     def await_departures(self) -> None:
-        """Take no worker for ready before the departures are learned, or known by nobody."""
+        """Do not use the worker before the departures are learned, or the wait for them ends."""
         self._knows_departures = False
 
     def departures_learned(self, labels: Iterable[str]) -> None:
@@ -132,12 +120,12 @@
             self._instances.record_planned_exit(instance)
         self._use_worker("control")
 
-    def departures_unknown(self) -> None:
+    def end_wait_for_departures(self) -> None:
         """Use the worker by what it states itself, if control has not stated the departures."""
-        self._use_worker("nobody")
+        self._use_worker("timeout")
 
     def _use_worker(self, learned_from: str) -> None:
-        """Take the worker for ready from now on, if its latest heartbeat says so."""
+        """Use the worker from now on; apply the heartbeat that arrived meanwhile."""
         if self._knows_departures:
             return
         self._knows_departures = True
@@ -159,15 +147,17 @@
         elif not self._knows_departures:
             self._deferred_heartbeat = heartbeat
             return
-        ignored = self._reason_to_ignore(instance, heartbeat.sequence)
+        now = self._runtime.monotonic()
+        current = CurrentWorker(self.instance, self.state, now - self._last_heartbeat_at)
+        ignored = self._order.reason_to_ignore(instance, heartbeat.sequence, current, now)
         self._instances.advance(instance, heartbeat.sequence)
-        if ignored:
+        if ignored is not None:
             if heartbeat.phase is WorkerPhase.READY:
                 self._log_ignored(heartbeat, ignored)
             return
         if instance != self.instance:
             self._adopt_instance(instance, "heartbeat")
-        self._last_heartbeat_at = self._runtime.monotonic()
+        self._last_heartbeat_at = now
         self.service = heartbeat.service
         usable = usable_slots(heartbeat.slots)
         cause = self._start_causes.cause(instance, heartbeat.cold_ms, former, former_state)
@@ -179,45 +169,6 @@
             self._on_change()
         self._set_state(WorkerState.READY)
 
-    def _reason_to_ignore(self, instance: WorkerInstance, sequence: int) -> str:
-        """Return why a heartbeat does not make its instance ready; empty if it does."""
-        if self._instances.has_planned_exit(instance):
-            return "departed"
-        if not self._instances.is_newer(instance, sequence):
-            return "late"
-        if instance == self.instance:
-            return ""
-        return self._reason_superseded(instance)
-
-    def _reason_superseded(self, instance: WorkerInstance) -> str:
-        """Return why an instance is not the one that runs now; empty if it may be."""
-        latest = self._instances.latest_start(instance.id)
-        if instance.started_at_ms < latest.started_at_ms:
-            return self._reason_earlier_start(instance, latest)
-        if instance.id == self.instance.id or not self._instances.is_older(instance, self.instance):
-            return ""
-        if self.state is WorkerState.READY:
-            return "superseded"
-        if self.state in PLANNED_EXIT_STATES:
-            return "" if self._is_confirmed(instance, CONFIRMING_HEARTBEATS) else "superseded"
-        return ""
-
-    def _reason_earlier_start(self, instance: WorkerInstance, latest: WorkerInstance) -> str:
-        """Return why an earlier start than the latest of its id does not run; empty if it may."""
-        if self._instances.has_planned_exit(latest):
-            confirmed = self._is_confirmed(instance, CONFIRMING_HEARTBEATS_OF_EARLIER_START)
-            return "" if confirmed else "earlier start"
-        if self.state is not WorkerState.READY or instance.id != self.instance.id:
-            return ""
-        heard_before = self._instances.is_older(instance, self.instance)
-        return "earlier start" if heard_before or not self._is_silent() else ""
-
-    def _is_confirmed(self, instance: WorkerInstance, heartbeats: int) -> bool:
-        """Count a heartbeat; return whether as many have arrived one after the other."""
-        max_gap = SILENT_HEARTBEATS * self._heartbeat_seconds
-        now = self._runtime.monotonic()
-        return self._returning.count(instance, now, max_gap) >= heartbeats
-
     def apply_probe(self, worker: ProbedWorker) -> bool:
         """Apply the result of a probe; return False if it does not make the worker ready.
 
@@ -228,7 +179,7 @@
         if self.instance.id or not self._knows_departures:
             return False
         if self._instances.has_planned_exit(instance):
-            self._log.info("probe_ignored", instance=instance.label, reason="departed")
+            self._log.info("probe_ignored", instance=instance.label, reason=Ignored.DEPARTED.value)
             return False
         self._adopt_instance(instance, "probe")
         self._last_heartbeat_at = self._runtime.monotonic()
@@ -305,13 +256,13 @@
         self._set_state(state)
         self._slots.refuse_waiting(Reason.DRAINING)
 
-    def _log_ignored(self, heartbeat: WorkerHeartbeat, reason: str) -> None:
+    def _log_ignored(self, heartbeat: WorkerHeartbeat, reason: Ignored) -> None:
         """Log a heartbeat that changes nothing."""
         self._log.info(
             "heartbeat_ignored",
             instance=heartbeat.instance.label,
             sequence=heartbeat.sequence,
-            reason=reason,
+            reason=reason.value,
             current=self.instance.label,
             state=self.state.value,
         )
@@ -346,11 +297,6 @@
             if is_lost(self.state, now - self._last_heartbeat_at, period):
                 self._set_state(WorkerState.LOST)
 
-    def _is_silent(self) -> bool:
-        """Return whether the current instance has missed a heartbeat."""
-        silent_seconds = self._runtime.monotonic() - self._last_heartbeat_at
-        return silent_seconds > SILENT_HEARTBEATS * self._heartbeat_seconds
-
     def _adopt_instance(self, instance: WorkerInstance, stated_by: str) -> None:
         self._log.info(
             "worker_instance",
--- a/src/cranklane_lab/evidence/departure_rules.py
+++ b/src/cranklane_lab/evidence/departure_rules.py
@@ -16,7 +16,7 @@
 
 
 class WorkerArrival(NamedTuple):
-    """A request that reached the worker that it was sent for.
+    """A request that reached a worker and names its instance, or none.
 
     :ivar origin: machine at which the request began.
     :ivar machine: machine of the worker.
--- a/src/cranklane_lab/soak/departures.py
+++ b/src/cranklane_lab/soak/departures.py
@@ -28,13 +28,13 @@
 """Pause before a departure that was not acknowledged is stated again."""
 
 QUIET_SECONDS = 0.25
-"""Time before and after an acknowledgement in which callers send nothing. A sidecar that sends a
-request to the worker then is told of the departure by the reply; most of a large fleet are not."""
+"""Time before and after an acknowledgement in which callers send nothing. A sidecar with a request
+under way learns of the departure from the reply; most sidecars of a large fleet have none."""
 
 SERVING_SECONDS = (2.5, 10.0)
 """Shortest and longest time from the acknowledgement to the exit."""
 
-MAX_HELD_UP_HEARTBEATS = 3
+MAX_DELAYED_HEARTBEATS = 3
 MAX_DELAY_SECONDS = 8.0
 """Longest time from the acknowledgement to the delivery of a heartbeat from before it."""
 
@@ -83,26 +83,26 @@
                 gevent.spawn(self._leave, number, worker)
 
     def _leave(self, number: int, worker: RoutedWorker) -> None:
-        held_up = self._held_up_heartbeats(worker)
+        delayed = self._delayed_heartbeats(worker)
         drains_first = self._random.random() < 0.5
         worker.state.health_is_wrong = self._random.random() < WRONG_HEALTH_FRACTION
         self._on_change(f"worker-{number} {'drains' if drains_first else 'deregisters'}")
         if self._acknowledged_in_quiet(worker, drains_first):
-            self._disturb(number, worker, held_up)
+            self._disturb(number, worker, delayed)
             gevent.sleep(self._random.uniform(*SERVING_SECONDS))
             if drains_first and not worker.ended:
                 worker.depart()
         self._site.exit_worker(worker)
 
-    def _held_up_heartbeats(self, worker: RoutedWorker) -> list[bytes]:
+    def _delayed_heartbeats(self, worker: RoutedWorker) -> list[bytes]:
         """Return heartbeats that are delivered late; some are also delivered in time."""
-        held_up = []
-        for _ in range(self._random.randint(0, MAX_HELD_UP_HEARTBEATS)):
+        delayed = []
+        for _ in range(self._random.randint(0, MAX_DELAYED_HEARTBEATS)):
             heartbeat = worker.next_heartbeat()
             if self._random.random() < 0.5:
                 worker.deliver_heartbeat(heartbeat)
-            held_up.append(heartbeat)
-        return held_up
+            delayed.append(heartbeat)
+        return delayed
 
     def _acknowledged_in_quiet(self, worker: RoutedWorker, drains_first: bool) -> bool:
         """Like :meth:`_acknowledged`, while the callers send nothing."""
@@ -129,10 +129,10 @@
             gevent.sleep(RETRY_SECONDS)
         return False
 
-    def _disturb(self, number: int, worker: RoutedWorker, held_up: list[bytes]) -> None:
+    def _disturb(self, number: int, worker: RoutedWorker, delayed: list[bytes]) -> None:
         if self._random.random() < RESTART_FRACTION:
             delay = self._random.uniform(0.0, MAX_RESTART_DELAY_SECONDS)
             gevent.spawn_later(delay, self._injector.restart_sidecar, number)
-        for heartbeat in held_up:
+        for heartbeat in delayed:
             delay = self._random.uniform(0.0, MAX_DELAY_SECONDS)
             gevent.spawn_later(delay, worker.deliver_heartbeat, heartbeat)
--- a/tests/test_departure_messages.py
+++ b/tests/test_departure_messages.py
@@ -21,13 +21,13 @@
 from cranklane.sidecar.worker.worker_state import WorkerState, is_lost
 
 HEARTBEAT_SECONDS = 1.5
-MAX_HELD_UP = 3
+MAX_DELAYED = 3
 """Heartbeats of one start that are on their way at once: they are some seconds late."""
 
 
 MESSAGES = (
     "heartbeat_in_time",
-    "heartbeat_held_up",
+    "heartbeat_delayed",
     "heartbeat_sent_twice",
     "drain",
     "deregister",
@@ -54,7 +54,7 @@
     sequence: int = 0
     acknowledged: bool = False
     drains: bool = False
-    held_up: list[WorkerHeartbeat] = field(default_factory=list)
+    delayed: list[WorkerHeartbeat] = field(default_factory=list)
 
     def heartbeat(self, phase=WorkerPhase.READY):
         self.sequence += 1
@@ -99,12 +99,12 @@
 
     @rule(data=st.data())
     def late_heartbeat(self, data):
-        held_up = [(start, beat) for start in self.starts for beat in start.held_up]
-        if not held_up:
+        delayed = [(start, beat) for start in self.starts for beat in start.delayed]
+        if not delayed:
             return
-        start, heartbeat = data.draw(st.sampled_from(held_up))
+        start, heartbeat = data.draw(st.sampled_from(delayed))
         if data.draw(st.booleans()):
-            start.held_up.remove(heartbeat)
+            start.delayed.remove(heartbeat)
         self.registry.heartbeat(heartbeat)
 
     @rule(event=st.sampled_from([0.1, 1.5, 6.0, "refused connection", "late deregistration"]))
@@ -159,7 +159,7 @@
 
     def hold_up_last_heartbeat(self):
         if self.running and not self.running.acknowledged:
-            self.heartbeat_held_up()
+            self.heartbeat_delayed()
 
     # Messages of the running start.
 
@@ -168,14 +168,14 @@
         self.registry.heartbeat(self.running.heartbeat(phase))
         self.heard_at = self.now
 
-    def heartbeat_held_up(self):
-        if not self.running.acknowledged and len(self.running.held_up) < MAX_HELD_UP:
-            self.running.held_up.append(self.running.heartbeat())
+    def heartbeat_delayed(self):
+        if not self.running.acknowledged and len(self.running.delayed) < MAX_DELAYED:
+            self.running.delayed.append(self.running.heartbeat())
 
     def heartbeat_sent_twice(self):
-        self.heartbeat_held_up()
-        if self.running.held_up:
-            self.registry.heartbeat(self.running.held_up[-1])
+        self.heartbeat_delayed()
+        if self.running.delayed:
+            self.registry.heartbeat(self.running.delayed[-1])
             self.heard_at = self.now
 
     def drain(self):
@@ -229,7 +229,7 @@
 
 def deliver_late(machine):
     """Deliver the heartbeat of the first start that is still on its way."""
-    machine.registry.heartbeat(machine.starts[0].held_up[0])
+    machine.registry.heartbeat(machine.starts[0].delayed[0])
 
 
 def two_starts_under_one_id(machine):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -31,15 +31,15 @@
     """
     worker = mesh.machines[0].worker
     send_load(mesh, 1.0, [])
-    held_up = worker.next_heartbeat()
-    # No machine has a request refused by the worker's sidecar, which would tell it.
+    delayed = worker.next_heartbeat()
+    # No machine learns of the departure from a reply of the worker's sidecar.
     gevent.sleep(0.5)
     assert worker.depart() == 200
     gevent.sleep(0.5)
     disturb()
     gevent.sleep(DRAIN_SECONDS)
     before = arrivals(mesh)
-    deliver(worker, held_up)
+    deliver(worker, delayed)
     answers = []
     send_load(mesh, 6.0, answers)
     gevent.sleep(1.0)
@@ -49,8 +49,8 @@
 SEEDS = (1, 2, 3)
 
 
-def deliver_late(worker, held_up):
-    worker.deliver_heartbeat(held_up)
+def deliver_late(worker, delayed):
+    worker.deliver_heartbeat(delayed)
 
 
 def test_a_late_heartbeat_after_a_restart_of_its_sidecar_does_not_revive_a_worker():
@@ -102,7 +102,7 @@
         def restart():
             mesh.restart_sidecar(mesh.machines[0])
 
-        return requests_after_departure(mesh, restart, lambda _worker, _held_up: None)
+        return requests_after_departure(mesh, restart, lambda _worker, _delayed: None)
 
     assert play_mesh(script) == (0, 1.0)
 
@@ -113,7 +113,7 @@
         machine.worker.state.leaving = True
         mesh.request(machine, "/read/x")
         send_load(mesh, 1.0, [])
-        # The next answers do not state it, so only control can tell the next process.
+        # The next answers do not state it: only control knows.
         machine.worker.state.leaving = False
         for other in mesh.machines[1:]:
             other.sidecar.destinations._notices.clear()
