A tenant's bucket in debt without requests no longer ends the task of the limits

Cause: after a pause of the process, one step covers the whole smoothing time, so no offered request counts, while the tokens are in debt from before: the negative rate that is allowed is divided by zero.

Change: a rate of zero or less admits the least fraction. The test raised the error before and passes.

--- a/src/cranklane/controller/quota_bucket.py
+++ b/src/cranklane/controller/quota_bucket.py
@@ -113,6 +113,9 @@
         )
         if self.offered_rate <= allowed_rate:
             return FULL_PERMILLE
+        if allowed_rate <= 0.0:
+            # There may be no requests, to which a ratio of them would refer.
+            return MIN_PERMILLE
         return max(MIN_PERMILLE, int(allowed_rate / self.offered_rate * FULL_PERMILLE))
 
     def is_worth_sending(self, permille: int) -> bool:
--- a/tests/test_quota_bucket.py
+++ b/tests/test_quota_bucket.py
@@ -119,3 +119,12 @@
     assert increments(1, 130) == [0]
     assert increments(2, 7) == [0]
     assert increments(2, 9) == [2]
+
+
+def test_a_bucket_in_debt_without_requests_admits_the_least():
+    bucket = QuotaBucket()
+    bucket.add(TenantUsage(offered=500, admitted=500, returned=0, tenant="a"))
+    limit = QuotaLimit(10.0, 10.0)
+    bucket.step(limit, QUOTA_INTERVAL_SECONDS)
+    # The next step comes late, after a suspension, so the requests before it no longer count.
+    assert bucket.step(limit, 2.0) == MIN_PERMILLE
