The stand-in worker reports a request as its head arrives

A request reaches a worker with its head, so the case is allowed.

Change: the report comes before the body is read; the rule is as it was.

--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -183,11 +183,11 @@
             return self._read_late(reader, head)
         if has_body and state.consume_fault("answer_early"):
             return self._answer_early(stream, reader, head)
-        body = self._read_body(reader)
         expected = head.value(NAMES.instance.lower())
         is_misdirected = expected is not None and expected != self.instance.encode()
         if state.on_arrival is not None:
             state.on_arrival(request.decode(), is_misdirected)
+        body = self._read_body(reader)
         if is_misdirected:
             return self._answer(stream, request, 421, b"", not_run=True)
         if self._refuses():
