--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -91,8 +91,8 @@
     :ivar leaving: whether its answers state that it is leaving.
     :ivar states_in_health: whether answers to health checks state the same.
     :ivar on_notice: called before each answer with the limit that it states, if any.
-    :ivar on_arrival: called with the id of each request as its head arrives, and whether it is meant
-        for another instance.
+    :ivar on_arrival: called with the id of each request as its head arrives, and whether it is
+        meant for another instance.
     :ivar on_run: called with each run as it starts.
     :ivar arrivals: number of received requests.
     :ivar connections: number of accepted connections.
