A controller states departures only while its state is confirmed

What callers saw: in a test with all processes killed, requests could reach a departed worker when its sidecar was back before the controllers had a leader.

By a subscription of last resort it stated that there were no departures, and a late heartbeat made the worker ready. Found by reading the table of events against the code.

Change: departures are stated to a starting sidecar only while the state is confirmed and at most 1.2 s old, and at the next heartbeat after that.

--- a/src/cranklane/controller/sidecar_service.py
+++ b/src/cranklane/controller/sidecar_service.py
@@ -27,6 +27,10 @@
     UsageTotals,
 )
 
+MAX_DEPARTURE_AGE_SECONDS = 1.2
+"""Age of the state up to which departures are stated to a sidecar that starts. Followers confirm
+their state several times in it."""
+
 
 class SidecarService:
     """Implements :class:`SidecarSupport` for one controller.
@@ -95,6 +99,15 @@
         """Position of the latest change of the departures of a sidecar's worker."""
         return self._departures.position_of(node)
 
+    def knows_departures(self) -> bool:
+        """Return whether the store lacks at most departures acknowledged just now.
+
+        After a start, a controller has applied nothing beyond its snapshot before a leader
+        confirms what is committed.
+        """
+        age = self._freshness.age()
+        return age is not None and age <= MAX_DEPARTURE_AGE_SECONDS
+
     def departures_of(self, node: str) -> Departures:
         """Return the stored departures of a sidecar's worker."""
         return Departures(self._departures.of(node))
--- a/src/cranklane/distribution/publisher.py
+++ b/src/cranklane/distribution/publisher.py
@@ -116,6 +116,9 @@
                 self._membership.heartbeat(subscriber.identity, message)
                 if self._sidecars is not None:
                     self._sidecars.answer_heartbeat(subscriber.records, message)
+                if subscriber.sent_departures is None:
+                    # They wait until this process is in touch with the leader.
+                    subscriber.wakeup.set()
             case UsageReport() if self._sidecars is not None:
                 self._sidecars.take_usage(message)
             case DepartureReport() if self._sidecars is not None:
--- a/src/cranklane/distribution/subscriber_updates.py
+++ b/src/cranklane/distribution/subscriber_updates.py
@@ -80,6 +80,8 @@
         position = self.sidecars.departures_position(node)
         if position == subscriber.sent_departures:
             return False
+        if subscriber.sent_departures is None and not self.sidecars.knows_departures():
+            return False
         subscriber.sent_departures = position
         subscriber.records.send(self.sidecars.departures_of(node))
         return True
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -95,6 +95,30 @@
     assert play_mesh(script)[0] == 0
 
 
+def test_a_controller_that_has_no_leader_yet_does_not_state_that_there_are_no_departures():
+    def script(mesh):
+        machine = mesh.machines[0]
+        delayed = machine.worker.next_heartbeat()
+        assert machine.worker.depart() == 200
+        for process in (*mesh.controllers, machine):
+            process.process.kill()
+        gevent.sleep(0.5)
+        mesh.restart_controller(0)
+        gevent.sleep(2.0)
+        mesh.restart_sidecar(machine)
+        gevent.sleep(0.8 * MAX_DEPARTURE_WAIT_SECONDS)
+        machine.worker.deliver_heartbeat(delayed)
+        before_election = machine.sidecar.worker.state
+        for number in (1, 2):
+            mesh.restart_controller(number)
+        gevent.sleep(5.0)
+        return before_election, machine.sidecar.worker.state
+
+    for seed in SEEDS:
+        states = play_mesh(script, seed)
+        assert WorkerState.READY not in states, states
+
+
 def test_a_wrong_health_check_does_not_revive_a_worker_after_a_restart_of_its_sidecar():
     def script(mesh):
         mesh.machines[0].worker.state.health_is_wrong = True
