Test of the full queue: both workers are known with all slots before it

So seven of eight requests queued at one worker.

Change: six concurrent requests before, so that both workers have stated their slots; the assertions are unchanged. No product change.

--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -41,6 +41,11 @@
 
 def test_cause_of_a_refused_request_is_the_full_queue(tmp_path):
     def script(mesh):
+        # Callers send a worker that has just appeared few requests until its first reply.
+        configure_workers(mesh, seconds=0.1)
+        for _ in range(6):
+            gevent.spawn(mesh.request, mesh.machines[0], "/read/x")
+        gevent.sleep(1.0)
         configure_workers(mesh, seconds=3.0)
         for _ in range(8):
             gevent.spawn(mesh.request, mesh.machines[0], "/read/x")
