--- a/review/small_fleet.py
+++ b/review/small_fleet.py
@@ -90,6 +90,7 @@
         self.controllers = [f"{self._network}.1.{1 + index}" for index in range(controllers)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.workers: list[Worker] = []
+        self.proxies: list[Proxy] = []
         self._machines = 0
 
     def _free_ports(self) -> Ports:
@@ -106,10 +107,22 @@
 
     # Processes.
 
+    def add_proxies(self) -> None:
+        """Put a proxy before the port of each controller for its peers and for sidecars."""
+        for index, ip in enumerate(self.controllers):
+            address = (f"{self._network}.3.{1 + index}", self.ports.peers)
+            self.proxies.append(Proxy(address, (ip, self.ports.peers)))
+
     def start_controllers(self) -> None:
         for index, ip in enumerate(self.controllers):
+            advertised = (
+                [f'advertise = "{self.proxies[index].ip}:{self.ports.peers}"']
+                if self.proxies
+                else []
+            )
             self._write_settings(
                 f"controller-{index}",
+                *advertised,
                 f'name = "core-{index}"',
                 'zone = "zone-a"',
                 f'listen = "{ip}:{self.ports.peers}"',
@@ -123,7 +136,8 @@
             self.start(f"controller-{index}", "controller")
 
     def seeds(self) -> list[str]:
-        return [f"{ip}:{self.ports.registry}" for ip in self.controllers[:3]]
+        ips = [proxy.ip for proxy in self.proxies] or self.controllers
+        return [f"{ip}:{self.ports.registry}" for ip in ips[:3]]
 
     def start_sidecar(self, name: str, ip: str, service: str) -> None:
         self.write_sidecar_settings(name, ip, service)
@@ -191,8 +205,8 @@
 
     def end(self) -> None:
         """End all processes and stand-ins, and remove the folder."""
-        for worker in self.workers:
-            worker.stop()
+        for stand_in in (*self.workers, *self.proxies):
+            stand_in.stop()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -242,6 +256,66 @@
         return 0
 
 
+class Proxy:
+    """Passes connections on; those that are open can be made silent for good."""
+
+    def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
+        self.ip = address[0]
+        self._target = target
+        self._silent_before = 0
+        self._accepted = 0
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
+        self._listener.listen(512)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        self._listener.close()
+
+    def silence(self) -> int:
+        """Pass nothing on any more, in either direction, on the connections that are open now.
+
+        Their ends are not told: no bytes, no close and no reset. New connections work.
+        """
+        self._silent_before = self._accepted
+        return self._accepted
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            try:
+                server = socket.create_connection(self._target, timeout=1.0)
+            except OSError:
+                caller.close()
+                continue
+            self._accepted += 1
+            for end in (caller, server):
+                end.settimeout(None)
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for source, sink in ((caller, server), (server, caller)):
+                arguments = (self._accepted, source, sink)
+                threading.Thread(target=self._pass_on, args=arguments, daemon=True).start()
+
+    def _pass_on(self, number: int, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(65536):
+                if number > self._silent_before:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        if number > self._silent_before:
+            # Closes both ends; a thread that reads from the other one ends as well.
+            for end in (source, sink):
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+
 @dataclass
 class WorkerRun:
     """A request that a worker has run."""
@@ -605,17 +679,20 @@
         ).encode()
 
 
-def run_case(folder: Path, case: object, controllers: int = 3) -> int:
+def run_case(folder: Path, case: object, controllers: int = 3, proxied: bool = False) -> int:
     """Run a case and return its exit status.
 
     :param case: called with the fleet and whether to cause the trouble; returns whether the rule
         held.
+    :param proxied: whether controllers are reached through proxies.
     """
     record = Record(folder)
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record("case", folder=folder.name, trouble=with_trouble)
     fleet = Fleet(record, controllers)
     try:
+        if proxied:
+            fleet.add_proxies()
         fleet.start_controllers()
         held = case(fleet, with_trouble)
     except SetupError as error:
