--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec python3 review/4/case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." && TROUBLE="${TROUBLE:-1}" exec python3 review/4/case.py
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,9 +15,9 @@
 
 HOST = "app.example"
 PARENTS = 6
-CALL_AFTER_MS = 4300
-CALL_WORK_MS = 1500
-DEADLINE_MS = 12000
+CALL_AFTER_MS = 4500
+CALL_WORK_MS = 1200
+DEADLINE_MS = 6000
 EXCUSED_SECONDS = 3.0
 """A request sent no later than this after the SIGTERM may be cut at the end of the grace time."""
 
