--- a/review/small_fleet.py
+++ b/review/small_fleet.py
@@ -346,10 +346,12 @@
         self.call: tuple[str, str] | None = None
         self.call_answers: list[tuple[str, Answer | None]] = []
         self.on_run = lambda run: None
+        self.leaving = False
         self._sequence = 0
         self._running = 0
         self._stopped = threading.Event()
         self._lock = threading.Lock()
+        self._connections: list[socket.socket] = []
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind((ip, fleet.ports.worker))
@@ -359,7 +361,13 @@
         threading.Thread(target=self._beat, daemon=True).start()
 
     def stop(self) -> None:
+        """End the worker: its port and its connections are closed."""
         self._stopped.set()
+        for item in (self._listener, *self._connections):
+            try:
+                item.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
         self._listener.close()
 
     def _accept(self) -> None:
@@ -368,13 +376,22 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            self._connections.append(connection)
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _beat(self) -> None:
         while not self._stopped.is_set():
-            self.send_heartbeat()
+            if not self.leaving:
+                self.send_heartbeat()
             self._stopped.wait(HEARTBEAT_SECONDS)
 
+    def depart(self) -> bool:
+        """Say that this worker leaves; return whether that was acknowledged."""
+        self.leaving = True
+        acknowledged = self.send_heartbeat("draining") == 200
+        self.fleet.record("departure", instance=self.instance, acknowledged=acknowledged)
+        return acknowledged
+
     def send_heartbeat(self, phase: str = "ready") -> int:
         self._sequence += 1
         body = json.dumps(
