--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,9 @@
 MACHINES = 5
 """Machines of each of the two services; a request may begin at any of them."""
 
-REQUESTS_EACH = 6
+REQUESTS_EACH = 40
+FIRST_WEIGHTS, SECOND_WEIGHTS = (100, 0), (0, 1)
+"""Weights of blue and green: all to blue, then all to green."""
 
 
 def table_of(version: int, base: int, weights: tuple[int, int], is_split: bool) -> RouteTable:
@@ -50,14 +52,14 @@
         ip = fleet.new_machine()
         Worker(fleet, ip, service, f"i-{service}-{number}", 20)
         fleet.start_sidecar(f"side-{number}", ip, service)
-    assert fleet.order(table_of(1, 0, (100, 0), with_trouble).document()) == 200
+    assert fleet.order(table_of(1, 0, FIRST_WEIGHTS, with_trouble).document()) == 200
     for worker in fleet.workers:
         fleet.wait_ready(worker.ip)
     time.sleep(3.0)
     send(fleet, "a")
     before = {run.request for worker in fleet.workers for run in worker.runs}
 
-    assert fleet.order(table_of(2, 1, (0, 100), with_trouble).document()) == 200
+    assert fleet.order(table_of(2, 1, SECOND_WEIGHTS, with_trouble).document()) == 200
     fleet.record("second_version_acknowledged")
     time.sleep(CONFIG_APPLY_SECONDS + 0.5)
     send(fleet, "b")
