--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,73 +1,75 @@
-"""Case 6: after a split is turned over by weights, sidecars still send requests to the weight of 0."""
+"""Case 6: a call that a stopping sidecar has accepted is cut while its worker is at work on it."""
 
 from __future__ import annotations
 
+import signal
 import sys
+import threading
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from small_fleet import CONFIG_APPLY_SECONDS, Client, Fleet, RouteTable, Worker, run_case
+from small_fleet import GRACE_SECONDS, Client, Fleet, RouteTable, Worker, run_case, wait_for
 
 HOST = "app.example"
-MACHINES = 5
-"""Machines of each of the two services; a request may begin at any of them."""
-
-REQUESTS_EACH = 40
-FIRST_WEIGHTS, SECOND_WEIGHTS = (100, 0), (0, 1)
-"""Weights of blue and green: all to blue, then all to green."""
-
-
-def table_of(version: int, base: int, weights: tuple[int, int], is_split: bool) -> RouteTable:
-    """Return a table whose route goes to the services in these proportions.
-
-    :param is_split: whether the service with a weight of 0 is named, too.
-    """
-    table = RouteTable(version, base, ("blue", "green"))
-    table.route("r-sign", "/sign/", "", repeat="unsafe")
-    route = table.routes["r-sign"]
-    if is_split:
-        names = zip(("blue", "green"), weights, strict=True)
-        del route["service"]
-        route["split"] = [{"service": name, "weight": weight} for name, weight in names]
-    else:
-        route["service"] = "blue" if weights[0] else "green"
-    return table
-
-
-def send(fleet: Fleet, prefix: str) -> None:
-    for number, worker in enumerate(fleet.workers):
-        client = Client(fleet, worker.ip)
-        for count in range(REQUESTS_EACH):
-            request = f"{prefix}{number:05x}{count:010x}"
-            client.request(HOST, "/sign/a", request, 5000, method="POST", body=b"minutes")
-        client.close()
+PARENTS = 6
+CALL_AFTER_MS = 4500
+CALL_WORK_MS = 1200
+DEADLINE_MS = 6000
+EXCUSED_SECONDS = 3.0
+"""A request sent no later than this after the SIGTERM may be cut at the end of the grace time."""
 
 
 def case(fleet: Fleet, with_trouble: bool) -> bool:
-    for number in range(2 * MACHINES):
-        service = ("blue", "green")[number % 2]
+    services = ("front", "back")
+    workers = {}
+    for service in services:
         ip = fleet.new_machine()
-        Worker(fleet, ip, service, f"i-{service}-{number}", 20)
-        fleet.start_sidecar(f"side-{number}", ip, service)
-    assert fleet.order(table_of(1, 0, FIRST_WEIGHTS, with_trouble).document()) == 200
+        workers[service] = Worker(fleet, ip, service, f"i-{service}", 60)
+        fleet.start_sidecar(f"side-{service}", ip, service)
+    front, back = workers["front"], workers["back"]
+    front.call = (HOST, f"/back/work-{CALL_WORK_MS}/")
+    table = RouteTable(1, 0, services)
+    table.route("r-front", "/front/", "front", timeout_ms=DEADLINE_MS)
+    table.route("r-back", "/back/", "back", timeout_ms=DEADLINE_MS)
+    assert fleet.order(table.document()) == 200
     for worker in fleet.workers:
         fleet.wait_ready(worker.ip)
-    time.sleep(3.0)
-    send(fleet, "a")
-    before = {run.request for worker in fleet.workers for run in worker.runs}
-
-    assert fleet.order(table_of(2, 1, SECOND_WEIGHTS, with_trouble).document()) == 200
-    fleet.record("second_version_acknowledged")
-    time.sleep(CONFIG_APPLY_SECONDS + 0.5)
-    send(fleet, "b")
-
-    runs = [run for worker in fleet.workers for run in worker.runs if run.request not in before]
-    by_old = sum(run.service == "blue" for run in runs)
-    fleet.record("runs_after_second_version", all=len(runs), by_old_service=by_old)
-    return by_old == 0 and len(runs) == REQUESTS_EACH * 2 * MACHINES
+    time.sleep(2.0)
+
+    clients = []
+    for number in range(PARENTS):
+        arguments = (HOST, f"/front/call-{CALL_AFTER_MS}/", f"{number:016x}", DEADLINE_MS)
+        client = Client(fleet, back.ip)
+        clients.append(threading.Thread(target=client.request, args=arguments))
+        clients[-1].start()
+    wait_for(lambda: len(front.runs) == PARENTS, 5.0, "all requests run")
+
+    stopped_at = time.monotonic()
+    if with_trouble:
+        fleet.signal("side-front", signal.SIGTERM)
+        # The platform sends SIGKILL after the grace time and starts the process again.
+        wait_for(
+            lambda: fleet.processes["side-front"].poll() is not None, GRACE_SECONDS, "the stop"
+        )
+        fleet.record("stopped", seconds=round(time.monotonic() - stopped_at, 3))
+        fleet.start("side-front", "sidecar")
+    for thread in clients:
+        thread.join()
+
+    runs = {run.request: run for run in back.runs}
+    cut = 0
+    for call, answer in front.call_answers:
+        complete = answer is not None and answer.complete
+        run = runs.get(call)
+        seconds = run.began_at - stopped_at if run is not None else None
+        fleet.record("call", id=call, complete=complete, run_began_after_signal=seconds)
+        if not complete and seconds is not None and seconds > EXCUSED_SECONDS:
+            cut += 1
+    fleet.record("calls", made=len(front.call_answers), passed_on_and_cut=cut)
+    return cut == 0 and len(front.call_answers) == PARENTS
 
 
 if __name__ == "__main__":
