A controller acknowledges entries only once they are synced, also those it found

Callers would have seen an acknowledged change (a route table, a departure of a worker) gone after a loss of power: a later read gives the older table, and a restarted sidecar is not told of the departure.

Cause: a follower synced only entries that were new to it. Two orders let it acknowledge an entry that no sync covers: - it appends, is killed before its sync returns (a stalled disk makes this seconds), starts again and finds the entry in its log; the leader's repeat has nothing new, so nothing is synced; - its sync fails after the append; the repeat finds nothing new either. The leader counts it for the quorum. Loss of power then drops the entry there, and the tolerated loss of two other disks drops it everywhere.

Change: the log knows whether it is synced, not so after it is opened; a follower syncs before it confirms whatever is not. The real storage syncs a file that this process has not appended to yet, and its folder, so a rename of the former process is covered too.

Not covered: a kernel that drops dirty pages at a failed sync and reports success at the next one.

--- a/src/cranklane/replication/log.py
+++ b/src/cranklane/replication/log.py
@@ -37,7 +37,7 @@
         self.snapshot = LogSnapshot()
 
     def open(self) -> int:
-        """Read snapshot and log, and truncate a torn tail.
+        """Read snapshot and log, and truncate a torn tail; entries may need a :meth:`sync`.
 
         :returns: number of bytes truncated.
         :raises CorruptedLogError: when the snapshot or acknowledged entries are corrupted or
@@ -56,7 +56,9 @@
         if torn:
             self._raise_if_corrupted(data, position)
             self._storage.truncate(LOG_FILE, position)
-        self._size = self._synced_size = position
+        self._size = position
+        # An earlier process may have ended between an append and its sync.
+        self._synced_size = 0
         return torn
 
     def _add_entry(self, entry: LogEntry) -> None:
@@ -107,6 +109,11 @@
         """Term of the newest entry, or of the snapshot when there is no later entry."""
         return self._entries[-1].term if self._entries else self.snapshot.term
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether all entries are durable."""
+        return self._synced_size >= self._size
+
     @property
     def size(self) -> int:
         """Size of the log file in bytes."""
--- a/src/cranklane/replication/peer_service.py
+++ b/src/cranklane/replication/peer_service.py
@@ -119,6 +119,10 @@
             new = [entry for entry in request.entries if self._is_new(entry)]
             if new:
                 self._append_new(new)
+            if not replica.log.is_synced:
+                # Also entries that are not new: an earlier sync may have failed, or an earlier
+                # process of this replica may have ended before it.
+                replica.log.sync()
             match = request.previous_index + len(request.entries)
             replica.commit(min(request.commit, match))
             return AppendReply(replica.term, True, match, replica.log.last_index)
@@ -132,7 +136,6 @@
         replica.log.append(entries)
         for entry in entries:
             replica.adopt_members(entry)
-        replica.log.sync()
 
     def _has_previous_entry(self, request: AppendRequest) -> bool:
         log = self._replica.log
--- a/src/cranklane/runtime/real.py
+++ b/src/cranklane/runtime/real.py
@@ -90,20 +90,27 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, creating it if missing; durable only after :meth:`sync`."""
-        if name not in self._open_files:
-            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-            self._open_files[name] = os.open(self._folder / name, flags, 0o600)
-            self._sync_folder()
+        descriptor = self._opened(name)
         remaining = memoryview(data)
         while remaining:
-            written = os.write(self._open_files[name], remaining)
+            written = os.write(descriptor, remaining)
             remaining = remaining[written:]
 
     def sync(self, name: str) -> None:
-        """Make the appended data of a file durable, in a thread so that other tasks run."""
-        descriptor = self._open_files.get(name)
-        if descriptor is not None:
-            gevent.get_hub().threadpool.apply(os.fdatasync, (descriptor,))
+        """Make the data of a file durable if it exists, in a thread so that other tasks run.
+
+        That includes data, and a rename, of an earlier process that ended before its sync.
+        """
+        if name in self._open_files or (self._folder / name).exists():
+            gevent.get_hub().threadpool.apply(os.fdatasync, (self._opened(name),))
+
+    def _opened(self, name: str) -> int:
+        """Return the descriptor of a file for appending, creating the file if missing."""
+        if name not in self._open_files:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._open_files[name] = os.open(self._folder / name, flags, 0o600)
+            self._sync_folder()
+        return self._open_files[name]
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to ``size`` bytes and sync it."""
--- a/src/cranklane_lab/simulation/disk.py
+++ b/src/cranklane_lab/simulation/disk.py
@@ -13,6 +13,8 @@
 SYNC_SECONDS = 0.002
 """Mean duration of a sync."""
 
+_STALL_POLL_SECONDS = 0.01
+
 
 @dataclass
 class _File:
@@ -26,12 +28,16 @@
 
     :ivar full: injected fault: every write fails with ENOSPC; an append writes half its data.
     :ivar lose_syncs: injected fault: a sync returns without making data durable.
+    :ivar stalled: injected fault: a sync does not return; appended data is not durable.
+    :ivar failing_syncs: injected fault: number of syncs to come that fail with EIO.
     """
 
     random: Random
     files: dict[str, _File] = field(default_factory=dict)
     lose_syncs: bool = False
     full: bool = False
+    stalled: bool = False
+    failing_syncs: int = 0
     syncs: int = 0
 
     def lose_power(self) -> None:
@@ -65,6 +71,8 @@
 
     def _wait(self) -> None:
         gevent.sleep(SYNC_SECONDS * (0.5 + self._disk.random.random()))
+        while self._disk.stalled:
+            gevent.sleep(_STALL_POLL_SECONDS)
         self._disk.syncs += 1
 
     def _refuse_when_full(self) -> None:
@@ -97,6 +105,9 @@
             return
         size = len(file.pending)
         self._wait()
+        if self._disk.failing_syncs:
+            self._disk.failing_syncs -= 1
+            raise OSError(errno.EIO, "input/output error")
         if self._disk.lose_syncs or self._disk.files.get(self._name(name)) is not file:
             return
         size = min(size, len(file.pending))
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -364,3 +364,83 @@
         return versions, {machine.controller.store.version for machine in mesh.controllers}
 
     assert play(script) == (3, {3})
+
+
+def cut_off(mesh, number):
+    """Cut a controller off from all other controllers."""
+    network = mesh.world.network
+    name = mesh.controllers[number].process.name
+    for machine in mesh.controllers:
+        if machine.number != number:
+            network.cut(name, machine.process.name)
+            network.cut(machine.process.name, name)
+
+
+def lose_power(mesh, lost_disks):
+    """Power off all controllers, and start them again, some of them with empty disks."""
+    for machine in mesh.controllers:
+        machine.process.kill(power_lost=True)
+    mesh.world.network.heal_all()
+    for number in range(len(mesh.controllers)):
+        mesh.restart_controller(number, empty=number in lost_disks)
+
+
+def put_while_the_disk_of_a_follower_fails(mesh, begin_fault, end_fault):
+    """Accept a table that three of five controllers have; return the two that are not the last.
+
+    :param begin_fault: called with the number of one follower, before the table is sent.
+    :param end_fault: called with it once the table is in its log.
+    """
+    assert put(mesh, 1, 0) == 200
+    gevent.sleep(2.0)
+    leader = mesh.leader().number
+    follower, other, *cut = [(leader + step) % 5 for step in range(1, 5)]
+    for number in cut:
+        cut_off(mesh, number)
+    begin_fault(follower)
+    accepted = gevent.spawn(put, mesh, 2, 1)
+    log = mesh.controllers[follower].controller.replica.log
+    length = log.last_index
+    assert mesh.wait_for(lambda: log.last_index > length, 1.0)
+    gevent.sleep(0.1)
+    end_fault(follower)
+    assert accepted.get(timeout=20.0) == 200
+    return leader, other
+
+
+SEEDS = range(1, 6)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_table_acknowledged_by_a_follower_that_ended_during_its_sync_survives_a_loss_of_power(
+    seed,
+):
+    def script(mesh):
+        def disk(follower):
+            return mesh.world.disk(mesh.controllers[follower].host)
+
+        def stall(follower):
+            disk(follower).stalled = True
+
+        def restart(follower):
+            mesh.controllers[follower].process.kill()
+            disk(follower).stalled = False
+            mesh.restart_controller(follower)
+
+        lose_power(mesh, put_while_the_disk_of_a_follower_fails(mesh, stall, restart))
+        return read_version(mesh)
+
+    assert play(script, seed=seed) == 2
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_table_acknowledged_by_a_follower_whose_sync_failed_survives_a_loss_of_power(seed):
+    def script(mesh):
+        def fail(follower):
+            mesh.world.disk(mesh.controllers[follower].host).failing_syncs = 1
+
+        numbers = put_while_the_disk_of_a_follower_fails(mesh, fail, lambda _follower: None)
+        lose_power(mesh, numbers)
+        return read_version(mesh)
+
+    assert play(script, seed=seed) == 2
--- a/tests/test_replication_log.py
+++ b/tests/test_replication_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from random import Random
 
 import pytest
@@ -52,6 +53,18 @@
     assert [item.index for item in log.between(2, 4)] == [2, 3, 4]
 
 
+def test_entries_of_a_process_that_ended_before_its_sync_are_synced(tmp_path, monkeypatch):
+    log = filled(FileStorage(tmp_path), 2)
+    log.append([entry(3)])
+    synced = []
+    monkeypatch.setattr(os, "fdatasync", lambda descriptor: synced.append(os.fstat(descriptor)))
+    log, _ = reopened(FileStorage(tmp_path))
+    assert (log.last_index, log.is_synced) == (3, False)
+    assert log.sync() == 3
+    assert [status.st_ino for status in synced] == [(tmp_path / LOG_FILE).stat().st_ino]
+    assert log.is_synced
+
+
 def test_a_torn_tail_is_truncated_at_any_offset(storage):
     filled(storage, 3)
     whole = storage.read(LOG_FILE)
