A controller that lags hides no departure from a sidecar that starts

What callers would see: requests reach a worker up to 2.2 s after its acknowledged departure (drain-ms is 2 s), once its sidecar has started again and a late heartbeat arrives.

Cause: a controller stated the stored departures to a starting sidecar if its own state had been confirmed within 1.2 s. A follower that was just cut off, or whose disk stalls, lacks a departure acknowledged in this time, and the sidecar used its worker until it left that controller. Found by asking for each source of the table in design/departures.md how old its word may be.

Change: the follower asks the leader for its commit index when a sidecar has subscribed, not only every 0.25 s, and states the departures once it has applied what the leader had committed after the subscription. One request for all sidecars that wait; none while one asked after them is not applied.

--- a/src/cranklane/controller/confirmation.py
+++ b/src/cranklane/controller/confirmation.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import gevent
+from gevent.event import Event
 
 from cranklane.records.messages import ConfirmReply, ConfirmRequest
 from cranklane.replication.replica import Replica
@@ -36,30 +36,58 @@
     """Tracks the age of one replica's state.
 
     :param clock: returns monotonic seconds.
+    :param on_requested_confirmation: called after a confirmation that was requested.
     """
 
-    def __init__(self, replica: Replica, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        clock: Callable[[], float],
+        on_requested_confirmation: Callable[[], None] = lambda: None,
+    ) -> None:
         self._replica = replica
         self._clock = clock
+        self._on_requested_confirmation = on_requested_confirmation
+        self._requested = Event()
         self._applied_confirmation: _ConfirmedIndex | None = None
         self._latest_confirmation: _ConfirmedIndex | None = None
 
     def run(self) -> None:
         """Ask the leader periodically while another replica leads; runs until the process ends."""
+        is_requested = False
         while True:
-            if not self._replica.is_leader:
-                self._request_commit_index()
-            gevent.sleep(CONFIRM_INTERVAL_SECONDS)
+            is_confirmed = not self._replica.is_leader and self._request_commit_index()
+            if is_confirmed and is_requested:
+                self._on_requested_confirmation()
+            is_requested = bool(self._requested.wait(CONFIRM_INTERVAL_SECONDS))
+            self._requested.clear()
 
-    def _request_commit_index(self) -> None:
+    def request(self, moment: float) -> None:
+        """Ask the leader now, unless it was asked after a monotonic second.
+
+        Then only the confirmed entries remain to be applied.
+        """
+        latest = self._latest_confirmation
+        if latest is None or latest.asked_at < moment:
+            self._requested.set()
+
+    def _request_commit_index(self) -> bool:
+        """Ask the leader for its commit index; return whether it confirmed one."""
         leader = self._replica.leader_member()
         if leader is None or leader.identity == self._replica.identity:
-            return
+            return False
         asked_at = self._clock()
         request = ConfirmRequest(self._replica.term)
         reply = self._replica.link(leader).call(request, ConfirmReply, REPLY_TIMEOUT_SECONDS)
-        if reply is not None and reply.leads:
-            self._latest_confirmation = _ConfirmedIndex(asked_at, reply.commit)
+        if reply is None or not reply.leads:
+            return False
+        self._latest_confirmation = _ConfirmedIndex(asked_at, reply.commit)
+        return True
+
+    def includes_all_until(self, moment: float) -> bool:
+        """Return whether the state holds every entry acknowledged before a monotonic second."""
+        age = self.age()
+        return age is not None and self._clock() - age >= moment
 
     def age(self) -> float | None:
         """Return the age of the state in seconds, or None before the first confirmation."""
--- a/src/cranklane/controller/process.py
+++ b/src/cranklane/controller/process.py
@@ -112,7 +112,9 @@
         self.membership = self._nodes.membership
         self.publisher = self._nodes.publisher
         self.replica = self._make_replica()
-        self._freshness = StateFreshness(self.replica, runtime.monotonic)
+        self._freshness = StateFreshness(
+            self.replica, runtime.monotonic, self.publisher.wake_new_subscribers
+        )
         self._departure_writer = DepartureWriter(
             runtime, self.replica, self.departures, self._make_hello
         )
--- a/src/cranklane/controller/sidecar_service.py
+++ b/src/cranklane/controller/sidecar_service.py
@@ -27,10 +27,6 @@
     UsageTotals,
 )
 
-MAX_DEPARTURE_AGE_SECONDS = 1.2
-"""Age of the state up to which departures are stated to a sidecar that starts. Followers confirm
-their state several times in it."""
-
 
 class SidecarService:
     """Implements :class:`SidecarSupport` for one controller.
@@ -99,14 +95,16 @@
         """Position of the latest change of the departures of a sidecar's worker."""
         return self._departures.position_of(node)
 
-    def knows_departures(self) -> bool:
-        """Return whether the store lacks at most departures acknowledged just now.
+    def knows_departures_until(self, moment: float) -> bool:
+        """Return whether the store holds all departures acknowledged before a monotonic second.
 
-        After a start, a controller has applied nothing beyond its snapshot before a leader
-        confirms what is committed.
+        If not, the state is confirmed as soon as possible. A follower may lag, and after a start a
+        controller has applied nothing beyond its snapshot.
         """
-        age = self._freshness.age()
-        return age is not None and age <= MAX_DEPARTURE_AGE_SECONDS
+        knows = self._freshness.includes_all_until(moment)
+        if not knows:
+            self._freshness.request(moment)
+        return knows
 
     def departures_of(self, node: str) -> Departures:
         """Return the stored departures of a sidecar's worker."""
--- a/src/cranklane/distribution/publisher.py
+++ b/src/cranklane/distribution/publisher.py
@@ -89,6 +89,12 @@
         for subscriber in list(self.subscribers.values()):
             subscriber.wakeup.set()
 
+    def wake_new_subscribers(self) -> None:
+        """Send updates without delay to the subscribers that await their departures."""
+        for subscriber in list(self.subscribers.values()):
+            if subscriber.sent_departures is None:
+                subscriber.wakeup.set()
+
     def serve(self, records: RecordConnection, identity: Subscribe) -> None:
         """Serve one subscriber's connection until it closes."""
         subscriber = Subscriber(identity, records)
@@ -117,7 +123,7 @@
                 if self._sidecars is not None:
                     self._sidecars.answer_heartbeat(subscriber.records, message)
                 if subscriber.sent_departures is None:
-                    # They wait until this process is in touch with the leader.
+                    # They wait until the leader has confirmed this process's state.
                     subscriber.wakeup.set()
             case UsageReport() if self._sidecars is not None:
                 self._sidecars.take_usage(message)
--- a/src/cranklane/distribution/sidecar_support.py
+++ b/src/cranklane/distribution/sidecar_support.py
@@ -41,8 +41,8 @@
     def departures_position(self, node: str) -> int:
         """Position of the latest change of the departures of a sidecar's worker."""
 
-    def knows_departures(self) -> bool:
-        """Return whether the store lacks at most departures acknowledged just now."""
+    def knows_departures_until(self, moment: float) -> bool:
+        """Return whether the store holds all departures acknowledged before a monotonic second."""
 
     def departures_of(self, node: str) -> Departures:
         """Return the stored departures of a sidecar's worker."""
--- a/src/cranklane/distribution/subscriber_updates.py
+++ b/src/cranklane/distribution/subscriber_updates.py
@@ -80,7 +80,8 @@
         position = self.sidecars.departures_position(node)
         if position == subscriber.sent_departures:
             return False
-        if subscriber.sent_departures is None and not self.sidecars.knows_departures():
+        is_first = subscriber.sent_departures is None
+        if is_first and not self.sidecars.knows_departures_until(subscriber.subscribed_at):
             return False
         subscriber.sent_departures = position
         subscriber.records.send(self.sidecars.departures_of(node))
--- a/src/cranklane/sidecar/worker/discovery.py
+++ b/src/cranklane/sidecar/worker/discovery.py
@@ -17,7 +17,7 @@
 
 
 class WorkerDiscovery:
-    """Probes the worker once, as soon as a route table states its health path.
+    """Probes the worker once a route table states its health path and its departures are known.
 
     :param on_notice: called with what the answer of a worker that was found states.
     """
@@ -46,6 +46,7 @@
             self._probe = None
 
     def _probe_worker(self, probe: WorkerProbe, path: str) -> None:
+        self._registry.wait_until_departures_known()
         if self._registry.instance.id:
             return
         probed_worker = probe.find(path)
--- a/src/cranklane/sidecar/worker/registry.py
+++ b/src/cranklane/sidecar/worker/registry.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
 from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
@@ -79,7 +80,8 @@
         slots.widen = self.slow_start.widen
         self._start_causes = StartCauses(runtime.wall)
         self._on_departure = on_departure
-        self._knows_departures = True
+        self._departures_known = Event()
+        self._departures_known.set()
         self._deferred_heartbeat: WorkerHeartbeat | None = None
         self.service = service
         self.instance = NO_INSTANCE
@@ -101,7 +103,11 @@
 
     def await_departures(self) -> None:
         """Do not use the worker before the departures are learned, or the wait for them ends."""
-        self._knows_departures = False
+        self._departures_known.clear()
+
+    def wait_until_departures_known(self) -> None:
+        """Wait until the worker may be used as far as departures are concerned."""
+        self._departures_known.wait()
 
     def departures_learned(self, labels: Iterable[str]) -> None:
         """Apply the departures that control has stored for this machine's worker.
@@ -126,9 +132,9 @@
 
     def _use_worker(self, learned_from: str) -> None:
         """Use the worker from now on; apply the heartbeat that arrived meanwhile."""
-        if self._knows_departures:
+        if self._departures_known.is_set():
             return
-        self._knows_departures = True
+        self._departures_known.set()
         self._log.info("departures_known", learned_from=learned_from)
         heartbeat, self._deferred_heartbeat = self._deferred_heartbeat, None
         if heartbeat is not None:
@@ -144,7 +150,7 @@
         self._complete_instance(instance)
         if heartbeat.phase is WorkerPhase.DRAINING:
             self._depart(instance, WorkerState.DRAINING, "heartbeat")
-        elif not self._knows_departures:
+        elif not self._departures_known.is_set():
             self._deferred_heartbeat = heartbeat
             return
         now = self._runtime.monotonic()
@@ -176,7 +182,7 @@
         next heartbeat.
         """
         instance = WorkerInstance(worker.instance)
-        if self.instance.id or not self._knows_departures:
+        if self.instance.id or not self._departures_known.is_set():
             return False
         if self._instances.has_planned_exit(instance):
             self._log.info("probe_ignored", instance=instance.label, reason=Ignored.DEPARTED.value)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -218,3 +218,48 @@
         return departure, arrivals(mesh) - before, statuses(answers)
 
     assert play_mesh(script) == (200, 0, 1.0)
+
+
+def cut_off(mesh, controller):
+    """Cut a controller off from the others; it goes on serving sidecars for a while."""
+    network = mesh.world.network
+    name = controller.process.name
+    for other in mesh.controllers:
+        if other is not controller:
+            network.cut(name, other.process.name)
+            network.cut(other.process.name, name)
+
+
+def stall_disk(mesh, controller):
+    mesh.world.disk(controller.host).stalled = True
+
+
+def follower_of(mesh):
+    return next(item for item in mesh.controllers if item is not mesh.leader())
+
+
+def states_of_worker(machine, seconds):
+    """Return the states of a machine's worker in the next seconds."""
+    states = []
+    for _ in range(int(seconds / 0.05)):
+        gevent.sleep(0.05)
+        states.append(machine.sidecar.worker.state)
+    return states
+
+
+@pytest.mark.parametrize("disturb", [cut_off, stall_disk])
+def test_a_controller_that_lags_does_not_hide_a_departure_from_a_sidecar_that_starts(disturb):
+    def script(mesh):
+        machine = mesh.machines[0]
+        delayed = machine.worker.next_heartbeat()
+        disturb(mesh, follower_of(mesh))
+        assert mesh.wait_for(lambda: machine.worker.depart() == 200, 5.0)
+        gevent.sleep(0.3)
+        mesh.restart_sidecar(machine)
+        gevent.sleep(0.3)
+        machine.worker.deliver_heartbeat(delayed)
+        return states_of_worker(machine, 0.8 * MAX_DEPARTURE_WAIT_SECONDS)
+
+    # The seed draws the controller that the sidecar finds first.
+    ready_on = [seed for seed in range(1, 9) if WorkerState.READY in play_mesh(script, seed)]
+    assert ready_on == []
