Controllers confirm a departure only after they have stated all of them

What callers would see: requests at a worker whose departure was acknowledged, after a restart of its sidecar.

Cause: a confirmed report and the list of all stored departures are the same record, and the sidecar uses its worker after the first one. A controller that lags confirms a late departure of an earlier start, which it holds, and lacks that of the present start; a late heartbeat then makes the worker ready. So one departure passed for knowledge of all.

Change: nothing is confirmed on a subscription before its first list.

--- a/src/cranklane/distribution/publisher.py
+++ b/src/cranklane/distribution/publisher.py
@@ -140,9 +140,15 @@
     def _store_departures(
         sidecars: SidecarSupport, subscriber: Subscriber, instances: list[str]
     ) -> None:
-        """Store the departures of a subscriber's worker, and confirm them."""
+        """Store the departures of a subscriber's worker, and confirm them.
+
+        The first record of departures has to name all that are stored: the sidecar uses its worker
+        from then on. So nothing is confirmed before it; the sidecar reports again.
+        """
         if not sidecars.store_departures(subscriber.identity.node, instances):
             return
+        if subscriber.sent_departures is None:
+            return
         try:
             subscriber.records.send(Departures(instances))
         except ConnectionLostError:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -263,3 +263,27 @@
     # The seed draws the controller that the sidecar finds first.
     ready_on = [seed for seed in range(1, 9) if WorkerState.READY in play_mesh(script, seed)]
     assert ready_on == []
+
+
+def test_a_late_departure_confirmed_by_a_controller_that_lags_does_not_revive_a_later_start():
+    def script(mesh):
+        machine = mesh.machines[0]
+        first = machine.worker
+        assert first.depart() == 200
+        gevent.sleep(0.5)
+        first.end()
+        machine.worker_process.kill()
+        mesh.restart_worker(machine)
+        gevent.sleep(1.0)
+        second = machine.worker
+        delayed = second.next_heartbeat()
+        cut_off(mesh, follower_of(mesh))
+        assert mesh.wait_for(lambda: second.depart() == 200, 5.0)
+        mesh.restart_sidecar(machine)
+        gevent.spawn(first.deregister)
+        gevent.sleep(0.3)
+        second.deliver_heartbeat(delayed)
+        return states_of_worker(machine, 0.8 * MAX_DEPARTURE_WAIT_SECONDS)
+
+    ready_on = [seed for seed in range(1, 9) if WorkerState.READY in play_mesh(script, seed)]
+    assert ready_on == []
