A stopping sidecar begins no request that its end would cut

Cause: Sidecar.stop refused clients in its second half, but calls of local runs and requests of other sidecars were accepted until the process ended at 5.5 s of 6, whatever time they needed. Nothing compared the time of a request with the time left.

Change: PlannedStop holds the end of the process. The dispatcher asks it before each attempt (so also before retries), the gate before a run and again after a wait in the queue. A request is begun if its deadline (the route's timeout included) lies before the end, or if the longest time expected of its route fits: the moving average plus four mean deviations of the route's requests (RFC 6298), streamed responses until their last byte, times the worker's present pace at its own gate. If nothing has been learnt, 0.7 of the objective counts, the part that remains for a run. All others get 503, have not run, and a call of the local worker is told when the next process is there. A sidecar that gets "stopping" from another one no longer sends it requests. The wait in a worker's queue is limited to the time that is left. The process now uses the stop until 0.1 s before its end (0.5 s before): calls whose parent began before the stop have their deadline by then.

--- /dev/null
+++ b/src/cranklane/common/run_times.py
@@ -0,0 +1,62 @@
+"""Estimates how long the requests of a route take at most, from those that have ended.
+
+The estimate is the moving average plus a multiple of the mean deviation, as TCP computes its
+retransmission timeout (RFC 6298).
+"""
+
+from __future__ import annotations
+
+AVERAGE_WEIGHT = 1 / 8
+"""Weight of the newest time in the average."""
+
+DEVIATION_WEIGHT = 1 / 4
+"""Weight of the newest deviation in the mean deviation."""
+
+INITIAL_DEVIATION_FRACTION = 1 / 4
+"""Mean deviation after the first request, as a fraction of its time."""
+
+DEVIATIONS = 4
+"""Mean deviations added to the average."""
+
+MIN_ALLOWANCE_SECONDS = 0.05
+"""Least time added to the average; covers the scheduling of processes."""
+
+MAX_ROUTES = 4096
+"""Routes with an estimate; beyond this limit all are cleared. Bounds memory."""
+
+
+class RunTimes:
+    """Estimated longest time of each route's requests, in seconds."""
+
+    __slots__ = ("_estimates",)
+
+    def __init__(self) -> None:
+        self._estimates: dict[str, tuple[float, float]] = {}
+
+    def record(self, route: str, seconds: float) -> None:
+        """Record the time that a request of a route took until its response was complete."""
+        estimate = self._estimates.get(route)
+        if estimate is None:
+            if len(self._estimates) >= MAX_ROUTES:
+                self._estimates.clear()
+            self._estimates[route] = (seconds, seconds * INITIAL_DEVIATION_FRACTION)
+            return
+        average, deviation = estimate
+        difference = seconds - average
+        self._estimates[route] = (
+            average + AVERAGE_WEIGHT * difference,
+            deviation + DEVIATION_WEIGHT * (abs(difference) - deviation),
+        )
+
+    def longest(self, route: str) -> float | None:
+        """Return the longest time that a request of a route is expected to take; None if unknown.
+
+        >>> times = RunTimes()
+        >>> times.longest("r"), times.record("r", 0.1), times.longest("r")
+        (None, None, 0.2)
+        """
+        estimate = self._estimates.get(route)
+        if estimate is None:
+            return None
+        average, deviation = estimate
+        return average + max(MIN_ALLOWANCE_SECONDS, DEVIATIONS * deviation)
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -4,16 +4,20 @@
 refusal uses no worker capacity. The gate orders the admission checks (``isolated_runs``,
 ``outcome_limiter``, ``slots``) and releases the resources of each run. ``run_outcome`` and
 ``crash_evidence`` classify how a run ended; ``retry_after`` computes the delay that a refusal
-asks of its caller; ``worker_notices`` applies what the worker states in its answers.
+asks of its caller; ``worker_notices`` applies what the worker states in its answers. During a
+planned stop no run begins that is expected to outlast this process.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
 
 from cranklane.common.header_names import HeaderNames
+from cranklane.common.planned_stop import PlannedStop
+from cranklane.common.run_times import RunTimes
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
@@ -32,6 +36,7 @@
 from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree
 from cranklane.sidecar.request.streamed_answer import StreamedAnswer
+from cranklane.sidecar.routing.waiting import longest_by_objective
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import WorkerExits
@@ -72,7 +77,9 @@
 
     :param call_tree: correlates the worker's downstream calls with its runs.
     :param quarantine: requests suspected of crashing workers.
+    :param stop: the planned stop of this process.
     :ivar notices: what the worker states in its answers.
+    :ivar run_times: how long the worker's runs take, by route.
     """
 
     def __init__(
@@ -83,8 +90,11 @@
         call_tree: CallTree,
         quarantine: Quarantine,
         listener: GateListener,
+        stop: PlannedStop,
     ) -> None:
         self._clock = runtime.monotonic
+        self._stop = stop
+        self.run_times = RunTimes()
         self._worker = registry = worker.registry
         self._slots = worker.slots
         self._slow_start = registry.slow_start
@@ -141,7 +151,7 @@
         suspicion = self._isolated_runs.admit(request, on_wait)
         reason = suspicion.reason
         if reason is Reason.NONE:
-            reason = self._take_slot(request, on_wait)
+            reason = self._take_slot(request, arrived_at, on_wait)
             if reason is not Reason.NONE and suspicion.isolated is not None:
                 self._isolated_runs.release(suspicion.isolated, 0.0)
         started_at = self._clock()
@@ -153,31 +163,51 @@
             )
         )
         if reason is not Reason.NONE:
-            retry_after_ms = suspicion.retry_after_ms or retry_after.at_worker_ms(
-                reason, self._expected_wait
-            )
+            retry_after_ms = suspicion.retry_after_ms or self._retry_after_ms(reason)
             return refusal(reason, retry_after_ms=retry_after_ms)
         admitted = self._register_run(request, arrived_at, started_at, suspicion)
         return self._run(attempt, admitted, on_admitted)
 
     # Admission checks and resource accounting.
 
-    def _take_slot(self, request: ForwardRequest, on_wait: Callable[[Waiter], None]) -> Reason:
+    def _retry_after_ms(self, reason: Reason) -> int:
+        """Return the delay before a refused request may be sent here again, in milliseconds."""
+        if reason is Reason.STOPPING:
+            return int(self._stop.seconds_until_restart() * MILLISECONDS)
+        return retry_after.at_worker_ms(reason, self._expected_wait)
+
+    def _take_slot(
+        self, request: ForwardRequest, arrived_at: float, on_wait: Callable[[Waiter], None]
+    ) -> Reason:
         """Acquire a worker slot; return the reason for a refusal, or NONE."""
         serves = self._exchange is not None and self._worker.service == request.service
         reason = unavailable_reason(serves, self._worker.state)
         if reason is not Reason.NONE:
             return reason
+        if self._stop.begun and not self._can_finish(request, arrived_at):
+            return Reason.STOPPING
         self.notices.request_arrived(request)
         if self._slot_admission.is_handed_back(request):
             return Reason.SLOW_PERIOD
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
         reason = self._slot_admission.acquire(request, on_wait)
+        if reason is Reason.NONE and self._stop.begun and not self._can_finish(request, arrived_at):
+            # Its time has passed in the queue.
+            self._slots.release(self._slots.slot_seconds)
+            reason = Reason.STOPPING
         if reason is not Reason.NONE:
             self._limiter.released(request.route)
         return reason
 
+    def _can_finish(self, request: ForwardRequest, arrived_at: float) -> bool:
+        """Return whether a run that begins now is expected to end before this process."""
+        deadline = arrived_at + request.deadline_ms / MILLISECONDS
+        longest = self.run_times.longest(request.route)
+        if longest is None:
+            longest = longest_by_objective(request.root_objective_ms) or math.inf
+        return self._stop.can_finish(deadline, longest * self._capacity.pace.factor())
+
     def _expected_wait(self) -> float:
         """Return the expected queue wait of a highest-priority request, in seconds."""
         return self._slots.expected_wait(self._slots.rank(0, 0.0))
@@ -245,12 +275,17 @@
                 reply.rest,
                 partial(self._release, admitted),
                 partial(self._exits.connection_lost, admitted.instance),
-                partial(self._evidence.answered, admitted.request),
+                partial(self._stream_completed, admitted),
             )
         elif reply.outcome is Outcome.ANSWERED:
             self._evidence.answered(admitted.request)
         return reply
 
+    def _stream_completed(self, admitted: AdmittedRun) -> None:
+        """Record that a streamed response is complete."""
+        self.run_times.record(admitted.request.route, self._clock() - admitted.started_at)
+        self._evidence.answered(admitted.request)
+
     def _exchange_with_worker(self, attempt: Attempt, admitted: AdmittedRun) -> Reply:
         """Send a request to the worker; return its response or the reply for a worker exit."""
         request = admitted.request
@@ -281,6 +316,8 @@
         run.record_end(not failed)
         if failed:
             reply.failure = run.failure
+        if reply.rest is None and run_outcome.measures_latency(reply):
+            self.run_times.record(request.route, run_seconds)
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, usual_seconds)
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -242,12 +242,23 @@
         reusable = request.head.keep_alive and not self.stopping and call.rest is None
         if reply.outcome is Outcome.ANSWERED:
             status = reply.status
-            reusable = self._writer.write_worker_answer(connection, reply, reusable, call.deadline)
+            reusable = self._write_worker_answer(connection, progress, reply, reusable)
         else:
             status = self._writer.write_error(connection, request, reply, reusable)
         self._report_decision(request, progress, reply, status)
         return self._end_request(connection, reusable)
 
+    def _write_worker_answer(
+        self, connection: CallerConnection, progress: CallProgress, reply: Reply, reusable: bool
+    ) -> bool:
+        """Write a worker's response; return whether the connection can serve another request."""
+        call = progress.call
+        written = self._writer.write_worker_answer(connection, reply, reusable, call.deadline)
+        if reply.rest is not None and reply.rest.is_complete:
+            seconds = self._runtime.monotonic() - call.started_at
+            self._dispatcher.run_times.record(call.route.name, seconds)
+        return written
+
     def _report_decision(
         self, request: CallerRequest, progress: CallProgress, reply: Reply, status: int
     ) -> None:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -7,6 +7,7 @@
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.logs import logger
 from cranklane.common.metrics_server import MetricsServer
+from cranklane.common.planned_stop import PlannedStop, wait_until_idle
 from cranklane.common.small_http import SmallHandler, SmallHttp
 from cranklane.common.units import MILLISECONDS
 from cranklane.records.messages import Hello
@@ -21,7 +22,6 @@
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
 from cranklane.sidecar.ingress.ingress import Ingress, IngressDependencies
 from cranklane.sidecar.local_member import LocalMember
-from cranklane.sidecar.planned_stop import stop_times, wait_until_idle
 from cranklane.sidecar.quarantine.api import QuarantineApi
 from cranklane.sidecar.quarantine.gossip import QuarantineGossip
 from cranklane.sidecar.quarantine.sidecar_directory import SidecarDirectory
@@ -37,6 +37,7 @@
 from cranklane.sidecar.routing.retry_budget import RetryBound, RetryBudget
 from cranklane.sidecar.routing.worker_choice import WorkerChoice
 from cranklane.sidecar.settings import SidecarSettings
+from cranklane.sidecar.stop_schedule import stop_times
 from cranklane.sidecar.table.adopted_table import AdoptedTable
 from cranklane.sidecar.table.table_lease import TableLease
 from cranklane.sidecar.telemetry.decision_log import DecisionLog
@@ -68,6 +69,7 @@
         self._listeners: list[Listener] = []
         self.metrics = SidecarMetrics()
         self.decisions = DecisionLog(runtime.monotonic, self.metrics, self._log)
+        self.planned_stop = PlannedStop(runtime.monotonic)
         self._build_worker()
         self._build_table()
         self._build_quarantine()
@@ -131,6 +133,7 @@
             call_tree,
             self.quarantine.table,
             self.decisions,
+            self.planned_stop,
         )
         self._discovery = WorkerDiscovery(
             runtime, self.worker, self._names, self.gate.notices.probed, self._log
@@ -162,7 +165,9 @@
             self.decisions.quarantined,
             self.decisions.retry_decided,
         )
-        self.dispatcher = Dispatcher(runtime, dependencies, settings.name, settings.service)
+        self.dispatcher = Dispatcher(
+            runtime, dependencies, settings.name, settings.service, self.planned_stop
+        )
 
     def _build_ingress(self, call_tree: CallTree, disconnects: DisconnectWatch) -> None:
         authentication = Authentication(
@@ -303,6 +308,7 @@
             return True
         began_at = self._runtime.monotonic()
         times = stop_times(began_at, self.settings.stop_seconds)
+        self.planned_stop.begin(times.ends_at)
         self._withdraw()
         gevent.sleep(times.withdrawal_seconds)
         self.ingress.close_idle()
--- a/src/cranklane/sidecar/request/streamed_answer.py
+++ b/src/cranklane/sidecar/request/streamed_answer.py
@@ -19,6 +19,7 @@
     :param on_end: called once: after the last chunk, on an error or by :meth:`close`.
     :param on_truncated: called before ``on_end`` if the response is truncated.
     :param on_complete: called before ``on_end`` if the response is complete.
+    :ivar is_complete: whether the last chunk has been read.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         self._on_truncated = on_truncated
         self._on_complete = on_complete
         self._on_end: Callable[[], None] | None = on_end
+        self.is_complete = False
 
     def __iter__(self) -> StreamedAnswer:
         """Return the iterator itself."""
@@ -45,6 +47,7 @@
         try:
             return next(self._chunks)
         except StopIteration:
+            self.is_complete = True
             self._on_complete()
             self.close()
             raise
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -2,6 +2,7 @@
 
 ``worker_choice`` selects the worker, ``waiting`` limits waiting times, ``retry_policy`` and
 ``retry_budget`` decide on retries, and ``feedback`` updates the destination after each reply.
+During a planned stop no attempt begins that is expected to outlast the process.
 """
 
 from __future__ import annotations
@@ -9,6 +10,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cranklane.common.planned_stop import PlannedStop
+from cranklane.common.run_times import RunTimes
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
@@ -61,17 +64,29 @@
 
     :param node_name: name of the local node.
     :param caller: service of the local worker, sent to other sidecars as the caller.
+    :param stop: the planned stop of this process.
+    :ivar run_times: how long the requests of each route take, from the choice of a worker to the
+        end of the response.
     """
 
     def __init__(
-        self, runtime: Runtime, dependencies: DispatcherDependencies, node_name: str, caller: str
+        self,
+        runtime: Runtime,
+        dependencies: DispatcherDependencies,
+        node_name: str,
+        caller: str,
+        stop: PlannedStop | None = None,
     ) -> None:
         self._runtime = runtime
         self._destinations = dependencies.destinations
         self._choice = dependencies.choice
         self._gate = dependencies.gate
         self._peers = dependencies.peers
-        self._feedback = DestinationFeedback(runtime, dependencies.destinations, dependencies.peers)
+        self._stop = stop or PlannedStop(runtime.monotonic)
+        self.run_times = RunTimes()
+        self._feedback = DestinationFeedback(
+            runtime, dependencies.destinations, dependencies.peers, self.run_times
+        )
         self._latencies = self._feedback.latencies
         self._budget = dependencies.budget
         self._retries = RetrySpending(
@@ -104,6 +119,10 @@
         may_have_run = False
         has_answer = False
         while True:
+            if self._stop.begun and not self._can_finish(call):
+                if result.outcome is Outcome.NOT_RUN:
+                    result = self._refuse_stopping(call)
+                break
             destination = self._choose(progress)
             if destination is None:
                 if progress.tried:
@@ -128,6 +147,25 @@
             result = Reply(Outcome.UNKNOWN, result.reason, arrived=True)
         return result
 
+    def _can_finish(self, call: Call) -> bool:
+        """Return whether an attempt that begins now is expected to end before this process."""
+        return self._stop.can_finish(call.deadline, self._longest_seconds(call))
+
+    def _longest_seconds(self, call: Call) -> float:
+        """Return the longest time that an attempt of a call is expected to take, in seconds."""
+        longest = self.run_times.longest(call.route.name)
+        return waiting.longest_by_objective(call.route.objective_ms) if longest is None else longest
+
+    def _refuse_stopping(self, call: Call) -> Reply:
+        """Return the refusal of a call that would outlast this process.
+
+        Clients may turn to another machine at once; a call of the local worker may not.
+        """
+        delay_ms = retry_after.DEFAULT_MS
+        if not call.of_client:
+            delay_ms = int(self._stop.seconds_until_restart() * MILLISECONDS)
+        return refusal(Reason.STOPPING, retry_after_ms=delay_ms)
+
     def _choose(self, progress: CallProgress) -> Destination | None:
         """Return the destination of the next attempt."""
         call = progress.call
@@ -227,6 +265,9 @@
         remaining = max(0.0, call.deadline - now)
         expected_latency = self._latencies.of(route.name)
         start_within = min(remaining, waiting.max_start_wait(call, expected_latency, now))
+        if self._stop.begun:
+            longest = self._longest_seconds(call)
+            start_within = min(start_within, self._stop.start_within(call.deadline, longest))
         return ForwardRequest(
             deadline_ms=int(remaining * MILLISECONDS),
             start_within_ms=_nonnegative_milliseconds(start_within),
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from cranklane.common.run_times import RunTimes
 from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
 from cranklane.outcome import Outcome, Reason
@@ -26,17 +27,28 @@
 from cranklane.sidecar.routing.peer_client import PeerClient
 from cranklane.sidecar.worker.slowness import TOLERATED_SLOWNESS, ExpectedLatencies
 
+_LEAVING = (Reason.DRAINING, Reason.STOPPING)
+"""Reasons given when the destination's worker or sidecar is about to exit."""
+
 
 class DestinationFeedback:
     """Updates destinations from the replies to attempts.
 
+    :param run_times: learns the times of attempts whose response was complete.
     :ivar latencies: expected latency of each route over all workers.
     """
 
-    def __init__(self, runtime: Runtime, destinations: Destinations, peers: PeerClient) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        destinations: Destinations,
+        peers: PeerClient,
+        run_times: RunTimes,
+    ) -> None:
         self._runtime = runtime
         self._destinations = destinations
         self._peers = peers
+        self._run_times = run_times
         self.latencies = ExpectedLatencies()
         self._paces = DestinationPaces()
 
@@ -56,6 +68,9 @@
                 destination.service, destination.pace, now, reply.advertised
             )
         if reply.arrived and measures_latency(reply):
+            if reply.rest is None:
+                # The ingress records streamed responses once they are complete.
+                self._run_times.record(call.route.name, seconds)
             run_time = reply.run_time_ms / MILLISECONDS or seconds
             usual = usual_run_time(run_time, reply.advertised)
             if usual is not None:
@@ -73,7 +88,7 @@
             seconds = reply.retry_after_ms / MILLISECONDS
             rank = _saturated_rank(call, reply)
             destination.record_capacity_refusal(now, rank, reply.reason, seconds)
-        if reply.reason is Reason.DRAINING:
+        if reply.reason in _LEAVING:
             # The reply comes before control's update.
             destination.state = MemberState.DRAINING
         failure = failure_of(reply.outcome, reply.reason)
--- a/src/cranklane/sidecar/routing/waiting.py
+++ b/src/cranklane/sidecar/routing/waiting.py
@@ -13,6 +13,9 @@
 for the run, or for a retry after a refusal. With 0.5, more than a third of runs of one second end
 late under overload."""
 
+RUN_RATIO = 1 - CLIENT_START_RATIO
+"""Fraction of the route's objective that a request takes at most if its run time is unknown."""
+
 CALL_START_RATIO = 0.35
 """Fraction of the root request's spare time that one of its calls may wait. Each later call may
 use the same fraction of the time that remains."""
@@ -49,3 +52,14 @@
     """
     elapsed = now - call.started_at
     return call.route.objective_ms / MILLISECONDS * FIRST_MEMBER_RATIO - elapsed
+
+
+def longest_by_objective(objective_ms: float) -> float:
+    """Return the longest expected time of a request in seconds, if no run of its route is known.
+
+    :param objective_ms: time left of the route's objective.
+
+    >>> longest_by_objective(1000)
+    0.7
+    """
+    return objective_ms / MILLISECONDS * RUN_RATIO
--- a/src/cranklane/sidecar/planned_stop.py
+++ b/src/cranklane/sidecar/stop_schedule.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import NamedTuple
 
-import gevent
-
-from cranklane.runtime.interface import Runtime
-
 MAX_WITHDRAWAL_SECONDS = 2.2
 """Time for callers to notice a stop: they may have to detect a lost controller (1.6 s) and receive
 an update from another one (0.5 s)."""
@@ -20,12 +15,9 @@
 """Fraction of the stop after which clients' requests are refused, to leave time for those in
 flight. If most machines of a zone stop at once, clients have no other machines to send to."""
 
-CLOSE_MARGIN_SECONDS = 0.5
+CLOSE_MARGIN_SECONDS = 0.1
 """Seconds of the configured stop time reserved for closing and for the last log lines."""
 
-IDLE_CHECK_INTERVAL_SECONDS = 0.05
-"""Seconds between checks whether all requests have ended."""
-
 
 class StopTimes(NamedTuple):
     """The schedule of a planned stop.
@@ -47,16 +39,10 @@
     :param stop_seconds: configured duration of the whole stop.
 
     >>> stop_times(100.0, 6.0)
-    StopTimes(withdrawal_seconds=2.2, accepts_until=103.0, ends_at=105.5)
+    StopTimes(withdrawal_seconds=2.2, accepts_until=103.0, ends_at=105.9)
     """
     return StopTimes(
         withdrawal_seconds=min(MAX_WITHDRAWAL_SECONDS, stop_seconds * MAX_WITHDRAWAL_FRACTION),
         accepts_until=began_at + stop_seconds * MAX_ACCEPTING_FRACTION,
         ends_at=began_at + stop_seconds - CLOSE_MARGIN_SECONDS,
     )
-
-
-def wait_until_idle(runtime: Runtime, is_busy: Callable[[], bool], ends_at: float) -> None:
-    """Wait until no request is in flight, or until the monotonic second ``ends_at``."""
-    while is_busy() and runtime.monotonic() < ends_at:
-        gevent.sleep(IDLE_CHECK_INTERVAL_SECONDS)
