A stopping controller answers the orders in its hand first

Callers saw: an operator's order that a controller had read when SIGTERM came ended with a reset connection, so the operator had to send it again without knowing whether it was taken.

Cause: Controller.stop and ControlProcess.stop closed their ports and returned at once; the process ended while the order was being committed. It is the same cause as that of the calls cut by a stopping sidecar: a process ends without regard to what it has accepted.

Change: HttpServer counts the requests in flight, and finish() waits for them, 3 s at most (longer than an election, below the 4 s in which an order is to be acknowledged). The replication port stays open meanwhile, so that the order can be committed. The ledger needs no such wait: its callers repeat a request under its key at another replica.

--- a/src/cranklane/common/http_server.py
+++ b/src/cranklane/common/http_server.py
@@ -8,6 +8,7 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 
+from cranklane.common.planned_stop import wait_until_idle
 from cranklane.common.request_headers import RequestHeaders
 from cranklane.errors import TruncatedAnswerError
 from cranklane.runtime.interface import Address, Listener, Runtime
@@ -41,9 +42,11 @@
 
     def handle_one_response(self) -> None:
         self.server.idle.pop(id(self.socket), None)
+        self.server.requests_in_flight += 1
         try:
             super().handle_one_response()
         finally:
+            self.server.requests_in_flight -= 1
             # Keeps a connection open if its response said so, even if the server
             # began to stop meanwhile: the client may be sending the next request.
             if self.socket is not None:
@@ -74,6 +77,7 @@
 class _Server(WSGIServer):
     handler_class = _Handler
     stopping = False
+    requests_in_flight = 0
     runtime: Runtime
     idle: dict[int, Any]
 
@@ -121,6 +125,17 @@
         self._server.stopping = True
         self._listener.close()
 
+    def finish(self, seconds: float) -> bool:
+        """Close the port and wait for the requests in flight.
+
+        :param seconds: maximum wait.
+        :returns: whether all of them have been answered.
+        """
+        self.stop_accepting()
+        runtime = self._server.runtime
+        ends_at = runtime.monotonic() + seconds
+        return wait_until_idle(runtime, lambda: self._server.requests_in_flight > 0, ends_at)
+
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
         for connection in list(self._server.idle.values()):
--- a/src/cranklane/control/process.py
+++ b/src/cranklane/control/process.py
@@ -25,6 +25,7 @@
 from cranklane.replication.port_dispatcher import PortDispatcher
 from cranklane.replication.replica import Replica
 from cranklane.replication.state import ReplicaInfo
+from cranklane.replication.timing import STOP_SECONDS
 from cranklane.runtime.interface import Runtime, parse_address
 from cranklane.settings import (
     ADDRESS,
@@ -133,11 +134,14 @@
         self._log.info("started", revision=self.store.revision)
 
     def stop(self) -> bool:
-        """Stop accepting requests; acknowledged entries are already on disk."""
-        self.http.stop_accepting()
+        """Finish the operators' requests in flight; acknowledged entries are already on disk.
+
+        :returns: whether all of them have been answered.
+        """
+        finished = self.http.finish(STOP_SECONDS)
         self._listener.close()
         self._log.info("stopped", revision=self.store.revision)
-        return True
+        return finished
 
     def _make_hello(self) -> Hello:
         return Hello(version=self.store.revision, node=self.settings.name)
--- a/src/cranklane/controller/process.py
+++ b/src/cranklane/controller/process.py
@@ -33,6 +33,7 @@
 from cranklane.replication.port_dispatcher import PortDispatcher
 from cranklane.replication.replica import Replica
 from cranklane.replication.state import ReplicaInfo
+from cranklane.replication.timing import STOP_SECONDS
 from cranklane.runtime.interface import Runtime, parse_address
 from cranklane.settings import (
     ADDRESS,
@@ -176,11 +177,14 @@
         )
 
     def stop(self) -> bool:
-        """Stop accepting requests; acknowledged entries are already on disk."""
-        self.http.stop_accepting()
+        """Finish the operators' requests in flight; acknowledged entries are already on disk.
+
+        :returns: whether all of them have been answered.
+        """
+        finished = self.http.finish(STOP_SECONDS)
         self._listener.close()
         self._log.info("stopped", version=self.store.version)
-        return True
+        return finished
 
     def reload(self, settings: ControllerSettings) -> None:
         """Apply changed settings; only the seeds can change at run time."""
--- a/src/cranklane/replication/timing.py
+++ b/src/cranklane/replication/timing.py
@@ -34,6 +34,10 @@
 VOTE_TIMEOUT_SECONDS = 0.5
 """Timeout of a vote request; below the range over which election timeouts are spread."""
 
+STOP_SECONDS = 3.0
+"""Time that a stopping replica's process waits for operators' requests in flight. Covers the
+election of another leader."""
+
 DISK_FAILURE_PAUSE_SECONDS = 4.0
 """Addition to the election timeout of a replica whose disk failed: two of the longest election
 timeouts, so that another replica is elected first."""
--- a/src/cranklane_lab/simulation/mesh.py
+++ b/src/cranklane_lab/simulation/mesh.py
@@ -109,13 +109,18 @@
         leader = self.leader()
         return len(leader.controller.replica.members.voters()) if leader else 0
 
-    def wait_for(self, condition: Callable[[], bool], seconds: float) -> bool:
-        """Wait until a condition holds; return False when ``seconds`` pass first."""
+    def wait_for(
+        self, condition: Callable[[], bool], seconds: float, interval: float = 0.05
+    ) -> bool:
+        """Wait until a condition holds; return False when ``seconds`` pass first.
+
+        :param interval: seconds between checks.
+        """
         deadline = self.world.loop.now() + seconds
         while not condition():
             if self.world.loop.now() >= deadline:
                 return False
-            gevent.sleep(0.05)
+            gevent.sleep(interval)
         return True
 
     def add_machine(self, service: str, slots: int = 4, beats: bool = True) -> MeshMachine:
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -444,3 +444,26 @@
         return read_version(mesh)
 
     assert play(script, seed=seed) == 2
+
+
+@pytest.mark.parametrize("after_seconds", [0.0, 0.001, 0.002, 0.004, 0.006])
+def test_an_order_in_the_hand_of_a_stopping_controller_is_answered(after_seconds):
+    """Guards against an operator's order that a planned stop cuts while it is being committed."""
+
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        leader = mesh.leader()
+        order = gevent.spawn(mesh.apply_route_table, table(2, 1))
+        server = leader.controller.http._server
+        assert mesh.wait_for(lambda: server.requests_in_flight > 0, 1.0, 0.0005)
+        gevent.sleep(after_seconds)
+
+        def stop_and_end():
+            leader.controller.stop()
+            gevent.spawn(leader.process.kill)
+
+        leader.process.spawn(stop_and_end)
+        answer = order.get()
+        return answer.status if answer is not None else 0
+
+    assert play(script) == 200
