A stopping node begins no call that its end would cut

Callers saw: child calls of a worker whose node was stopping were accepted until the node ended, and cut then.

Change: Outbound asks the planned stop before the first attempt and before each retry, by the deadline and the longest time learnt of the route (recorded once the response has been written). A route states no objective, so without a learnt time the deadline alone decides. The refusal says when the next process is there. The node's own loop that waited for idleness is replaced by the common one.

--- a/src/cranklane/node/callers.py
+++ b/src/cranklane/node/callers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import falcon
 import gevent
@@ -17,11 +17,11 @@
 from cranklane.common.secret_digest import secret_digest
 from cranklane.common.units import MILLISECONDS
 from cranklane.node.allowance import Allowance
-from cranklane.node.answer import Request, refused_answer
+from cranklane.node.answer import Answer, Request, refused_answer
 from cranklane.node.caller_answer import write_answer, write_refusal
 from cranklane.node.caller_request import bearer_token, deadline_ms, read_call
 from cranklane.node.context import CallContext, ContextTable
-from cranklane.node.outbound import Outbound
+from cranklane.node.outbound import Outbound, route_key
 from cranklane.outcome import Outcome, Reason
 from cranklane.policy.adopted_policy import CLIENTS, AdoptedPolicy, Route
 from cranklane.runtime.interface import Runtime
@@ -34,6 +34,18 @@
 """Exclusive upper bound of the random numbers of root requests, which have 64 bits."""
 
 
+class _ActiveCall(NamedTuple):
+    """A call in flight.
+
+    :ivar connection: the caller's connection; None if unknown.
+    :ivar started_at: monotonic second at which it was made.
+    """
+
+    connection: Any
+    context: CallContext
+    started_at: float
+
+
 class CallerServer:
     """WSGI application for callers.
 
@@ -53,7 +65,7 @@
         self._configuration = configuration
         self._outbound = outbound
         self._contexts = contexts
-        self._active: dict[int, tuple[Any, CallContext]] = {}
+        self._active: dict[int, _ActiveCall] = {}
         self._next_call = 0
         self.application = falcon.App()
         self.application.add_sink(self._serve, "/")
@@ -79,16 +91,25 @@
         context = resolved.ok_value
         self._next_call += 1
         number = self._next_call
-        self._active[number] = (req.env.get(CONNECTION_KEY), context)
+        connection = req.env.get(CONNECTION_KEY)
+        self._active[number] = _ActiveCall(connection, context, self._runtime.monotonic())
         answer = self._outbound.call(context, call)
         if answer.outcome is not Outcome.ANSWERED:
             del self._active[number]
             write_refusal(resp, answer)
             return
-        write_answer(req, resp, answer, lambda: self._remove_call(number))
+        write_answer(req, resp, answer, lambda: self._call_answered(number, call, answer))
 
-    def _remove_call(self, number: int) -> None:
-        self._active.pop(number, None)
+    def _call_answered(self, number: int, call: Request, answer: Answer) -> None:
+        """Remove a call whose response has been written or abandoned."""
+        active = self._active.pop(number, None)
+        if active is None or not answer.body.is_complete:
+            return
+        service = self._configuration.service(call.tenant, call.service)
+        route = self._route(call)
+        if service is not None and route is not None:
+            seconds = self._runtime.monotonic() - active.started_at
+            self._outbound.run_times.record(route_key(service, route), seconds)
 
     def _context(self, request: falcon.Request, call: Request) -> Result[CallContext, Reason]:
         """Return the context for a call and set the call's caller."""
@@ -145,11 +166,13 @@
         while True:
             gevent.sleep(DISCONNECT_CHECK_SECONDS)
             waiting = {
-                id(entry[0]): entry for entry in self._active.values() if entry[0] is not None
+                id(call.connection): call
+                for call in self._active.values()
+                if call.connection is not None
             }
             if not waiting:
                 continue
             for connection in self._runtime.closed_by_peer(
-                [entry[0] for entry in waiting.values()]
+                [call.connection for call in waiting.values()]
             ):
-                waiting[id(connection)][1].cancel(Reason.CANCELLED)
+                waiting[id(connection)].context.cancel(Reason.CANCELLED)
--- a/src/cranklane/node/outbound.py
+++ b/src/cranklane/node/outbound.py
@@ -7,8 +7,12 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 
+from cranklane.common.planned_stop import PlannedStop
+from cranklane.common.run_times import RunTimes
+from cranklane.common.units import MILLISECONDS
 from cranklane.node import retry_after
 from cranklane.node.answer import Answer, Request, refused_answer
 from cranklane.node.attempt import AttemptSender, OutboundCall
@@ -27,7 +31,11 @@
 
 
 class Outbound:
-    """Client for a node's calls to services."""
+    """Client for a node's calls to services.
+
+    :param stop: the planned stop of this process; no attempt begins that would outlast it.
+    :ivar run_times: how long calls take until their response is complete, by service and route.
+    """
 
     def __init__(
         self,
@@ -36,8 +44,11 @@
         members: MemberTable,
         attempts: AttemptSender,
         metrics: NodeMetrics,
+        stop: PlannedStop,
     ) -> None:
         self._runtime = runtime
+        self._stop = stop
+        self.run_times = RunTimes()
         self._configuration = configuration
         self._members = members
         self._attempts = attempts
@@ -55,9 +66,12 @@
         reason = self._refusal_reason(context, request, service, route)
         if reason is not None:
             return self._refuse(request, criticality, reason)
-        answer = self._call_with_retries(
-            OutboundCall(context, request, service, route, criticality)
-        )
+        call = OutboundCall(context, request, service, route, criticality)
+        if not self._can_finish(call):
+            answer = self._refuse(request, criticality, Reason.STOPPING)
+            answer.retry_after_ms = int(self._stop.seconds_until_restart() * MILLISECONDS)
+            return answer
+        answer = self._call_with_retries(call)
         if (
             answer.outcome is not Outcome.ANSWERED
             or answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
@@ -66,6 +80,18 @@
         self._metrics.call(service.full_name, answer.outcome, answer.reason, criticality)
         return answer
 
+    def _can_finish(self, call: OutboundCall) -> bool:
+        """Return whether an attempt that begins now is expected to end before this process.
+
+        A route states no objective: until a call has ended, only the deadline bounds its time.
+        """
+        if not self._stop.begun:
+            return True
+        longest = self.run_times.longest(route_key(call.service, call.route))
+        return self._stop.can_finish(
+            call.context.deadline, math.inf if longest is None else longest
+        )
+
     def _refuse(self, request: Request, criticality: Criticality, reason: Reason) -> Answer:
         self._metrics.call(
             f"{request.tenant}.{request.service}", Outcome.NOT_RUN, reason, criticality
@@ -120,6 +146,8 @@
         context = call.context
         if context.cancelled is not None or self._runtime.monotonic() >= context.deadline:
             return NextStep.FINISH
+        if not self._can_finish(call):
+            return NextStep.FINISH
         step = next_step(answer.outcome, answer.reason, call.route.repeat, call.redirects)
         if step is NextStep.REDIRECT:
             call.redirects += 1
@@ -134,3 +162,8 @@
         if answer.outcome is Outcome.NOT_RUN and not answer.retry_after_ms:
             answer.retry_after_ms = retry_after.DEFAULT_MS
         return answer
+
+
+def route_key(service: Service, route: Route) -> str:
+    """Return the name of a route among those of all services."""
+    return f"{service.full_name}/{route.name}"
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -6,6 +6,7 @@
 
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
+from cranklane.common.planned_stop import PlannedStop, wait_until_idle
 from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
 from cranklane.distribution.subscription import Subscription
@@ -43,9 +44,6 @@
 CLIENT_CHECK_SECONDS = 0.05
 """Seconds between checks for open client connections while stopping."""
 
-IDLE_CHECK_SECONDS = 0.02
-"""Seconds between checks for calls in flight while stopping."""
-
 
 class NodeProcess:
     """A node or an edge.
@@ -63,6 +61,7 @@
         self.members = MemberTable(runtime.monotonic)
         self.contexts = ContextTable(runtime.random)
         self.admission = Admission(runtime.monotonic, self.configuration.share)
+        self._planned_stop = PlannedStop(runtime.monotonic)
         self.peers = PeerPool(runtime, self._hello, self._version, self._newer_version_seen)
         self.outbound = self._new_outbound()
         ledger = LedgerClient(runtime, self.members, self._hello)
@@ -80,7 +79,9 @@
             self.metrics,
             self._log_ejection,
         )
-        return Outbound(runtime, self.configuration, self.members, attempts, self.metrics)
+        return Outbound(
+            runtime, self.configuration, self.members, attempts, self.metrics, self._planned_stop
+        )
 
     def start(self) -> None:
         """Open the ports and subscribe to control."""
@@ -233,6 +234,8 @@
         if self._stopping:
             return True
         self._stopping = True
+        stop_seconds = STOP_ANNOUNCE_SECONDS + self._settings.stop_seconds
+        self._planned_stop.begin(self._runtime.monotonic() + stop_seconds)
         self._log.info("stopping", in_flight=self._in_flight())
         self.drain()
         if self.inbound is None:
@@ -263,9 +266,5 @@
         return inbound + self.callers.calls + self.once.pending_stores
 
     def _wait_until_idle(self) -> bool:
-        deadline = self._runtime.monotonic() + self._settings.stop_seconds
-        while self._in_flight():
-            if self._runtime.monotonic() >= deadline:
-                return False
-            gevent.sleep(IDLE_CHECK_SECONDS)
-        return True
+        ends_at = self._runtime.monotonic() + self._settings.stop_seconds
+        return wait_until_idle(self._runtime, lambda: self._in_flight() > 0, ends_at)
