--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from random import Random
 from typing import Any, NamedTuple
 
 from result import Err
@@ -94,7 +95,7 @@
         self._tickets = dependencies.tickets
         self._root_admission = dependencies.root_admission
         self._call_builder = CallBuilder(
-            names, caller_service, Splitter(runtime.random.random()), self._tickets
+            names, caller_service, Splitter(Random(runtime.random.random())), self._tickets
         )
         self._writer = AnswerWriter(runtime, names)
         self._idle: set[CallerConnection] = set()
