Learnt run times and tolerated failures follow a change of the route

Cause: the expected latency was kept by route. After a route had moved to a service that takes longer, each of its workers counted as slow until the average had followed (weight 0.05 a run); in the other direction, calls with less time than the old latency were refused as too late while they waited. The limiter kept the tolerance of failures of the priority that the route had with its first request, for the life of the process.

Change: expected latencies and longest run times have route and service as their key.

Result: a worker of the new, slower service has a slowness below 1.5 in test_worker_condition (above before), and a route moved from priority 0 to 2 gets its limit in test_outcome_limiter; both fail before.

--- a/src/cranklane/common/run_times.py
+++ b/src/cranklane/common/run_times.py
@@ -25,37 +25,42 @@
 """Routes with an estimate; beyond this limit all are cleared. Bounds memory."""
 
 
+RunKey = tuple[str, str]
+"""Names of a route and of the service that runs its requests: a route may change its service."""
+
+
 class RunTimes:
-    """Estimated longest time of each route's requests, in seconds."""
+    """Estimated longest time of the requests of each route and service, in seconds."""
 
     __slots__ = ("_estimates",)
 
     def __init__(self) -> None:
-        self._estimates: dict[str, tuple[float, float]] = {}
+        self._estimates: dict[RunKey, tuple[float, float]] = {}
 
-    def record(self, route: str, seconds: float) -> None:
+    def record(self, key: RunKey, seconds: float) -> None:
         """Record the time that a request of a route took until its response was complete."""
-        estimate = self._estimates.get(route)
+        estimate = self._estimates.get(key)
         if estimate is None:
             if len(self._estimates) >= MAX_ROUTES:
                 self._estimates.clear()
-            self._estimates[route] = (seconds, seconds * INITIAL_DEVIATION_FRACTION)
+            self._estimates[key] = (seconds, seconds * INITIAL_DEVIATION_FRACTION)
             return
         average, deviation = estimate
         difference = seconds - average
-        self._estimates[route] = (
+        self._estimates[key] = (
             average + AVERAGE_WEIGHT * difference,
             deviation + DEVIATION_WEIGHT * (abs(difference) - deviation),
         )
 
-    def longest(self, route: str) -> float | None:
+    def longest(self, key: RunKey) -> float | None:
         """Return the longest time that a request of a route is expected to take; None if unknown.
 
         >>> times = RunTimes()
-        >>> times.longest("r"), times.record("r", 0.1), times.longest("r")
+        >>> key = ("pay", "orders")
+        >>> times.longest(key), times.record(key, 0.1), times.longest(key)
         (None, None, 0.2)
         """
-        estimate = self._estimates.get(route)
+        estimate = self._estimates.get(key)
         if estimate is None:
             return None
         average, deviation = estimate
--- a/src/cranklane/node/callers.py
+++ b/src/cranklane/node/callers.py
@@ -21,7 +21,7 @@
 from cranklane.node.caller_answer import write_answer, write_refusal
 from cranklane.node.caller_request import bearer_token, deadline_ms, read_call
 from cranklane.node.context import CallContext, ContextTable
-from cranklane.node.outbound import Outbound, route_key
+from cranklane.node.outbound import Outbound, run_key
 from cranklane.outcome import Outcome, Reason
 from cranklane.policy.adopted_policy import CLIENTS, AdoptedPolicy, Route
 from cranklane.runtime.interface import Runtime
@@ -109,7 +109,7 @@
         route = self._route(call)
         if service is not None and route is not None:
             seconds = self._runtime.monotonic() - active.started_at
-            self._outbound.run_times.record(route_key(service, route), seconds)
+            self._outbound.run_times.record(run_key(service, route), seconds)
 
     def _context(self, request: falcon.Request, call: Request) -> Result[CallContext, Reason]:
         """Return the context for a call and set the call's caller."""
--- a/src/cranklane/node/outbound.py
+++ b/src/cranklane/node/outbound.py
@@ -11,7 +11,7 @@
 from http import HTTPStatus
 
 from cranklane.common.planned_stop import PlannedStop
-from cranklane.common.run_times import RunTimes
+from cranklane.common.run_times import RunKey, RunTimes
 from cranklane.common.units import MILLISECONDS
 from cranklane.node import retry_after
 from cranklane.node.answer import Answer, Request, refused_answer
@@ -87,7 +87,7 @@
         """
         if not self._stop.begun:
             return True
-        longest = self.run_times.longest(route_key(call.service, call.route))
+        longest = self.run_times.longest(run_key(call.service, call.route))
         return self._stop.can_finish(
             call.context.deadline, math.inf if longest is None else longest
         )
@@ -164,6 +164,6 @@
         return answer
 
 
-def route_key(service: Service, route: Route) -> str:
-    """Return the name of a route among those of all services."""
-    return f"{service.full_name}/{route.name}"
+def run_key(service: Service, route: Route) -> RunKey:
+    """Return the key under which run times are learnt for a route."""
+    return route.name, service.full_name
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -17,7 +17,7 @@
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.planned_stop import PlannedStop
-from cranklane.common.run_times import RunTimes
+from cranklane.common.run_times import RunKey, RunTimes
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
@@ -203,7 +203,7 @@
     def _can_finish(self, request: ForwardRequest, arrived_at: float) -> bool:
         """Return whether a run that begins now is expected to end before this process."""
         deadline = arrived_at + request.deadline_ms / MILLISECONDS
-        longest = self.run_times.longest(request.route)
+        longest = self.run_times.longest(_run_key(request))
         if longest is None:
             longest = longest_by_objective(request.root_objective_ms) or math.inf
         return self._stop.can_finish(deadline, longest * self._capacity.pace.factor())
@@ -283,7 +283,7 @@
 
     def _stream_completed(self, admitted: AdmittedRun) -> None:
         """Record that a streamed response is complete."""
-        self.run_times.record(admitted.request.route, self._clock() - admitted.started_at)
+        self.run_times.record(_run_key(admitted.request), self._clock() - admitted.started_at)
         self._evidence.answered(admitted.request)
 
     def _exchange_with_worker(self, attempt: Attempt, admitted: AdmittedRun) -> Reply:
@@ -317,7 +317,7 @@
         if failed:
             reply.failure = run.failure
         if reply.rest is None and run_outcome.measures_latency(reply):
-            self.run_times.record(request.route, run_seconds)
+            self.run_times.record(_run_key(request), run_seconds)
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, usual_seconds)
@@ -335,6 +335,10 @@
         self._limiter.ended(request.route, admitted.limiter_round, starved, run_seconds)
 
 
+def _run_key(request: ForwardRequest) -> RunKey:
+    return request.route, request.service
+
+
 def _wait_canceller(attempt: Attempt) -> Callable[[Waiter], None]:
     """Return a callback that ends a slot wait when its attempt is cancelled."""
 
--- a/src/cranklane/sidecar/admission/outcome_limiter.py
+++ b/src/cranklane/sidecar/admission/outcome_limiter.py
@@ -150,7 +150,7 @@
 class _RouteAdmission:
     """Admission state of one route.
 
-    :ivar max_failed_fraction: tolerated fraction of failed runs.
+    :ivar priority: priority of the route.
     :ivar round_began_at: monotonic start time of the round that ``runs``, ``failures`` and
         ``most_concurrent`` cover, in seconds.
     :ivar limit: maximum number of concurrent runs; ``math.inf`` for no limit.
@@ -164,7 +164,7 @@
     :ivar callers: requests in the current sample by originating service.
     """
 
-    max_failed_fraction: float
+    priority: int
     round_began_at: float
     limit: float = math.inf
     ceiling: float = math.inf
@@ -208,8 +208,10 @@
         """
         admission = self._routes.get(route)
         if admission is None:
-            admission = _RouteAdmission(tolerated_failures(priority), self._clock())
+            admission = _RouteAdmission(priority, self._clock())
             self._routes[route] = admission
+        # A new route table may have changed it.
+        admission.priority = priority
         self._count_caller(admission, caller)
         if admission.limit < math.inf and not admission.called_by_workers:
             self._free_kept_places(admission)
@@ -271,7 +273,8 @@
     def _end_round(self, admission: _RouteAdmission) -> None:
         """Adjust the limit to the results of a round, and start the next one."""
         failed_fraction = admission.failures / admission.runs
-        if failed_fraction > admission.max_failed_fraction and admission.failures >= MIN_FAILURES:
+        tolerated = tolerated_failures(admission.priority)
+        if failed_fraction > tolerated and admission.failures >= MIN_FAILURES:
             used = min(admission.limit, float(admission.most_concurrent))
             admission.ceiling = ceiling_after_decrease(used, admission.ceiling)
             admission.limit = decreased(used, failed_fraction)
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -257,7 +257,7 @@
         written = self._writer.write_worker_answer(connection, reply, reusable, call.deadline)
         if reply.rest is not None and reply.rest.is_complete:
             seconds = self._runtime.monotonic() - call.started_at
-            self._dispatcher.run_times.record(call.route.name, seconds)
+            self._dispatcher.run_times.record(call.run_key, seconds)
         return written
 
     def _report_decision(
--- a/src/cranklane/sidecar/request/call.py
+++ b/src/cranklane/sidecar/request/call.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from cranklane.common.http1.message import Framing
+from cranklane.common.run_times import RunKey
 from cranklane.outcome import Reason
 from cranklane.routes.table import Route
 from cranklane.sidecar.request.attempt import Attempt, BodyReader
@@ -55,6 +56,11 @@
     rest: BodyReader | None = None
     run: Run | None = None
 
+    @property
+    def run_key(self) -> RunKey:
+        """Key under which run times are learnt for the call."""
+        return self.route.name, self.service
+
     def identity(self) -> Identity:
         """Return the digest that identifies repetitions of the same request."""
         return identity_of(self.service, self.tenant, self.lines, self.body, self.length)
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -153,7 +153,7 @@
 
     def _longest_seconds(self, call: Call) -> float:
         """Return the longest time that an attempt of a call is expected to take, in seconds."""
-        longest = self.run_times.longest(call.route.name)
+        longest = self.run_times.longest(call.run_key)
         return waiting.longest_by_objective(call.route.objective_ms) if longest is None else longest
 
     def _refuse_stopping(self, call: Call) -> Reply:
@@ -263,7 +263,7 @@
         route = call.route
         root = call.root
         remaining = max(0.0, call.deadline - now)
-        expected_latency = self._latencies.of(route.name)
+        expected_latency = self._latencies.of(call.run_key)
         start_within = min(remaining, waiting.max_start_wait(call, expected_latency, now))
         if self._stop.begun:
             longest = self._longest_seconds(call)
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -1,7 +1,7 @@
 """Updates the load, slowness, state and failures of a destination from each reply.
 
-Keeps the expected latency of each route and probes unreachable destinations. The ejection
-rules are in ``ejection``.
+Keeps the expected latency of each route at each service and probes unreachable destinations. The
+ejection rules are in ``ejection``.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
     """Updates destinations from the replies to attempts.
 
     :param run_times: learns the times of attempts whose response was complete.
-    :ivar latencies: expected latency of each route over all workers.
+    :ivar latencies: expected latency of each route at each service over all workers.
     """
 
     def __init__(
@@ -70,11 +70,11 @@
         if reply.arrived and measures_latency(reply):
             if reply.rest is None:
                 # The ingress records streamed responses once they are complete.
-                self._run_times.record(call.route.name, seconds)
+                self._run_times.record(call.run_key, seconds)
             run_time = reply.run_time_ms / MILLISECONDS or seconds
             usual = usual_run_time(run_time, reply.advertised)
             if usual is not None:
-                ratio = self.latencies.ratio(call.route.name, usual)
+                ratio = self.latencies.ratio(call.run_key, usual)
                 takes_full_load = reply.load.slots >= destination.listed_slots
                 if takes_full_load or ratio <= TOLERATED_SLOWNESS:
                     destination.slowness.sample(now, ratio)
--- a/src/cranklane/sidecar/routing/retry_spending.py
+++ b/src/cranklane/sidecar/routing/retry_spending.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import NamedTuple
 
+from cranklane.common.run_times import RunKey
 from cranklane.outcome import Outcome
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.call import Call
@@ -60,7 +61,8 @@
 
     :param clock: returns monotonic time in seconds.
     :param random: returns the source of the random decisions among retries of equal value.
-    :param expected_latency: returns the run time of a route in seconds; 0 if unknown.
+    :param expected_latency: returns the run time of a route at a service in seconds; 0 if
+        unknown.
     :param on_decision: called with each decision.
     """
 
@@ -69,7 +71,7 @@
         budget: RetryBudget,
         clock: Callable[[], float],
         random: Callable[[], Random],
-        expected_latency: Callable[[str], float],
+        expected_latency: Callable[[RunKey], float],
         on_decision: Callable[[RetryReport], None],
     ) -> None:
         self._budget = budget
@@ -92,7 +94,7 @@
             decision = RetryDecision.GRANTED if allowed else RetryDecision.NO_TOKENS
             self._on_decision(RetryReport(call.service, decision, refused_fraction))
             return allowed
-        latency = self._expected_latency(call.route.name)
+        latency = self._expected_latency(call.run_key)
         value = retry_value(call, self._refused.of, latency, self._clock())
         tokens = self._budget.tokens(call.service)
         # All retries at the service share this factor; without it, those recorded while fewer
--- a/src/cranklane/sidecar/worker/slowness.py
+++ b/src/cranklane/sidecar/worker/slowness.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from cranklane.common.run_times import RunKey
+
 RISE_WEIGHT = 0.05
 """Weight of a run slower than expected in the moving average of a route's latency."""
 
@@ -54,29 +56,29 @@
 
 
 class ExpectedLatencies:
-    """Moving average of each route's latency over all workers, in seconds."""
+    """Moving average of the latency of each route at each service over all workers, in seconds."""
 
     def __init__(self) -> None:
-        self._expected: dict[str, float] = {}
+        self._expected: dict[RunKey, float] = {}
 
-    def of(self, route: str) -> float:
-        """Return a route's expected latency in seconds; 0 if unknown."""
-        return self._expected.get(route, 0.0)
+    def of(self, key: RunKey) -> float:
+        """Return the expected latency in seconds; 0 if unknown."""
+        return self._expected.get(key, 0.0)
 
-    def ratio(self, route: str, seconds: float) -> float:
+    def ratio(self, key: RunKey, seconds: float) -> float:
         """Return a run time as a multiple of the expected latency, and update the latter.
 
-        >>> latencies = ExpectedLatencies()
-        >>> latencies.ratio("r", 0.1), round(latencies.ratio("r", 0.4), 3)
+        >>> latencies, key = ExpectedLatencies(), ("pay", "orders")
+        >>> latencies.ratio(key, 0.1), round(latencies.ratio(key, 0.4), 3)
         (1.0, 4.0)
         """
-        expected = self._expected.get(route)
+        expected = self._expected.get(key)
         if expected is None:
             if len(self._expected) >= MAX_ROUTES:
                 self._expected.clear()
             expected = seconds
         weight = RISE_WEIGHT if seconds > expected else FALL_WEIGHT
-        self._expected[route] = expected + weight * (seconds - expected)
+        self._expected[key] = expected + weight * (seconds - expected)
         return latency_ratio(expected, seconds)
 
 
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -10,7 +10,7 @@
 from cranklane.node.allowance import Allowance
 from cranklane.node.answer import Answer, Request
 from cranklane.node.context import CallContext
-from cranklane.node.outbound import Outbound, route_key
+from cranklane.node.outbound import Outbound, run_key
 from cranklane.outcome import Criticality, Outcome, Reason, Repeat
 
 NOW = 100.0
@@ -82,13 +82,13 @@
     """Guards against a stopping node that refuses calls which it has the time to finish."""
     node = StoppingNode(ANSWERED)
     if learnt is not None:
-        node.outbound.run_times.record(route_key(SERVICE, ROUTE), learnt)
+        node.outbound.run_times.record(run_key(SERVICE, ROUTE), learnt)
     assert node.call(deadline_seconds).outcome is Outcome.ANSWERED
 
 
 def test_no_retry_begins_that_the_end_of_the_process_would_cut():
     """Guards against a second attempt begun late in a stop."""
     node = StoppingNode(LOST, ANSWERED, attempt_seconds=1.6)
-    node.outbound.run_times.record(route_key(SERVICE, ROUTE), 0.5)
+    node.outbound.run_times.record(run_key(SERVICE, ROUTE), 0.5)
     assert node.call(5.0).outcome is Outcome.UNKNOWN
     assert node.attempts == 1
--- a/tests/test_outcome_limiter.py
+++ b/tests/test_outcome_limiter.py
@@ -217,3 +217,14 @@
 )
 def test_ceiling_decays_on_repeated_decreases(limit, ceiling, expected):
     assert outcome_limiter.ceiling_after_decrease(limit, ceiling) == pytest.approx(expected)
+
+
+def test_a_changed_priority_of_a_route_applies_to_its_limit():
+    """Guards against a tolerance of failures that stays as of the route's first request."""
+    failures = iter([True, False, False, False] * 1000)
+    requests = traffic(lambda _: next(failures), priority=0)
+    requests.send(3)
+    assert requests.limiter.limit("0") == math.inf
+    requests.priority = 2
+    requests.send(3)
+    assert requests.limiter.limit("0") < 0.7 * RATE * RUN_SECONDS
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -255,7 +255,7 @@
         worker_side.worker.state.body = bytes(400_000)
         assert Sent(mesh, entry, "/back/", "download").status == 200
         learnt = (entry.sidecar.dispatcher.run_times, worker_side.sidecar.gate.run_times)
-        return [times.longest("back") is not None for times in learnt]
+        return [times.longest(("back", "t")) is not None for times in learnt]
 
     assert play(script) == [True, True]
 
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -6,12 +6,14 @@
 
 from cranklane.common.run_times import MAX_ROUTES, RunTimes
 
+KEY = ("r", "s")
+
 
 def longest_after(*seconds):
     times = RunTimes()
     for value in seconds:
-        times.record("r", value)
-    return times.longest("r")
+        times.record(KEY, value)
+    return times.longest(KEY)
 
 
 def test_equal_times_are_expected_with_little_added():
@@ -33,6 +35,6 @@
     """Guards against memory that grows with each route ever used."""
     times = RunTimes()
     for number in range(MAX_ROUTES + 1):
-        times.record(f"r-{number}", 0.1)
-    assert times.longest("r-0") is None
-    assert times.longest(f"r-{MAX_ROUTES}") is not None
+        times.record((f"r-{number}", "s"), 0.1)
+    assert times.longest(("r-0", "s")) is None
+    assert times.longest((f"r-{MAX_ROUTES}", "s")) is not None
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -80,11 +80,12 @@
 
 def test_the_expected_latency_rises_more_slowly_than_it_falls():
     latencies = ExpectedLatencies()
-    latencies.ratio("r", 0.1)
-    latencies.ratio("r", 1.1)
-    assert latencies.of("r") == pytest.approx(0.15)
-    latencies.ratio("r", 0.05)
-    assert latencies.of("r") == pytest.approx(0.14)
+    key = ("r", "s")
+    latencies.ratio(key, 0.1)
+    latencies.ratio(key, 1.1)
+    assert latencies.of(key) == pytest.approx(0.15)
+    latencies.ratio(key, 0.05)
+    assert latencies.of(key) == pytest.approx(0.14)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_worker_condition.py
+++ b/tests/test_worker_condition.py
@@ -19,7 +19,8 @@
 )
 from cranklane_lab.evidence.report import run_evidence
 from cranklane_lab.evidence.trial import Shape, Trial
-from mesh_support import play
+from cranklane_lab.standins.route_tables import route_table
+from mesh_support import ROUTES, play
 
 LARGE = Shape(callers=195, workers=93, slots=14, work_seconds=0.16, load=0.08, seconds=8.0)
 SMALL = Shape(callers=17, workers=5, slots=44, work_seconds=0.16, load=0.08)
@@ -184,3 +185,21 @@
 def test_encoding_and_decoding_keep_a_worker_condition():
     condition = Condition(0.45, 6.2)
     assert Condition.from_wire(condition.wire_faults, condition.wire_slowness) == condition
+
+
+def test_a_route_that_moves_to_a_slower_service_does_not_make_its_workers_look_slow():
+    """Guards against an expected latency of the former service that outlasts the change."""
+
+    def script(mesh):
+        mesh.machines[2].worker.state.seconds = 0.4
+        for _ in range(20):
+            mesh.request(mesh.machines[0], "/read/x")
+        routes = {**ROUTES, "read": {**ROUTES["read"], "service": "t"}}
+        assert mesh.apply_route_table(route_table(2, 1, routes, ("s", "t"))).status == 200
+        gevent.sleep(1.0)
+        for _ in range(3):
+            assert mesh.request(mesh.machines[0], "/read/x").status == 200
+        moved_to = mesh.machines[0].sidecar.destinations.members("t")[0]
+        return moved_to.slowness.at(mesh.world.loop.now())
+
+    assert play(script) < 1.5
