Evidence trial: run times by route and service

Cause: the change of the keys of learnt run times left the evidence trial with the route's name alone; the type check failed on it (its runs did not, as any key works).

--- a/src/cranklane_lab/evidence/trial.py
+++ b/src/cranklane_lab/evidence/trial.py
@@ -234,7 +234,7 @@
             return
         request.tried_nodes.add(destination.node)
         request.destination = destination
-        request.expected_seconds = self._expected_latencies[request.caller].of(ROUTE)
+        request.expected_seconds = self._expected_latencies[request.caller].of((ROUTE, SERVICE))
         destination.record_sent()
         worker = self._workers[destination.node]
         self._schedule(HOP_SECONDS, lambda: self._on_arrival(worker, request))
@@ -276,7 +276,7 @@
         if failed:
             self.outcome.failed += 1
             return
-        ratio = self._expected_latencies[request.caller].ratio(ROUTE, seconds)
+        ratio = self._expected_latencies[request.caller].ratio((ROUTE, SERVICE), seconds)
         destination.slowness.sample(self._now, ratio)
         if self._now > WARM_UP_SECONDS:
             self.outcome.seconds.append(self._now - request.started_at)
