Texts of others are read as JSON in UTF-8 alone, and refused with the place

Cause, first half: read_json gave the bytes to json.loads, which also takes such surrogates, UTF-16 and UTF-32, a byte order mark, NaN and Infinity, and turns 1e999 into infinity. The check for names that cannot be encoded ran only if the text had a \u escape.

Change: common/strict_json reads JSON by RFC 8259 in strict UTF-8 and names line, column and, for bytes, the offset. It is the one reader for the operators' route tables and policies, workers' heartbeats and deregistrations, the quarantine API, answers that the command line gets, logs and traces that it reads; settings and policy files are read as UTF-8 whatever the locale says. An object that names a member twice is still taken, as the RFC allows, and the check of route tables warns of it.

--- a/src/cranklane/cli/client.py
+++ b/src/cranklane/cli/client.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from cranklane.common.http_client import HttpClient, HttpRequestError, HttpResponse
+from cranklane.common.strict_json import read_json_text
 from cranklane.errors import TruncatedAnswerError
 from cranklane.runtime.interface import parse_address
 from cranklane.runtime.real import RealRuntime
@@ -114,7 +115,7 @@
         client = HttpClient(self._runtime, address)
         try:
             response = client.request(method, path, headers, body, self._timeout)
-            answer = json.loads(response.read() or b"{}")
+            answer = read_json_text(response.read() or b"{}")
         except (HttpRequestError, TruncatedAnswerError, ValueError) as error:
             return Err(OperatorProblem(0, [f"{control}: {error}"]))
         finally:
--- a/src/cranklane/cli/common.py
+++ b/src/cranklane/cli/common.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated, Any
 
 import typer
@@ -25,6 +26,20 @@
     return typer.Exit(1)
 
 
+def read_text_file(path: Path) -> str:
+    """Return the text of a UTF-8 file.
+
+    :raises typer.Exit: when it cannot be read; the problem is printed.
+    """
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise fail([f"{path}: cannot be read: {error.strerror}"]) from error
+    except UnicodeDecodeError as error:
+        problem = f"{path}: byte {error.start}: not UTF-8: {error.reason}"
+        raise fail([problem]) from error
+
+
 def call(control: str, token: str, method: str, path: str, media: Any = None) -> dict[str, Any]:
     """Call the operator API and return the response's JSON.
 
--- a/src/cranklane/cli/configuration.py
+++ b/src/cranklane/cli/configuration.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from cranklane.cli.common import Control, Token, call, fail
+from cranklane.cli.common import Control, Token, call, fail, read_text_file
 from cranklane.cli.policy import read_policy
 from cranklane.policy.model import has_settings
 
@@ -44,7 +44,11 @@
     """Print the difference between a document's text and a file."""
     current = call(control, token, "GET", f"/v1/documents/{name}")
     for line in difflib.unified_diff(
-        current["text"].splitlines(), path.read_text().splitlines(), name, str(path), lineterm=""
+        current["text"].splitlines(),
+        read_text_file(path).splitlines(),
+        name,
+        str(path),
+        lineterm="",
     ):
         typer.echo(line)
 
--- a/src/cranklane/cli/log_analysis.py
+++ b/src/cranklane/cli/log_analysis.py
@@ -37,7 +37,7 @@
     lines: list[LogLine] = []
     for path in logs:
         try:
-            with path.open(errors="replace") as file:
+            with path.open("rb") as file:
                 lines += read_lines(file)
         except OSError as error:
             raise fail([f"{path}: cannot be read: {error.strerror}"]) from error
--- a/src/cranklane/cli/policy.py
+++ b/src/cranklane/cli/policy.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from cranklane.cli.common import fail
+from cranklane.cli.common import fail, read_text_file
 from cranklane.cli.explain import explain_target, show_policy
 from cranklane.errors import PolicyError
 from cranklane.policy.compiler import compile_policy
@@ -29,10 +29,8 @@
     :raises typer.Exit: when it cannot be read or does not compile; every problem is printed.
     """
     try:
-        policy = parse(path.read_text())
+        policy = parse(read_text_file(path))
         compile_policy(policy)
-    except OSError as error:
-        raise fail([f"{path}: cannot be read: {error.strerror}"]) from error
     except PolicyError as error:
         raise fail([f"{path}: {problem}" for problem in error.problems]) from error
     return policy
--- a/src/cranklane/cli/request_timeline.py
+++ b/src/cranklane/cli/request_timeline.py
@@ -5,13 +5,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime
 from http import HTTPStatus
 from typing import Any
 
+from cranklane.common.strict_json import read_json_text
 from cranklane.common.units import MILLISECONDS
 
 REQUEST_EVENTS = ("request", "attempt", "admission", "quarantine_refusal")
@@ -84,17 +84,17 @@
     fields: dict[str, Any]
 
 
-def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+def read_lines(lines: Iterable[bytes]) -> Iterator[LogLine]:
     """Yield the log lines that are JSON objects with a timestamp and an event.
 
     Skips a prefix before the object, as added by log collectors.
     """
-    for text in texts:
-        start = text.find("{")
+    for line in lines:
+        start = line.find(b"{")
         if start < 0:
             continue
         try:
-            fields = json.loads(text[start:])
+            fields = read_json_text(line[start:])
             timestamp = datetime.fromisoformat(fields.pop("timestamp")).timestamp()
             yield LogLine(timestamp, str(fields.pop("node", "")), str(fields.pop("event")), fields)
         except (ValueError, KeyError, TypeError, AttributeError):
--- a/src/cranklane/control/operator_api.py
+++ b/src/cranklane/control/operator_api.py
@@ -13,8 +13,10 @@
 
 import falcon
 import gevent
+from falcon.media import JSONHandler
 from result import Err, Ok, Result
 
+from cranklane.common.strict_json import read_json_text
 from cranklane.control import backup
 from cranklane.control.editor import Edit, Editor, EditProblem
 from cranklane.control.operators import ALL_TENANTS, Operator, Operators
@@ -59,6 +61,8 @@
         self._clock = clock
         self._operators = operators
         self.application = falcon.App()
+        handler = JSONHandler(loads=read_json_text)
+        self.application.req_options.media_handlers[falcon.MEDIA_JSON] = handler
         self.application.req_options.auto_parse_form_urlencoded = False
         add = self.application.add_route
         add("/v1/documents", self, suffix="documents")
--- a/src/cranklane/routes/checks/names.py
+++ b/src/cranklane/routes/checks/names.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
+from cranklane.common.strict_json import read_json_text
 from cranklane.routes.checks.findings import Finding, warning
 
 _DOCUMENT_FIELDS = frozenset({"version", "base", "routes", "services", "tenants", "limits"})
@@ -59,7 +59,7 @@
 
     :param data: JSON text of an object.
     """
-    document = json.loads(data, object_pairs_hook=_Members)
+    document = read_json_text(data, _Members)
     yield from _repeated_names("", document)
     yield from _unknown_fields("", document, _DOCUMENT_FIELDS)
     yield from _unknown_fields("limits", document.get("limits"), _LIMIT_FIELDS)
--- a/src/cranklane/routes/document.py
+++ b/src/cranklane/routes/document.py
@@ -21,13 +21,13 @@
 
 from __future__ import annotations
 
-import json
 import zlib
 from typing import Any
 
 from result import Err, Ok, Result
 
 from cranklane.common.secret_digest import secret_digest
+from cranklane.common.strict_json import JsonTextError, read_json_text
 from cranklane.routes.table import (
     MAX_PRIORITY,
     Limits,
@@ -131,26 +131,14 @@
 def read_json(data: bytes) -> Result[dict[str, Any], list[str]]:
     """Return the JSON object in a document's bytes, or the problem."""
     try:
-        value = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        value = read_json_text(data)
+    except JsonTextError as error:
         return Err([f"the document is not valid JSON: {error}"])
     if not isinstance(value, dict):
         return Err(["the document is not a JSON object"])
-    if b"\\u" in data and not _is_encodable(value):
-        # Names with such characters could not be sent to sidecars.
-        return Err(["the document contains an unpaired surrogate or is nested too deeply"])
     return Ok(value)
 
 
-def _is_encodable(value: dict[str, Any]) -> bool:
-    """Return whether all strings of a JSON value can be encoded as UTF-8."""
-    try:
-        json.dumps(value, ensure_ascii=False).encode()
-    except (UnicodeEncodeError, RecursionError):
-        return False
-    return True
-
-
 def base_of(document: dict[str, Any]) -> Result[int, str]:
     """Return the version that a document replaces, 0 for none, or the problem."""
     base = document.get("base", 0)
@@ -161,6 +149,12 @@
 
 def read_table(document: dict[str, Any]) -> Result[RouteTable, list[str]]:
     """Return the route table of a document, or all problems in it."""
+    table, problems = readable_table(document)
+    return Err(problems) if problems else Ok(table)
+
+
+def readable_table(document: dict[str, Any]) -> tuple[RouteTable, list[str]]:
+    """Return the route table of the readable entries of a document, and all problems in it."""
     problems: list[str] = []
     services = _read_entries(document, "services", service_of, problems)
     routes = _read_entries(document, "routes", route_of, problems)
@@ -177,10 +171,8 @@
     problems += _check_destinations(routes, by_name)
     problems += _check_prefixes(routes)
     problems += _check_keys(tenants)
-    if problems:
-        return Err(problems)
     directory = TenantDirectory(tenants) if key_required else None
-    return Ok(RouteTable(version, tuple(routes), by_name, limits, directory))
+    return RouteTable(version, tuple(routes), by_name, limits, directory), problems
 
 
 def _read_entries(document: dict[str, Any], kind: str, read: Any, problems: list[str]) -> list[Any]:
--- a/src/cranklane/settings.py
+++ b/src/cranklane/settings.py
@@ -127,7 +127,7 @@
 
 def _read_file(path: str) -> dict[str, Any]:
     try:
-        return tomllib.loads(Path(path).read_text())
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError([f"{path}: cannot be read: {error.strerror}"]) from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
--- a/src/cranklane/sidecar/quarantine/api.py
+++ b/src/cranklane/sidecar/quarantine/api.py
@@ -17,6 +17,7 @@
 
 from cranklane.common.secret_digest import secret_digest
 from cranklane.common.small_http import SmallAnswer, SmallHandler
+from cranklane.common.strict_json import JsonTextError, read_json_text
 from cranklane.sidecar.quarantine.rules import MAX_QUARANTINE_SECONDS
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.request.identity import IDENTITY_BYTES, Identity
@@ -78,9 +79,10 @@
         :param change: applies the change for an identity and the body; returns a problem with the
             body, if any.
         """
-        value = _json_object(body)
-        if value is None:
-            return _problem(HTTPStatus.BAD_REQUEST, "the body must be a JSON object")
+        read = _json_object(body)
+        if isinstance(read, Err):
+            return _problem(HTTPStatus.BAD_REQUEST, read.err_value)
+        value = read.ok_value
         if not self._is_operator(value.get("token", "")):
             return _problem(
                 HTTPStatus.FORBIDDEN, "token: does not match this sidecar's operator token"
@@ -119,13 +121,13 @@
         return Ok(None)
 
 
-def _json_object(body: bytes) -> dict[str, Any] | None:
-    """Parse a body as a JSON object; return None if it is not one."""
+def _json_object(body: bytes) -> Result[dict[str, Any], str]:
+    """Parse a body as a JSON object; return it or the problem."""
     try:
-        value = json.loads(body)
-    except ValueError:
-        return None
-    return value if isinstance(value, dict) else None
+        value = read_json_text(body)
+    except JsonTextError as error:
+        return Err(f"the body must be a JSON object: {error}")
+    return Ok(value) if isinstance(value, dict) else Err("the body must be a JSON object")
 
 
 def _identity(value: Any) -> Identity | None:
--- a/src/cranklane/sidecar/worker/api.py
+++ b/src/cranklane/sidecar/worker/api.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from cranklane.common.small_http import SmallAnswer
+from cranklane.common.strict_json import JsonTextError, read_json_text
 from cranklane.sidecar.worker.departure_reports import DepartureReports
 from cranklane.sidecar.worker.heartbeat import WorkerHeartbeat, WorkerPhase
 from cranklane.sidecar.worker.instances import UNKNOWN_START, WorkerInstance
@@ -128,8 +129,8 @@
 
 def _object_of(body: bytes) -> dict[str, Any]:
     try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        fields = read_json_text(body)
+    except JsonTextError as error:
         raise ValueError(f"the body cannot be read: {error}") from error
     if not isinstance(fields, dict):
         raise ValueError("the body is not an object")
@@ -148,7 +149,6 @@
     value = fields.get(name)
     if not isinstance(value, str) or not value:
         raise ValueError(f"{name}: found {value!r}; expected a text")
-    # A lone surrogate, which JSON allows, raises a UnicodeEncodeError, which is a ValueError.
     size = len(value.encode())
     if size > MAX_TEXT_BYTES:
         raise ValueError(f"{name}: found {size} bytes; expected at most {MAX_TEXT_BYTES}")
--- a/src/cranklane_lab/replay/trace.py
+++ b/src/cranklane_lab/replay/trace.py
@@ -29,6 +29,8 @@
 from pathlib import Path
 from typing import Any
 
+from cranklane.common.strict_json import read_json_text
+
 FORMAT_VERSION = 1
 OUTCOMES = frozenset({"answered", "not_run", "unknown", "cut", "lost"})
 ACTIONS = frozenset(
@@ -107,7 +109,7 @@
     :raises TraceError: naming every invalid line.
     """
     try:
-        lines = path.read_text().splitlines()
+        lines = path.read_bytes().splitlines()
     except OSError as error:
         raise TraceError([f"{path}: cannot be read: {error.strerror}"]) from error
     problems: list[str] = []
@@ -123,9 +125,9 @@
     return Trace(**parsed[0], events=tuple(events))
 
 
-def _parse(path: Path, number: int, line: str, problems: list[str]) -> dict[str, Any]:
+def _parse(path: Path, number: int, line: bytes, problems: list[str]) -> dict[str, Any]:
     try:
-        media = json.loads(line)
+        media = read_json_text(line)
     except ValueError as error:
         problems.append(f"{path}: line {number}: invalid JSON: {error}")
         return {}
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -53,7 +53,7 @@
 
     with captured_lines() as lines:
         metrics = simulate(1, delay, scenario)
-    return list(read_lines(lines)), metrics
+    return list(read_lines(line.encode() for line in lines)), metrics
 
 
 def test_slot_time_below_a_served_request_counts_as_in_time():
@@ -99,7 +99,7 @@
         summary(1, [["r", "refused", "s", "queue_full", 1]], []),
         summary(2, [["r", "failed", "t", "run_failed", 2]], [["s", "failed", 250]]),
     ]
-    report = "\n".join(format_losses(sum_losses(read_lines(lines))))
+    report = "\n".join(format_losses(sum_losses(read_lines(line.encode() for line in lines))))
     assert "1.0 s  in_time 75.0%  late 0.0%  refused 0.0%  failed 25.0%" in report
     assert "3/4" in report and "0/2" in report
     assert "2  r                    failed   run_failed at t" in report
--- a/tests/test_slot_summary.py
+++ b/tests/test_slot_summary.py
@@ -28,7 +28,7 @@
 
     with captured_lines() as captured:
         metrics = play(script)
-    return list(read_lines(captured)), metrics
+    return list(read_lines(line.encode() for line in captured)), metrics
 
 
 def test_summary_counts_each_decision_and_the_slot_time_of_a_priority(lines):
@@ -56,7 +56,7 @@
         '"slots":4,"most_running":4,"most_queued":2,"decisions":[["s",2,"none",3]],'
         '"slot_ms":[["s",2,1500]],"limits":{"r":2.5}}'
     )
-    report = "\n".join(format_slot_use(sum_slot_use(read_lines([text]))))
+    report = "\n".join(format_slot_use(sum_slot_use(read_lines([text.encode()]))))
     assert "priority 2         1.5 s  admitted 3" in report
     assert "2.5 2.5  at 1 workers" in report
 
@@ -70,5 +70,9 @@
 
     with captured_lines() as captured:
         play(script)
-    summaries = [line for line in read_lines(captured) if line.event == "slots_used"]
+    summaries = [
+        line
+        for line in read_lines(line.encode() for line in captured)
+        if line.event == "slots_used"
+    ]
     assert sum(line.fields["retries"] for line in summaries) == 1
