--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -21,6 +21,7 @@
 from cranklane.common.logs import configure_logs, logger
 from cranklane.errors import CorruptedLogError, InvariantError, SettingsError
 from cranklane.runtime.real import RealRuntime
+from cranklane.runtime.restarting import run_restarting
 from cranklane.settings import load
 
 GC_THRESHOLDS = (10_000, 20, 20)
@@ -184,7 +185,7 @@
                 # Keeps the current settings.
                 log.error("settings_refused", path=path, problems=error.problems)
 
-    gevent.spawn(watch)
+    gevent.spawn(run_restarting, watch)
 
 
 def _file_signature(path: str) -> tuple[int, int, int]:
--- a/src/cranklane/common/line_queue.py
+++ b/src/cranklane/common/line_queue.py
@@ -72,4 +72,4 @@
             line = self._lines.popleft()
             block.append(line)
             size += len(line)
-        return ("\n".join(block) + "\n").encode()
+        return ("\n".join(block) + "\n").encode(errors="backslashreplace")
--- a/src/cranklane/control/process.py
+++ b/src/cranklane/control/process.py
@@ -129,7 +129,7 @@
         )
         self.http = HttpServer(self.runtime, parse_address(settings.http), api.application)
         joining = Joining(self.replica, settings.replicas, settings.founder, settings.voter)
-        self.runtime.spawn(joining.run)
+        self.runtime.spawn_restarting(joining.run)
         self._nodes.start(self.replica)
         self._log.info("started", revision=self.store.revision)
 
--- a/src/cranklane/controller/departure_writer.py
+++ b/src/cranklane/controller/departure_writer.py
@@ -78,7 +78,12 @@
             self._requested.wait()
             self._requested.clear()
             batch, self._next_batch = self._next_batch, _Batch()
-            batch.stored.set(self._write(batch.command()))
+            is_stored = False
+            try:
+                is_stored = self._write(batch.command())
+            finally:
+                # Also after an unexpected exception: the sidecars wait for it, and report again.
+                batch.stored.set(is_stored)
 
     def _write(self, command: DepartureCommand) -> bool:
         if self._replica.is_leader:
--- a/src/cranklane/controller/process.py
+++ b/src/cranklane/controller/process.py
@@ -35,6 +35,7 @@
 from cranklane.replication.state import ReplicaInfo
 from cranklane.replication.timing import STOP_SECONDS
 from cranklane.runtime.interface import Runtime, parse_address
+from cranklane.runtime.restarting import FAILURES
 from cranklane.settings import (
     ADDRESS,
     ADDRESSES,
@@ -62,6 +63,10 @@
 its local share."""
 
 
+MAX_LOGGED_PROBLEMS = 3
+"""Limit on the logged problems of a stored table. The first ones show the cause."""
+
+
 @dataclass
 class ControllerSettings:
     """Settings of a controller."""
@@ -99,7 +104,8 @@
         self.runtime = runtime
         self.settings = settings
         self._log = logger(process="controller", node=settings.name)
-        self.store = RouteTableStore()
+        self.unreadable_tables = 0
+        self.store = RouteTableStore(self._table_unreadable)
         self.departures = DepartureStore()
         self._nodes = NodeService(
             runtime,
@@ -167,15 +173,25 @@
             serve = SmallHttp(self.runtime, metrics.handle).accept
             self.runtime.listen(parse_address(settings.metrics), serve)
         bootstrap = GroupBootstrap(self.replica, self._seed_addresses, settings.first_start)
-        self.runtime.spawn(bootstrap.run)
+        self.runtime.spawn_restarting(bootstrap.run)
         self._nodes.serve_sidecars(self._sidecars)
-        self.runtime.spawn(self._freshness.run)
-        self.runtime.spawn(self._departure_writer.run)
+        self.runtime.spawn_restarting(self._freshness.run)
+        self.runtime.spawn_restarting(self._departure_writer.run)
         self._nodes.start(self.replica)
         self._log.info(
             "started", version=self.store.version, term=self.replica.term, seeds=settings.seeds
         )
 
+    def _table_unreadable(self, version: int, problems: list[str]) -> None:
+        """Count and log a stored table of which only a part can be published."""
+        self.unreadable_tables += 1
+        self._log.error(
+            "stored_table_unreadable",
+            version=version,
+            count=len(problems),
+            problems=problems[:MAX_LOGGED_PROBLEMS],
+        )
+
     def stop(self) -> bool:
         """Finish the operators' requests in flight; acknowledged entries are already on disk.
 
@@ -219,6 +235,21 @@
             lambda: len(self.publisher.subscribers),
         )
         gauges.add("cranklane_members", "Nodes known.", lambda: len(self.membership))
+        gauges.add(
+            "cranklane_unreadable_tables",
+            "Stored tables of which only a part could be published.",
+            lambda: self.unreadable_tables,
+        )
+        gauges.add(
+            "cranklane_failed_updates",
+            "Updates and rows that could not be sent to a subscriber.",
+            lambda: self.publisher.failed_updates,
+        )
+        gauges.add(
+            "cranklane_task_failures",
+            "Unexpected exceptions of tasks, each logged as task_failed.",
+            lambda: FAILURES.count,
+        )
         return gauges
 
     def _fleet_count(self) -> FleetCount:
--- a/src/cranklane/controller/route_store.py
+++ b/src/cranklane/controller/route_store.py
@@ -1,12 +1,14 @@
 """State machine of the route table: the table in force and the digests of all accepted tables.
 
 The store changes only when committed commands are applied in log order, so every replica reaches
-the same state. Owns that state; the replica owns the log.
+the same state. Owns that state; the replica owns the log. A document that a former release has
+accepted although it cannot be read in full stays in force: its readable part is published, and the
+document itself is returned to operators.
 """
 
 from __future__ import annotations
 
-import json
+from collections.abc import Callable
 from enum import IntEnum
 from typing import Any
 
@@ -20,11 +22,13 @@
 )
 from cranklane.routes.document import (
     ROUTE_TABLE_ROW,
+    DocumentError,
     pack_document,
     tenant_of,
     unpack_document,
 )
 from cranklane.routes.rows import rows_of
+from cranklane.routes.stored_document import read_stored
 from cranklane.routes.tenants import Tenant
 
 
@@ -42,16 +46,22 @@
 class RouteTableStore:
     """Route table of one replica.
 
+    :param on_unreadable: called with the version and the problems of a stored document that cannot
+        be read in full.
     :ivar revision: number of accepted tables.
     :ivar version: operator's version number of the table in force, 0 for none.
     :ivar tenants: tenants of the table in force.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_unreadable: Callable[[int, list[str]], None] = lambda _version, _problems: None
+    ) -> None:
+        self._on_unreadable = on_unreadable
         self.revision = 0
         self.version = 0
         self.tenants: list[Tenant] = []
         self._packed_document = pack_document(b"")
+        self._published_document = self._packed_document
         self._rows = RowChanges()
         self._accepted_versions: dict[bytes, int] = {}
 
@@ -82,12 +92,26 @@
             self.revision += 1
             self.version = command.version
             self._packed_document = command.document
-            document = json.loads(self.document)
-            self._rows.replace(self.revision, rows_of(document))
-            self.tenants = _tenants_of(document)
+            document = self._publish_stored()
+            if document is not None:
+                self._rows.replace(self.revision, rows_of(document))
             self._accepted_versions[command.digest] = command.version
         return result
 
+    def _publish_stored(self) -> dict[str, Any] | None:
+        """Publish the readable part of the document in force, and return it.
+
+        If nothing of it can be read, the former one stays published; the result is None.
+        """
+        stored = read_stored(self._packed_document)
+        if stored.problems:
+            self._on_unreadable(self.version, stored.problems)
+        if stored.value is None:
+            return None
+        self._published_document = stored.packed
+        self.tenants = _tenants_of(stored.value)
+        return stored.value
+
     def delta(self, base: int) -> ConfigDelta:
         """Return the update for a subscriber at revision ``base``.
 
@@ -98,12 +122,12 @@
         changed = self._rows.since(base) if base else None
         if changed is not None:
             return ConfigDelta(base, self.revision, False, changed)
-        row = ConfigRow(self.revision, ROUTE_TABLE_ROW, self._packed_document)
+        row = ConfigRow(self.revision, ROUTE_TABLE_ROW, self._published_document)
         return ConfigDelta(0, self.revision, True, [row])
 
     def value(self, key: str) -> bytes:
         """Return the value of a row, empty if the row does not exist."""
-        return self._packed_document if key == ROUTE_TABLE_ROW else b""
+        return self._published_document if key == ROUTE_TABLE_ROW else b""
 
     def pack(self) -> bytes:
         """Return the encoded state for a snapshot."""
@@ -118,12 +142,19 @@
         self.revision = state.revision
         self.version = state.version
         self._packed_document = state.document or pack_document(b"")
-        document = json.loads(self.document) if self.document else None
+        self._published_document = self._packed_document
+        self.tenants = []
+        document = self._publish_stored() if self.version else None
         self._rows.reset(self.revision, rows_of(document) if document is not None else {})
-        self.tenants = _tenants_of(document) if document is not None else []
         self._accepted_versions = {table.digest: table.version for table in state.taken}
 
 
 def _tenants_of(document: dict[str, Any]) -> list[Tenant]:
-    entries = document.get("tenants") or {}
-    return [tenant_of(name, value) for name, value in entries.items()]
+    tenants = []
+    for name, value in (document.get("tenants") or {}).items():
+        try:
+            tenants.append(tenant_of(name, value))
+        except DocumentError:
+            # A stored document of a former release: its sidecars report the entry.
+            continue
+    return tenants
--- a/src/cranklane/distribution/member_exchange.py
+++ b/src/cranklane/distribution/member_exchange.py
@@ -69,7 +69,7 @@
             for replica in self._other_controls():
                 if replica.address not in self._wakeups:
                     self._wakeups[replica.address] = Event()
-                    self._runtime.spawn(self._keep_reporting, replica.address)
+                    self._runtime.spawn_restarting(self._keep_reporting, replica.address)
             gevent.sleep(RETRY_DELAY_SECONDS)
 
     def _is_member(self, address: str) -> bool:
--- a/src/cranklane/distribution/node_service.py
+++ b/src/cranklane/distribution/node_service.py
@@ -58,7 +58,7 @@
         self._contact = GroupContact(timing, runtime.monotonic)
         self.membership = Membership(name, runtime.monotonic, self._members_changed)
         replicas = self._replica_addresses if sends_replicas else None
-        self.publisher = Publisher(runtime, source, self.membership, replicas, timing.ping)
+        self.publisher = Publisher(runtime, source, self.membership, log, replicas, timing.ping)
         self._exchange = MemberExchange(runtime, self.membership, self._other_controls, hello)
 
     def serve_sidecars(self, sidecars: SidecarSupport) -> None:
@@ -66,7 +66,7 @@
         self.publisher.serve_sidecars(sidecars)
         self._exchange.sidecars = sidecars
         self._sidecars = sidecars
-        self._runtime.spawn(sidecars.run)
+        self._runtime.spawn_restarting(sidecars.run)
 
     def usage_changed(self) -> None:
         """Send new totals of tenant usage to other control processes."""
@@ -79,7 +79,7 @@
         """
         self._replica = replica
         for task in (self._exchange.run, self._expire, self._watch_contact):
-            self._runtime.spawn(task)
+            self._runtime.spawn_restarting(task)
 
     def serve(self, records: RecordConnection) -> None:
         """Serve the connection of a node or of another control process until it closes."""
--- a/src/cranklane/distribution/publisher.py
+++ b/src/cranklane/distribution/publisher.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 from gevent.event import Event
 
+from cranklane.common.rate_limit import RateLimit
 from cranklane.distribution.membership import Membership
 from cranklane.distribution.sidecar_support import SidecarSupport
 from cranklane.distribution.subscriber import Subscriber
@@ -41,14 +43,19 @@
 """Interval of pings to a subscriber without updates; two fit into
 ``subscription_callbacks.CONTROL_IDLE_TIMEOUT_SECONDS``."""
 
+FAILURE_LINES_PER_SECOND = 1.0
+"""Rate limit of lines on updates that could not be sent; each subscriber's may fail."""
+
 
 class Publisher:
     """Serves the subscribers of one control process.
 
+    :param log: logger of updates that could not be sent.
     :param replicas: returns the addresses of control processes for subscribers, None to send
         none.
     :param ping_seconds: interval of pings to a subscriber without updates.
     :ivar subscribers: current subscribers by node name.
+    :ivar failed_updates: updates and rows that could not be sent since the start.
     """
 
     def __init__(
@@ -56,6 +63,7 @@
         runtime: Runtime,
         source: RowSource,
         membership: Membership,
+        log: Any,
         replicas: Callable[[], list[str]] | None = None,
         ping_seconds: float = PING_INTERVAL_SECONDS,
     ) -> None:
@@ -63,10 +71,13 @@
         self._runtime = runtime
         self._membership = membership
         self._changed = Event()
-        self._updates = SubscriberUpdates(source, membership, replicas)
+        self._log = log
+        self._failure_limit = RateLimit(runtime.monotonic, FAILURE_LINES_PER_SECOND)
+        self.failed_updates = 0
+        self._updates = SubscriberUpdates(source, membership, replicas, self._update_failed)
         self.subscribers: dict[str, Subscriber] = {}
         self._sidecars: SidecarSupport | None = None
-        runtime.spawn(self._wake_subscribers)
+        runtime.spawn_restarting(self._wake_subscribers)
 
     def serve_sidecars(self, sidecars: SidecarSupport) -> None:
         """Enable heartbeat answers, usage reports and admission ratios for sidecars."""
@@ -185,13 +196,24 @@
         self.subscribers[name] = subscriber
         self._updates.mark_current(subscriber)
         self._membership.add_subscriber(subscriber.identity)
-        self._runtime.spawn(self._publish, subscriber)
+        self._runtime.spawn_restarting(self._publish, subscriber)
 
     def _unregister(self, subscriber: Subscriber) -> None:
         subscriber.wakeup.set()
         if self.subscribers.get(subscriber.identity.node) is subscriber:
             del self.subscribers[subscriber.identity.node]
 
+    def _update_failed(self, update: str, error: Exception) -> None:
+        """Count and log an update that could not be sent."""
+        self.failed_updates += 1
+        if self._failure_limit.allows():
+            self._log.error(
+                "update_failed",
+                update=update,
+                error=f"{type(error).__name__}: {ascii(str(error))}",
+                others=self._failure_limit.take_left_out(),
+            )
+
     def _publish(self, subscriber: Subscriber) -> None:
         records = subscriber.records
         try:
--- a/src/cranklane/distribution/subscriber_updates.py
+++ b/src/cranklane/distribution/subscriber_updates.py
@@ -12,6 +12,7 @@
 from cranklane.distribution.shared_frames import SharedFrameCache
 from cranklane.distribution.sidecar_support import SidecarSupport
 from cranklane.distribution.subscriber import Subscriber
+from cranklane.errors import ConnectionLostError, MalformedRecordError
 from cranklane.policy.names import SYSTEM_TENANT
 from cranklane.records.connection import CONNECTION_CALL, encode_frame
 from cranklane.records.messages import (
@@ -44,6 +45,7 @@
 
     :param replicas: returns the addresses of control processes for subscribers, None to send
         none.
+    :param on_failure: called with what could not be sent and the exception; all else is sent.
     :ivar sidecars: provides departures and admission ratios, None without sidecars.
     """
 
@@ -52,7 +54,9 @@
         source: RowSource,
         membership: Membership,
         replicas: Callable[[], list[str]] | None,
+        on_failure: Callable[[str, Exception], None],
     ) -> None:
+        self._on_failure = on_failure
         self._source = source
         self._membership = membership
         self._replicas = replicas
@@ -63,14 +67,27 @@
     def send(self, subscriber: Subscriber) -> bool:
         """Send pending updates to a subscriber; return whether any were sent.
 
+        An update that fails does not keep the others from the subscriber; it is tried again the
+        next time.
+
         :raises ConnectionLostError: when the connection is closed.
         """
-        # First, so that a sidecar which has just started knows them before it serves.
-        sent = self._send_departures(subscriber)
-        sent |= self._send_replicas(subscriber)
-        sent |= self._send_configuration(subscriber)
-        sent |= self._send_members(subscriber)
-        sent |= self._send_shares(subscriber)
+        # Departures first, so that a sidecar which has just started knows them before it serves.
+        updates = (
+            self._send_departures,
+            self._send_replicas,
+            self._send_configuration,
+            self._send_members,
+            self._send_shares,
+        )
+        sent = False
+        for update in updates:
+            try:
+                sent |= update(subscriber)
+            except ConnectionLostError:
+                raise
+            except Exception as error:
+                self._on_failure(update.__name__, error)
         return sent
 
     def _send_departures(self, subscriber: Subscriber) -> bool:
@@ -123,7 +140,7 @@
     def _send_shared_configuration(self, subscriber: Subscriber, revision: int) -> None:
         base = subscriber.sent_version
         frame = self._configuration_frames.get(
-            (base, revision), lambda: encode_frame(CONNECTION_CALL, self._source.delta(base))
+            (base, revision), lambda: self._encode_delta(self._source.delta(base))
         )
         subscriber.records.send_frame(frame)
         subscriber.sent_version = revision
@@ -139,9 +156,25 @@
             delta = self._source.delta(0)
         if services is not None:
             delta.rows = [row for row in delta.rows if _is_relevant_row(row, services)]
-        subscriber.records.send(delta)
+        subscriber.records.send_frame(self._encode_delta(delta))
         subscriber.sent_version = delta.version
 
+    def _encode_delta(self, delta: ConfigDelta) -> bytes:
+        """Return the frame of a delta, without the rows that cannot be packed."""
+        try:
+            return encode_frame(CONNECTION_CALL, delta)
+        except MalformedRecordError:
+            delta.rows = [row for row in delta.rows if self._is_packable(row)]
+            return encode_frame(CONNECTION_CALL, delta)
+
+    def _is_packable(self, row: ConfigRow) -> bool:
+        try:
+            row.pack()
+        except MalformedRecordError as error:
+            self._on_failure(f"row {ascii(row.key)}", error)
+            return False
+        return True
+
     def required_services(self, subscriber: Subscriber) -> frozenset[str] | None:
         """Return the services whose rows and members a node needs, or None for all."""
         if subscriber.identity.everything:
--- a/src/cranklane/distribution/subscription.py
+++ b/src/cranklane/distribution/subscription.py
@@ -149,6 +149,9 @@
                 self._receive(records)
         except (ConnectionLostError, MalformedRecordError) as error:
             return self._close_lost_connection(records, error)
+        except Exception as error:
+            self._close_lost_connection(records, error)
+            raise
 
     def _renew_identity(self) -> None:
         """Update session, version and state in the identity for a new connection."""
@@ -227,14 +230,17 @@
         return heartbeat
 
     def _send_heartbeats(self, records: RecordConnection) -> None:
-        while not records.closed:
-            try:
+        try:
+            while not records.closed:
                 records.send(self._heartbeat())
-            except ConnectionLostError:
-                # The task that reads the connection tries another control process.
-                return
-            gevent.sleep(self._timing.heartbeat)
-            self._disconnect_if_behind(records)
+                gevent.sleep(self._timing.heartbeat)
+                self._disconnect_if_behind(records)
+        except ConnectionLostError:
+            # The task that reads the connection tries another control process.
+            return
+        finally:
+            # Without heartbeats, control would take this node for gone.
+            records.close()
 
     def on_newer_version(self) -> None:
         """Record that another node has a newer configuration version.
--- a/src/cranklane/ledger/process.py
+++ b/src/cranklane/ledger/process.py
@@ -85,9 +85,9 @@
         self.replica.open()
         self._listener = self.runtime.listen(parse_address(settings.listen), self._port.accept)
         joining = Joining(self.replica, settings.replicas, settings.founder, settings.voter)
-        self.runtime.spawn(joining.run)
+        self.runtime.spawn_restarting(joining.run)
         self._subscription = self._new_subscription()
-        self.runtime.spawn(self._subscription.follow)
+        self.runtime.spawn_restarting(self._subscription.follow)
         self._log.info("started", entries=len(self.store))
 
     def stop(self) -> bool:
--- a/src/cranklane/ledger/service.py
+++ b/src/cranklane/ledger/service.py
@@ -58,7 +58,7 @@
         self._pending: list[_Pending] = []
         self._requests_pending = Event()
         for _ in range(CONCURRENT_BATCHES):
-            runtime.spawn(self._commit_batches)
+            runtime.spawn_restarting(self._commit_batches)
 
     def serve(self, records: RecordConnection) -> None:
         """Handle a node's requests until its connection ends."""
--- a/src/cranklane/node/callers.py
+++ b/src/cranklane/node/callers.py
@@ -70,7 +70,7 @@
         self.application = falcon.App()
         self.application.add_sink(self._serve, "/")
         self.application.req_options.strip_url_path_trailing_slash = False
-        runtime.spawn(self._watch_disconnects)
+        runtime.spawn_restarting(self._watch_disconnects)
 
     @property
     def calls(self) -> int:
--- a/src/cranklane/node/inbound.py
+++ b/src/cranklane/node/inbound.py
@@ -64,7 +64,7 @@
         self._idle_monitors: dict[int, IdleMonitor] = {}
         self._next_connection = 0
         self.calls = 0
-        runtime.spawn(self._close_idle_connections)
+        runtime.spawn_restarting(self._close_idle_connections)
 
     def _close_idle_connections(self) -> None:
         while True:
--- a/src/cranklane/node/ledger_client.py
+++ b/src/cranklane/node/ledger_client.py
@@ -80,6 +80,9 @@
                 if answer is not None:
                     answer.set(message)
         except (ConnectionLostError, MalformedRecordError):
+            # The requests in flight get no answer here; the next one reconnects.
+            pass
+        finally:
             self.records.close()
             for answer in self._answers.values():
                 answer.set(None)
--- a/src/cranklane/node/peer_connection.py
+++ b/src/cranklane/node/peer_connection.py
@@ -96,12 +96,15 @@
             pass
 
     def _read(self) -> None:
+        reason = "the task that reads the connection has ended"
         try:
             while True:
                 number, message = self._records.receive()
                 self._handle_record(number, message)
         except (ConnectionLostError, MalformedRecordError) as error:
-            self._fail_calls(error)
+            reason = str(error)
+        finally:
+            self._fail_calls(reason)
 
     def _handle_record(self, number: int, message: Message) -> None:
         if number == CONNECTION_CALL:
@@ -114,12 +117,12 @@
         if call is not None:
             call.deliver(message)
 
-    def _fail_calls(self, error: Exception) -> None:
+    def _fail_calls(self, reason: str) -> None:
         self._records.close()
         calls = list(self._calls.values())
         self._calls.clear()
         for call in calls:
-            call.deliver(ConnectionLostError(str(error)))
+            call.deliver(ConnectionLostError(reason))
 
     def _ping(self) -> None:
         monitor = IdleMonitor(self._records, IDLE_TIMEOUT_SECONDS, self._runtime.monotonic())
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -98,7 +98,7 @@
             self._start_inbound()
         self.subscription = self._subscription()
         self.subscription.load()
-        self._runtime.spawn(self.subscription.follow)
+        self._runtime.spawn_restarting(self.subscription.follow)
         if settings.admin:
             admin = Admin(self._admin_view())
             self.admin = HttpServer(self._runtime, parse_address(settings.admin), admin.application)
--- a/src/cranklane/records/generate.py
+++ b/src/cranklane/records/generate.py
@@ -112,11 +112,11 @@
     lines += [f"    __slots__ = ({', '.join(repr(name) for name, _ in fields)},)", ""]
     lines += _init_lines([(name, kind) for name, kind in fields])
     lines += ["", "    def pack(self) -> bytes:"]
-    lines += [f"        {name} = {_encode(name, kind)}" for name, kind in variable]
     values = [f"self.{name}" for name, _ in numbers] + [f"len({name})" for name, _ in variable]
     lines.append("        try:")
+    lines += [f"            {name} = {_encode(name, kind)}" for name, kind in variable]
     lines.append(f"            head = self.LAYOUT.pack({', '.join(values)})")
-    lines.append("        except StructError as error:")
+    lines.append("        except (StructError, UnicodeEncodeError) as error:")
     lines.append('            raise MalformedRecordError(f"cannot pack: {error}") from error')
     tail = ", ".join(["head", *(name for name, _ in variable)])
     lines.append(f"        return b''.join(({tail}))" if variable else "        return head")
--- a/src/cranklane/records/lists.py
+++ b/src/cranklane/records/lists.py
@@ -38,7 +38,10 @@
 
 
 def pack_strings(items: Sequence[str]) -> bytes:
-    """Encode a list of strings."""
+    """Encode a list of strings.
+
+    :raises UnicodeEncodeError: if a string has a surrogate.
+    """
     return _join([item.encode() for item in items])
 
 
--- a/src/cranklane/records/messages.py
+++ b/src/cranklane/records/messages.py
@@ -47,13 +47,13 @@
         self.zone: str = zone
 
     def pack(self) -> bytes:
-        node = self.node.encode()
-        tenant = self.tenant.encode()
-        service = self.service.encode()
-        zone = self.zone.encode()
         try:
+            node = self.node.encode()
+            tenant = self.tenant.encode()
+            service = self.service.encode()
+            zone = self.zone.encode()
             head = self.LAYOUT.pack(self.protocol, self.incarnation, self.version, len(node), len(tenant), len(service), len(zone))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, node, tenant, service, zone))
 
@@ -97,7 +97,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.version)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -139,7 +139,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.in_flight, self.queued, self.limit, self.wait_us, self.draining, self.version)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -171,7 +171,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.reason)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -229,17 +229,17 @@
         self.body: bytes = body
 
     def pack(self) -> bytes:
-        tenant = self.tenant.encode()
-        caller = self.caller.encode()
-        service = self.service.encode()
-        method = self.method.encode()
-        path = self.path.encode()
-        key = self.key.encode()
-        headers = pack_pairs(self.headers)
-        body = self.body
         try:
+            tenant = self.tenant.encode()
+            caller = self.caller.encode()
+            service = self.service.encode()
+            method = self.method.encode()
+            path = self.path.encode()
+            key = self.key.encode()
+            headers = pack_pairs(self.headers)
+            body = self.body
             head = self.LAYOUT.pack(self.deadline_ms, self.allowance, self.criticality, self.depth, self.attempt, self.root, self.window, len(tenant), len(caller), len(service), len(method), len(path), len(key), len(headers), len(body))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, tenant, caller, service, method, path, key, headers, body))
 
@@ -295,7 +295,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.reason)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -347,10 +347,10 @@
         self.headers: list[tuple[str, str]] = headers if headers is not None else []
 
     def pack(self) -> bytes:
-        headers = pack_pairs(self.headers)
         try:
+            headers = pack_pairs(self.headers)
             head = self.LAYOUT.pack(self.outcome, self.reason, self.status, self.retry_after_ms, self.allowance, self.in_flight, self.limit, self.wait_us, self.refused_below, self.draining, self.final, len(headers))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, headers))
 
@@ -385,10 +385,10 @@
         self.data: bytes = data
 
     def pack(self) -> bytes:
-        data = self.data
         try:
+            data = self.data
             head = self.LAYOUT.pack(self.sequence, len(data))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, data))
 
@@ -427,7 +427,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.length, self.checksum, self.allowance)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -461,7 +461,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.reason, self.allowance)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -493,7 +493,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.size)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -547,15 +547,15 @@
         self.state: int = state
 
     def pack(self) -> bytes:
-        node = self.node.encode()
-        tenant = self.tenant.encode()
-        service = self.service.encode()
-        zone = self.zone.encode()
-        address = self.address.encode()
-        instance = self.instance.encode()
         try:
+            node = self.node.encode()
+            tenant = self.tenant.encode()
+            service = self.service.encode()
+            zone = self.zone.encode()
+            address = self.address.encode()
+            instance = self.instance.encode()
             head = self.LAYOUT.pack(self.incarnation, self.version, self.session, self.everything, self.last_resort, self.slots, self.state, len(node), len(tenant), len(service), len(zone), len(address), len(instance))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, node, tenant, service, zone, address, instance))
 
@@ -607,11 +607,11 @@
         self.value: bytes = value
 
     def pack(self) -> bytes:
-        key = self.key.encode()
-        value = self.value
         try:
+            key = self.key.encode()
+            value = self.value
             head = self.LAYOUT.pack(self.revision, len(key), len(value))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, key, value))
 
@@ -653,10 +653,10 @@
         self.rows: list[ConfigRow] = rows if rows is not None else []
 
     def pack(self) -> bytes:
-        rows = pack_records(self.rows)
         try:
+            rows = pack_records(self.rows)
             head = self.LAYOUT.pack(self.base, self.version, self.whole, len(rows))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, rows))
 
@@ -711,15 +711,15 @@
         self.slowness: int = slowness
 
     def pack(self) -> bytes:
-        node = self.node.encode()
-        tenant = self.tenant.encode()
-        service = self.service.encode()
-        zone = self.zone.encode()
-        address = self.address.encode()
-        instance = self.instance.encode()
         try:
+            node = self.node.encode()
+            tenant = self.tenant.encode()
+            service = self.service.encode()
+            zone = self.zone.encode()
+            address = self.address.encode()
+            instance = self.instance.encode()
             head = self.LAYOUT.pack(self.incarnation, self.sequence, self.state, self.slots, self.faults, self.slowness, len(node), len(tenant), len(service), len(zone), len(address), len(instance))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, node, tenant, service, zone, address, instance))
 
@@ -769,10 +769,10 @@
         self.members: list[Member] = members if members is not None else []
 
     def pack(self) -> bytes:
-        members = pack_records(self.members)
         try:
+            members = pack_records(self.members)
             head = self.LAYOUT.pack(self.whole, len(members))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, members))
 
@@ -821,11 +821,11 @@
         self.asked_us: int = asked_us
 
     def pack(self) -> bytes:
-        service = self.service.encode()
-        instance = self.instance.encode()
         try:
+            service = self.service.encode()
+            instance = self.instance.encode()
             head = self.LAYOUT.pack(self.incarnation, self.version, self.state, self.slots, self.faults, self.slowness, self.asked_us, len(service), len(instance))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, instance))
 
@@ -861,10 +861,10 @@
         self.addresses: list[str] = addresses if addresses is not None else []
 
     def pack(self) -> bytes:
-        addresses = pack_strings(self.addresses)
         try:
+            addresses = pack_strings(self.addresses)
             head = self.LAYOUT.pack(len(addresses))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, addresses))
 
@@ -899,7 +899,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.incarnation)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -937,7 +937,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.asked_us, self.confirmed, self.age_us, self.revision)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -973,10 +973,10 @@
         self.tenant: str = tenant
 
     def pack(self) -> bytes:
-        tenant = self.tenant.encode()
         try:
+            tenant = self.tenant.encode()
             head = self.LAYOUT.pack(self.offered, self.admitted, self.returned, len(tenant))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, tenant))
 
@@ -1009,10 +1009,10 @@
         self.usage: list[TenantUsage] = usage if usage is not None else []
 
     def pack(self) -> bytes:
-        usage = pack_records(self.usage)
         try:
+            usage = pack_records(self.usage)
             head = self.LAYOUT.pack(len(usage))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, usage))
 
@@ -1051,11 +1051,11 @@
         self.totals: list[TenantUsage] = totals if totals is not None else []
 
     def pack(self) -> bytes:
-        owner = self.owner.encode()
-        totals = pack_records(self.totals)
         try:
+            owner = self.owner.encode()
+            totals = pack_records(self.totals)
             head = self.LAYOUT.pack(self.began_us, self.nodes, len(owner), len(totals))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, owner, totals))
 
@@ -1093,10 +1093,10 @@
         self.tenant: str = tenant
 
     def pack(self) -> bytes:
-        tenant = self.tenant.encode()
         try:
+            tenant = self.tenant.encode()
             head = self.LAYOUT.pack(self.permille, len(tenant))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, tenant))
 
@@ -1131,10 +1131,10 @@
         self.shares: list[TenantShare] = shares if shares is not None else []
 
     def pack(self) -> bytes:
-        shares = pack_records(self.shares)
         try:
+            shares = pack_records(self.shares)
             head = self.LAYOUT.pack(self.whole, len(shares))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, shares))
 
@@ -1179,13 +1179,13 @@
         self.key: str = key
 
     def pack(self) -> bytes:
-        digest = self.digest
-        tenant = self.tenant.encode()
-        service = self.service.encode()
-        key = self.key.encode()
         try:
+            digest = self.digest
+            tenant = self.tenant.encode()
+            service = self.service.encode()
+            key = self.key.encode()
             head = self.LAYOUT.pack(self.attempt, self.lease_ms, self.run_ms, len(digest), len(tenant), len(service), len(key))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, digest, tenant, service, key))
 
@@ -1233,11 +1233,11 @@
         self.body: bytes = body
 
     def pack(self) -> bytes:
-        headers = pack_pairs(self.headers)
-        body = self.body
         try:
+            headers = pack_pairs(self.headers)
+            body = self.body
             head = self.LAYOUT.pack(self.decision, self.status, len(headers), len(body))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, headers, body))
 
@@ -1287,14 +1287,14 @@
         self.body: bytes = body
 
     def pack(self) -> bytes:
-        tenant = self.tenant.encode()
-        service = self.service.encode()
-        key = self.key.encode()
-        headers = pack_pairs(self.headers)
-        body = self.body
         try:
+            tenant = self.tenant.encode()
+            service = self.service.encode()
+            key = self.key.encode()
+            headers = pack_pairs(self.headers)
+            body = self.body
             head = self.LAYOUT.pack(self.attempt, self.outcome, self.status, len(tenant), len(service), len(key), len(headers), len(body))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, tenant, service, key, headers, body))
 
@@ -1341,7 +1341,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.stored)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -1373,10 +1373,10 @@
         self.leader: str = leader
 
     def pack(self) -> bytes:
-        leader = self.leader.encode()
         try:
+            leader = self.leader.encode()
             head = self.LAYOUT.pack(self.not_run, len(leader))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, leader))
 
@@ -1433,15 +1433,15 @@
         self.body: bytes = body
 
     def pack(self) -> bytes:
-        digest = self.digest
-        tenant = self.tenant.encode()
-        service = self.service.encode()
-        key = self.key.encode()
-        headers = pack_pairs(self.headers)
-        body = self.body
         try:
+            digest = self.digest
+            tenant = self.tenant.encode()
+            service = self.service.encode()
+            key = self.key.encode()
+            headers = pack_pairs(self.headers)
+            body = self.body
             head = self.LAYOUT.pack(self.attempt, self.outcome, self.finished, self.started, self.running_until, self.expires, self.status, len(digest), len(tenant), len(service), len(key), len(headers), len(body))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, digest, tenant, service, key, headers, body))
 
@@ -1493,11 +1493,11 @@
         self.finishes: list[LedgerFinish] = finishes if finishes is not None else []
 
     def pack(self) -> bytes:
-        begins = pack_records(self.begins)
-        finishes = pack_records(self.finishes)
         try:
+            begins = pack_records(self.begins)
+            finishes = pack_records(self.finishes)
             head = self.LAYOUT.pack(self.when, len(begins), len(finishes))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, begins, finishes))
 
@@ -1535,10 +1535,10 @@
         self.entries: bytes = entries
 
     def pack(self) -> bytes:
-        entries = self.entries
         try:
+            entries = self.entries
             head = self.LAYOUT.pack(self.now, len(entries))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, entries))
 
@@ -1575,11 +1575,11 @@
         self.tokens: list[str] = tokens if tokens is not None else []
 
     def pack(self) -> bytes:
-        name = self.name.encode()
-        tokens = pack_strings(self.tokens)
         try:
+            name = self.name.encode()
+            tokens = pack_strings(self.tokens)
             head = self.LAYOUT.pack(self.share, len(name), len(tokens))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, name, tokens))
 
@@ -1629,12 +1629,12 @@
         self.pattern: str = pattern
 
     def pack(self) -> bytes:
-        name = self.name.encode()
-        method = self.method.encode()
-        pattern = self.pattern.encode()
         try:
+            name = self.name.encode()
+            method = self.method.encode()
+            pattern = self.pattern.encode()
             head = self.LAYOUT.pack(self.criticality, self.caps, self.repeat, self.deadline_ms, self.allowance, len(name), len(method), len(pattern))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, name, method, pattern))
 
@@ -1691,15 +1691,15 @@
         self.routes: list[RouteRow] = routes if routes is not None else []
 
     def pack(self) -> bytes:
-        tenant = self.tenant.encode()
-        name = self.name.encode()
-        calls = pack_strings(self.calls)
-        callers = pack_strings(self.callers)
-        ledgers = pack_strings(self.ledgers)
-        routes = pack_records(self.routes)
         try:
+            tenant = self.tenant.encode()
+            name = self.name.encode()
+            calls = pack_strings(self.calls)
+            callers = pack_strings(self.callers)
+            ledgers = pack_strings(self.ledgers)
+            routes = pack_records(self.routes)
             head = self.LAYOUT.pack(self.slots, self.queue, self.depth_below, self.retry_ratio_permille, len(tenant), len(name), len(calls), len(callers), len(ledgers), len(routes))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, tenant, name, calls, callers, ledgers, routes))
 
@@ -1753,10 +1753,10 @@
         self.data: bytes = data
 
     def pack(self) -> bytes:
-        data = self.data
         try:
+            data = self.data
             head = self.LAYOUT.pack(self.term, self.index, self.kind, len(data))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, data))
 
@@ -1799,12 +1799,12 @@
         self.http: str = http
 
     def pack(self) -> bytes:
-        name = self.name.encode()
-        address = self.address.encode()
-        http = self.http.encode()
         try:
+            name = self.name.encode()
+            address = self.address.encode()
+            http = self.http.encode()
             head = self.LAYOUT.pack(self.identity, self.voter, self.promote, len(name), len(address), len(http))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, name, address, http))
 
@@ -1843,10 +1843,10 @@
         self.members: list[ReplicaMember] = members if members is not None else []
 
     def pack(self) -> bytes:
-        members = pack_records(self.members)
         try:
+            members = pack_records(self.members)
             head = self.LAYOUT.pack(len(members))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, members))
 
@@ -1885,11 +1885,11 @@
         self.state: bytes = state
 
     def pack(self) -> bytes:
-        members = pack_records(self.members)
-        state = self.state
         try:
+            members = pack_records(self.members)
+            state = self.state
             head = self.LAYOUT.pack(self.term, self.index, len(members), len(state))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, members, state))
 
@@ -1931,7 +1931,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term, self.identity, self.voted_for)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -1965,11 +1965,11 @@
         self.name: str = name
 
     def pack(self) -> bytes:
-        group = self.group.encode()
-        name = self.name.encode()
         try:
+            group = self.group.encode()
+            name = self.name.encode()
             head = self.LAYOUT.pack(self.identity, len(group), len(name))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, group, name))
 
@@ -2017,7 +2017,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term, self.candidate, self.last_index, self.last_term, self.trial, self.lost)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -2051,7 +2051,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term, self.granted)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -2093,10 +2093,10 @@
         self.leased: bool = leased
 
     def pack(self) -> bytes:
-        entries = pack_records(self.entries)
         try:
+            entries = pack_records(self.entries)
             head = self.LAYOUT.pack(self.term, self.leader, self.previous_index, self.previous_term, self.commit, self.leased, len(entries))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, entries))
 
@@ -2137,7 +2137,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term, self.success, self.match, self.last)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -2177,10 +2177,10 @@
         self.data: bytes = data
 
     def pack(self) -> bytes:
-        data = self.data
         try:
+            data = self.data
             head = self.LAYOUT.pack(self.term, self.leader, self.index, self.offset, self.total, len(data))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, data))
 
@@ -2215,7 +2215,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -2251,7 +2251,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term, self.leads, self.commit)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -2285,7 +2285,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.term, self.received)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -2321,12 +2321,12 @@
         self.versions: list[NodeVersion] = versions if versions is not None else []
 
     def pack(self) -> bytes:
-        owner = self.owner.encode()
-        members = pack_records(self.members)
-        versions = pack_records(self.versions)
         try:
+            owner = self.owner.encode()
+            members = pack_records(self.members)
+            versions = pack_records(self.versions)
             head = self.LAYOUT.pack(self.whole, len(owner), len(members), len(versions))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, owner, members, versions))
 
@@ -2373,12 +2373,12 @@
         self.http: str = http
 
     def pack(self) -> bytes:
-        name = self.name.encode()
-        address = self.address.encode()
-        http = self.http.encode()
         try:
+            name = self.name.encode()
+            address = self.address.encode()
+            http = self.http.encode()
             head = self.LAYOUT.pack(self.identity, self.voter, len(name), len(address), len(http))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, name, address, http))
 
@@ -2419,10 +2419,10 @@
         self.leader: str = leader
 
     def pack(self) -> bytes:
-        leader = self.leader.encode()
         try:
+            leader = self.leader.encode()
             head = self.LAYOUT.pack(self.status, len(leader))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, leader))
 
@@ -2457,10 +2457,10 @@
         self.node: str = node
 
     def pack(self) -> bytes:
-        node = self.node.encode()
         try:
+            node = self.node.encode()
             head = self.LAYOUT.pack(self.version, len(node))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, node))
 
@@ -2507,14 +2507,14 @@
         self.rows: list[ConfigRow] = rows if rows is not None else []
 
     def pack(self) -> bytes:
-        document = self.document.encode()
-        operator = self.operator.encode()
-        request = self.request.encode()
-        text = self.text.encode()
-        rows = pack_records(self.rows)
         try:
+            document = self.document.encode()
+            operator = self.operator.encode()
+            request = self.request.encode()
+            text = self.text.encode()
+            rows = pack_records(self.rows)
             head = self.LAYOUT.pack(self.base, self.compiled_at, self.when, len(document), len(operator), len(request), len(text), len(rows))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, document, operator, request, text, rows))
 
@@ -2563,11 +2563,11 @@
         self.text: str = text
 
     def pack(self) -> bytes:
-        name = self.name.encode()
-        text = self.text.encode()
         try:
+            name = self.name.encode()
+            text = self.text.encode()
             head = self.LAYOUT.pack(self.version, len(name), len(text))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, name, text))
 
@@ -2615,13 +2615,13 @@
         self.text: str = text
 
     def pack(self) -> bytes:
-        document = self.document.encode()
-        operator = self.operator.encode()
-        request = self.request.encode()
-        text = self.text.encode()
         try:
+            document = self.document.encode()
+            operator = self.operator.encode()
+            request = self.request.encode()
+            text = self.text.encode()
             head = self.LAYOUT.pack(self.version, self.base, self.when, len(document), len(operator), len(request), len(text))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, document, operator, request, text))
 
@@ -2669,11 +2669,11 @@
         self.request: str = request
 
     def pack(self) -> bytes:
-        operator = self.operator.encode()
-        request = self.request.encode()
         try:
+            operator = self.operator.encode()
+            request = self.request.encode()
             head = self.LAYOUT.pack(self.version, self.result, len(operator), len(request))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, operator, request))
 
@@ -2719,13 +2719,13 @@
         self.requests: list[RequestAnswer] = requests if requests is not None else []
 
     def pack(self) -> bytes:
-        documents = pack_records(self.documents)
-        rows = pack_records(self.rows)
-        history = pack_records(self.history)
-        requests = pack_records(self.requests)
         try:
+            documents = pack_records(self.documents)
+            rows = pack_records(self.rows)
+            history = pack_records(self.history)
+            requests = pack_records(self.requests)
             head = self.LAYOUT.pack(self.revision, self.whole_below, len(documents), len(rows), len(history), len(requests))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, documents, rows, history, requests))
 
@@ -2773,11 +2773,11 @@
         self.document: bytes = document
 
     def pack(self) -> bytes:
-        digest = self.digest
-        document = self.document
         try:
+            digest = self.digest
+            document = self.document
             head = self.LAYOUT.pack(self.version, self.base, len(digest), len(document))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, digest, document))
 
@@ -2815,10 +2815,10 @@
         self.digest: bytes = digest
 
     def pack(self) -> bytes:
-        digest = self.digest
         try:
+            digest = self.digest
             head = self.LAYOUT.pack(self.version, len(digest))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, digest))
 
@@ -2857,11 +2857,11 @@
         self.taken: list[TakenTable] = taken if taken is not None else []
 
     def pack(self) -> bytes:
-        document = self.document
-        taken = pack_records(self.taken)
         try:
+            document = self.document
+            taken = pack_records(self.taken)
             head = self.LAYOUT.pack(self.revision, self.version, len(document), len(taken))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, document, taken))
 
@@ -2899,11 +2899,11 @@
         self.instance: str = instance
 
     def pack(self) -> bytes:
-        node = self.node.encode()
-        instance = self.instance.encode()
         try:
+            node = self.node.encode()
+            instance = self.instance.encode()
             head = self.LAYOUT.pack(len(node), len(instance))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, node, instance))
 
@@ -2939,10 +2939,10 @@
         self.instances: list[str] = instances if instances is not None else []
 
     def pack(self) -> bytes:
-        instances = pack_strings(self.instances)
         try:
+            instances = pack_strings(self.instances)
             head = self.LAYOUT.pack(len(instances))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, instances))
 
@@ -2975,10 +2975,10 @@
         self.instances: list[str] = instances if instances is not None else []
 
     def pack(self) -> bytes:
-        instances = pack_strings(self.instances)
         try:
+            instances = pack_strings(self.instances)
             head = self.LAYOUT.pack(len(instances))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, instances))
 
@@ -3011,10 +3011,10 @@
         self.departures: list[Departure] = departures if departures is not None else []
 
     def pack(self) -> bytes:
-        departures = pack_records(self.departures)
         try:
+            departures = pack_records(self.departures)
             head = self.LAYOUT.pack(len(departures))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, departures))
 
@@ -3049,7 +3049,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.stored)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -3081,11 +3081,11 @@
         self.departures: list[Departure] = departures if departures is not None else []
 
     def pack(self) -> bytes:
-        table = self.table
-        departures = pack_records(self.departures)
         try:
+            table = self.table
+            departures = pack_records(self.departures)
             head = self.LAYOUT.pack(len(table), len(departures))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, table, departures))
 
@@ -3171,18 +3171,18 @@
         self.notice: list[WorkerNotice] = notice if notice is not None else []
 
     def pack(self) -> bytes:
-        service = self.service.encode()
-        route = self.route.encode()
-        tenant = self.tenant.encode()
-        caller = self.caller.encode()
-        request_id = self.request_id.encode()
-        lines = self.lines
-        body = self.body
-        tree = self.tree
-        notice = pack_records(self.notice)
         try:
+            service = self.service.encode()
+            route = self.route.encode()
+            tenant = self.tenant.encode()
+            caller = self.caller.encode()
+            request_id = self.request_id.encode()
+            lines = self.lines
+            body = self.body
+            tree = self.tree
+            notice = pack_records(self.notice)
             head = self.LAYOUT.pack(self.deadline_ms, self.start_within_ms, self.expected_latency_us, self.priority, self.root_priority, self.root_age_ms, self.root_objective_ms, self.root_deadline_ms, self.is_retry, self.idempotent, self.bodiless, self.framing, self.whole, self.suspected, self.isolated, self.hand_back, self.length, len(service), len(route), len(tenant), len(caller), len(request_id), len(lines), len(body), len(tree), len(notice))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, route, tenant, caller, request_id, lines, body, tree, notice))
 
@@ -3241,10 +3241,10 @@
         self.data: bytes = data
 
     def pack(self) -> bytes:
-        data = self.data
         try:
+            data = self.data
             head = self.LAYOUT.pack(self.last, len(data))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, data))
 
@@ -3279,7 +3279,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.unused)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
@@ -3353,15 +3353,15 @@
         self.notice: list[WorkerNotice] = notice if notice is not None else []
 
     def pack(self) -> bytes:
-        failed_service = self.failed_service.encode()
-        downstream_cost = pack_records(self.downstream_cost)
-        lines = self.lines
-        body = self.body
-        advertised = self.advertised
-        notice = pack_records(self.notice)
         try:
+            failed_service = self.failed_service.encode()
+            downstream_cost = pack_records(self.downstream_cost)
+            lines = self.lines
+            body = self.body
+            advertised = self.advertised
+            notice = pack_records(self.notice)
             head = self.LAYOUT.pack(self.outcome, self.reason, self.arrived, self.whole, self.framing, self.status, self.retry_after_ms, self.running, self.queued, self.slots, self.faults, self.slowness, self.waited_ms, self.run_time_ms, self.downstream_starved, self.failed_reason, self.length, len(failed_service), len(downstream_cost), len(lines), len(body), len(advertised), len(notice))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, failed_service, downstream_cost, lines, body, advertised, notice))
 
@@ -3417,10 +3417,10 @@
         self.instance: str = instance
 
     def pack(self) -> bytes:
-        instance = self.instance.encode()
         try:
+            instance = self.instance.encode()
             head = self.LAYOUT.pack(self.leaving, self.limited, self.rate_limit, self.pause_ms, len(instance))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, instance))
 
@@ -3455,10 +3455,10 @@
         self.service: str = service
 
     def pack(self) -> bytes:
-        service = self.service.encode()
         try:
+            service = self.service.encode()
             head = self.LAYOUT.pack(self.milliseconds, len(service))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service))
 
@@ -3499,12 +3499,12 @@
         self.identity: bytes = identity
 
     def pack(self) -> bytes:
-        service = self.service.encode()
-        ends = self.ends
-        identity = self.identity
         try:
+            service = self.service.encode()
+            ends = self.ends
+            identity = self.identity
             head = self.LAYOUT.pack(self.held_ms, self.cleared, len(service), len(ends), len(identity))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, ends, identity))
 
@@ -3553,12 +3553,12 @@
         self.entries: list[QuarantineEntry] = entries if entries is not None else []
 
     def pack(self) -> bytes:
-        service = self.service.encode()
-        relay_to = self.relay_to.encode()
-        entries = pack_records(self.entries)
         try:
+            service = self.service.encode()
+            relay_to = self.relay_to.encode()
+            entries = pack_records(self.entries)
             head = self.LAYOUT.pack(self.digest, self.asks, self.settled, len(service), len(relay_to), len(entries))
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return b''.join((head, service, relay_to, entries))
 
@@ -3599,7 +3599,7 @@
     def pack(self) -> bytes:
         try:
             head = self.LAYOUT.pack(self.reason)
-        except StructError as error:
+        except (StructError, UnicodeEncodeError) as error:
             raise MalformedRecordError(f"cannot pack: {error}") from error
         return head
 
--- a/src/cranklane/records/record.py
+++ b/src/cranklane/records/record.py
@@ -20,7 +20,8 @@
     def pack(self) -> bytes:
         """Return the encoded record.
 
-        :raises MalformedRecordError: if a number is out of its field's range.
+        :raises MalformedRecordError: if a number is out of its field's range, or a text has a
+            surrogate, which UTF-8 cannot encode.
         """
         raise NotImplementedError
 
--- a/src/cranklane/replication/applier.py
+++ b/src/cranklane/replication/applier.py
@@ -14,6 +14,7 @@
 from cranklane.replication.proposals import Proposals
 from cranklane.replication.state import EntryKind, ReplicaState
 from cranklane.replication.state_machine import StateMachine
+from cranklane.runtime.restarting import report_failure
 
 MIN_SNAPSHOT_BYTES = 4 * 1024 * 1024
 """Smallest size of a log file that is compacted: snapshots stay rare, and the log is fast to
@@ -58,8 +59,18 @@
 
     def _apply(self, entry: LogEntry) -> None:
         answer: Any = None
-        if entry.kind == EntryKind.COMMAND:
-            answer = self._state_machine.apply(entry.data)
+        try:
+            if entry.kind == EntryKind.COMMAND:
+                answer = self._state_machine.apply(entry.data)
+        except InvariantError:
+            raise
+        except Exception as error:
+            # Every replica fails on it alike, and the later entries are to be applied.
+            report_failure(self._state_machine.apply, error)
+            self._state.event_log.error("entry_not_applied", index=entry.index, error=str(error))
+            self._state.applied_index = entry.index
+            self._proposals.fail(entry)
+            return
         self._state.applied_index = entry.index
         self._proposals.resolve(entry, answer)
 
--- a/src/cranklane/replication/leadership.py
+++ b/src/cranklane/replication/leadership.py
@@ -84,7 +84,7 @@
             if member.identity not in self._replicating_to and member.identity != state.identity:
                 self._replicating_to.add(member.identity)
                 self._wakeups[member.identity] = Event()
-                state.runtime.spawn(self._replicate, member)
+                state.runtime.spawn_restarting(self._replicate, member)
 
     def _still_replicates(self, member: ReplicaMember) -> bool:
         if self._ended:
--- a/src/cranklane/replication/membership_change.py
+++ b/src/cranklane/replication/membership_change.py
@@ -67,7 +67,7 @@
     def __init__(self, replica: Replica, voters: int = 0) -> None:
         self._replica = replica
         self._target_voters = voters
-        replica.runtime.spawn(self._manage_voters)
+        replica.runtime.spawn_restarting(self._manage_voters)
 
     # Requests of replicas and operators.
 
--- a/src/cranklane/replication/proposals.py
+++ b/src/cranklane/replication/proposals.py
@@ -71,6 +71,12 @@
             same = proposal.term == entry.term
             proposal.answer.set(Ok(answer) if same else Err(ProposalFailure.UNKNOWN))
 
+    def fail(self, entry: LogEntry) -> None:
+        """Resolve the proposal of an entry that could not be applied as UNKNOWN."""
+        proposal = self._waiting.get(entry.index)
+        if proposal is not None:
+            proposal.answer.set(Err(ProposalFailure.UNKNOWN))
+
     def abandon(self) -> None:
         """Resolve all pending proposals as UNKNOWN when their leadership ends."""
         for proposal in self._waiting.values():
--- a/src/cranklane/replication/replica.py
+++ b/src/cranklane/replication/replica.py
@@ -83,7 +83,7 @@
         self._applier.restore(self.log.snapshot)
         self.election.restart_timer()
         for task in (self._applier.run, self._sync_appended_entries, self.election.run_timer):
-            self.runtime.spawn(task)
+            self.runtime.spawn_restarting(task)
         self._campaign_if_sole_voter()
         if self.members.quorum() > 1:
             self.runtime.spawn(self.election.replace_former_leader)
--- a/src/cranklane/routes/rows.py
+++ b/src/cranklane/routes/rows.py
@@ -8,10 +8,9 @@
 
 import json
 from collections.abc import Callable, Iterable
-from typing import Any
-
-from result import Err, Ok, Result
+from typing import Any, NamedTuple
 
+from cranklane.common.strict_json import read_json_text
 from cranklane.records.messages import ConfigRow
 from cranklane.routes.document import DocumentError, limits_of, route_of, service_of, tenant_of
 from cranklane.routes.table import RouteTable
@@ -36,14 +35,14 @@
 
 
 def rows_of(document: dict[str, Any]) -> dict[str, bytes]:
-    """Return the rows of a validated document by key.
+    """Return the rows of a document by key; kinds that are no objects have none.
 
     >>> rows = rows_of({"version": 3, "routes": {"r": {"b": 1, "a": 2}}, "services": {}})
     >>> rows["routes/r"], rows["version"]
     (b'{"a":2,"b":1}', b'3')
     """
     rows = {
-        VERSION_ROW: _encode(document["version"]),
+        VERSION_ROW: _encode(document.get("version", 0)),
         LIMITS_ROW: _encode(document.get("limits", {})),
     }
     kinds = [ROUTE_KIND, SERVICE_KIND]
@@ -51,20 +50,32 @@
         kinds.append(TENANT_KIND)
         rows[KEY_REQUIRED_ROW] = _encode(True)
     for kind in kinds:
-        for name, value in document[kind].items():
+        entries = document.get(kind)
+        for name, value in entries.items() if isinstance(entries, dict) else ():
             rows[kind + _SEPARATOR + name] = _encode(value)
     return rows
 
 
-def with_rows(table: RouteTable, rows: Iterable[ConfigRow]) -> Result[RouteTable, str]:
+class UpdatedTable(NamedTuple):
+    """A route table after an update.
+
+    :ivar problems: one for each entry that cannot be read; its former state stays in the table.
+    """
+
+    table: RouteTable
+    problems: list[str]
+
+
+def with_rows(table: RouteTable, rows: Iterable[ConfigRow]) -> UpdatedTable:
     """Return a table with changed rows applied; a row without a value removes its entry."""
     builder = _TableBuilder(table)
-    try:
-        for row in rows:
+    problems = []
+    for row in rows:
+        try:
             builder.apply(row)
-    except (DocumentError, ValueError) as error:
-        return Err(str(error))
-    return Ok(builder.build())
+        except (DocumentError, ValueError) as error:
+            problems.append(f"{row.key}: {error}")
+    return UpdatedTable(builder.build(), problems)
 
 
 class _TableBuilder:
@@ -88,7 +99,7 @@
         :raises ValueError: when its value is not JSON.
         """
         kind, _, name = row.key.partition(_SEPARATOR)
-        value: Any = json.loads(row.value) if row.value else None
+        value: Any = read_json_text(row.value) if row.value else None
         if kind in _READERS and row.value:
             self._entries[kind][name] = _READERS[kind](name, value)
         elif kind in _READERS:
--- a/src/cranklane/runtime/interface.py
+++ b/src/cranklane/runtime/interface.py
@@ -9,6 +9,8 @@
 
 from gevent import Greenlet
 
+from cranklane.runtime.restarting import run_restarting
+
 Address = tuple[str, int]
 """IP address and port."""
 
@@ -99,6 +101,14 @@
     def spawn(self, function: Callable[..., Any], *arguments: Any) -> Greenlet:
         """Start a greenlet; it does not outlive the process."""
 
+    def spawn_restarting(self, function: Callable[..., Any], *arguments: Any) -> Greenlet:
+        """Start a task that others rely on until it returns.
+
+        After an unexpected exception it is logged, counted and started again, see
+        :mod:`cranklane.runtime.restarting`.
+        """
+        return self.spawn(run_restarting, function, *arguments)
+
     @abstractmethod
     def connect(self, address: Address, timeout: float) -> Any:
         """Open a connection.
--- a/src/cranklane/sidecar/ingress/disconnect.py
+++ b/src/cranklane/sidecar/ingress/disconnect.py
@@ -34,7 +34,7 @@
         self._waiting[connection] = on_disconnect
         if not self._checking:
             self._checking = True
-            self._runtime.spawn(self._check_while_waiting)
+            self._runtime.spawn_restarting(self._check_while_waiting)
 
     def remove(self, connection: Any) -> None:
         """Stop watching a connection, if it is watched."""
--- a/src/cranklane/sidecar/request/body_transfer.py
+++ b/src/cranklane/sidecar/request/body_transfer.py
@@ -43,6 +43,9 @@
             self._send()
         except _BODY_ERRORS:
             self._close()
+        except Exception:
+            self._close()
+            raise
         else:
             self._complete = True
 
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -104,7 +104,7 @@
         if not is_ejected:
             destination.ejected_until = math.inf
             self._peers.forget(destination.address)
-            self._runtime.spawn(self._probe, destination)
+            self._runtime.spawn_restarting(self._probe, destination)
 
     def _probe(self, destination: Destination) -> None:
         """Probe a destination until a connection succeeds or the destination is removed."""
--- a/src/cranklane/sidecar/table/adopted_table.py
+++ b/src/cranklane/sidecar/table/adopted_table.py
@@ -8,11 +8,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Err, Result
-
 from cranklane.records.messages import ConfigDelta
-from cranklane.routes.document import ROUTE_TABLE_ROW, read_json, read_table, unpack_document
-from cranklane.routes.rows import with_rows
+from cranklane.routes.document import ROUTE_TABLE_ROW, readable_table
+from cranklane.routes.rows import UpdatedTable, with_rows
+from cranklane.routes.stored_document import read_stored
 from cranklane.routes.table import RouteTable
 
 MAX_LOGGED_PROBLEMS = 3
@@ -25,6 +24,7 @@
     :param on_adopt: called after each applied delta, including those without rows.
     :ivar version: revision in force; 0 before the first delta.
     :ivar table: route table in force; empty before the first delta.
+    :ivar unreadable_entries: entries of updates that could not be read since the start.
     """
 
     def __init__(self, log: Any, on_adopt: Callable[[], None]) -> None:
@@ -32,6 +32,7 @@
         self._on_adopt = on_adopt
         self.version = 0
         self.table = RouteTable()
+        self.unreadable_entries = 0
 
     def adopt(self, delta: ConfigDelta) -> bool:
         """Apply a delta; return False if it is older than the revision in force."""
@@ -44,13 +45,16 @@
         return True
 
     def _apply_rows(self, delta: ConfigDelta) -> None:
-        result = self._read(delta)
-        if isinstance(result, Err):
-            # Control validates each table with the same code, so this is a bug. The table in
-            # force stays in use.
-            self._log.error("route_table_unreadable", problem=result.err_value)
-            return
-        self.table = result.ok_value
+        self.table, problems = self._read(delta)
+        if problems:
+            # Of a controller of another release, or accepted by a former one. The other entries
+            # are in force.
+            self.unreadable_entries += len(problems)
+            self._log.error(
+                "route_table_unreadable",
+                count=len(problems),
+                problems=problems[:MAX_LOGGED_PROBLEMS],
+            )
         self._log.info(
             "route_table_in_force",
             version=self.table.version,
@@ -60,9 +64,12 @@
             whole=delta.whole,
         )
 
-    def _read(self, delta: ConfigDelta) -> Result[RouteTable, str]:
+    def _read(self, delta: ConfigDelta) -> UpdatedTable:
         if not delta.whole:
             return with_rows(self.table, delta.rows)
-        whole = next(row.value for row in delta.rows if row.key == ROUTE_TABLE_ROW)
-        result = read_json(unpack_document(whole)).and_then(read_table)
-        return result.map_err(lambda problems: "; ".join(problems[:MAX_LOGGED_PROBLEMS]))
+        packed = next((row.value for row in delta.rows if row.key == ROUTE_TABLE_ROW), b"")
+        stored = read_stored(packed)
+        if stored.value is None:
+            return UpdatedTable(self.table, stored.problems)
+        table, problems = readable_table(stored.value)
+        return UpdatedTable(table, stored.problems + problems)
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cranklane.runtime.restarting import FAILURES
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.slow_start import NO_WINDOW, SlowStart
 from cranklane.sidecar.quarantine.table import Quarantine
@@ -93,5 +94,15 @@
         "Requests held, or to be tried again.",
         lambda: len(quarantine.quarantined()),
     )
+    add(
+        "cranklane_unreadable_entries",
+        "Entries of route table updates that could not be read.",
+        lambda: table.unreadable_entries,
+    )
+    add(
+        "cranklane_task_failures",
+        "Unexpected exceptions of tasks, each logged as task_failed.",
+        lambda: FAILURES.count,
+    )
     add("cranklane_ready", "Whether callers may send requests.", sources.is_ready)
     add("cranklane_control_connected", "Whether a controller answers.", sources.is_connected)
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -200,11 +200,11 @@
     deleted = {key: b"" for key in rows_before if key not in rows_after}
     whole = [ConfigRow(1, key, value) for key, value in rows_before.items()]
     changed = [ConfigRow(2, key, value) for key, value in {**rows_after, **deleted}.items()]
-    first = with_rows(RouteTable(), whole).ok_value
-    second = with_rows(first, changed).ok_value
+    first = with_rows(RouteTable(), whole).table
+    second = with_rows(first, changed).table
     assert first.tenants.find_by_key(b"key-of-shop").name == "shop"
     assert second.tenants.by_name == read_table(after).ok_value.tenants.by_name
-    none = with_rows(second, [ConfigRow(3, "keyed", b"")]).ok_value
+    none = with_rows(second, [ConfigRow(3, "keyed", b"")]).table
     assert none.tenants is None
 
 
