A response whose status is not in the protocol is no answer

Cause: AnswerReader took each status below 200 for an interim one and read on, and each other one for a final one. The node's HTTP client did the same with the library's loop.

Change: RFC 9110, 15: 200 to 599 are final, 100 to 199 interim (but 101, which nobody has asked for). Any other status is a malformed message: 502 at once for a request that may not be repeated, another worker for a safe one, no seal, the connection is not used again, never "has not run", and it counts as a fault of the worker. Both hops check: a sidecar or a node takes no such status from one of a former release.

Interim answers and all final statuses are passed on as before.

--- a/src/cranklane/common/http1/message.py
+++ b/src/cranklane/common/http1/message.py
@@ -18,6 +18,32 @@
     UNTIL_CLOSE = 3
 
 
+_FIRST_INTERIM_STATUS = 100
+_FIRST_FINAL_STATUS = 200
+_FIRST_INVALID_STATUS = 600
+
+_SWITCHING_PROTOCOLS = 101
+"""No request of this system asks for another protocol, so no answer can switch to one."""
+
+
+def is_interim_status(status: int) -> bool:
+    """Return whether a response is interim, so that another one follows (RFC 9110, 15.2).
+
+    >>> [is_interim_status(status) for status in (0, 99, 100, 101, 103, 199, 200)]
+    [False, False, True, False, True, True, False]
+    """
+    return _FIRST_INTERIM_STATUS <= status < _FIRST_FINAL_STATUS and status != _SWITCHING_PROTOCOLS
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a response with a status may be the answer to a request (RFC 9110, 15).
+
+    >>> [is_final_status(status) for status in (0, 199, 200, 599, 600, 999)]
+    [False, False, True, True, False, False]
+    """
+    return _FIRST_FINAL_STATUS <= status < _FIRST_INVALID_STATUS
+
+
 class MalformedMessageError(Exception):
     """The received bytes are not a valid HTTP/1.1 message."""
 
--- a/src/cranklane/common/http1/reader.py
+++ b/src/cranklane/common/http1/reader.py
@@ -24,14 +24,14 @@
     RequestHead,
     TruncatedMessageError,
     framing_of,
+    is_final_status,
+    is_interim_status,
 )
 
 RECEIVE_BYTES = 64 * 1024
 """Buffer size of one receive call."""
 
 _NO_BODY_STATUS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
-_FIRST_FINAL_STATUS = int(HTTPStatus.OK)
-"""Responses with a lower status are interim (1xx) and skipped."""
 
 
 @dataclass(slots=True)
@@ -253,19 +253,18 @@
         message.keep_alive = self._parser.should_keep_alive()
 
     def next_head(self, bodiless: bool = False) -> AnswerHead:
-        """Return the head of the next final (not 1xx) response.
+        """Return the head of the next final response; interim ones are skipped.
 
         :param bodiless: whether the response has no body because the request was a HEAD.
-        :raises MalformedMessageError: if the bytes are not a valid response.
+        :raises MalformedMessageError: if the bytes are not a valid response, also by their status.
         :raises TruncatedMessageError: if the connection ends first.
         """
-        while True:
-            message = self._next_head()
-            if message is None:
-                raise TruncatedMessageError
-            if message.status >= _FIRST_FINAL_STATUS:
-                break
+        message = self._next_response()
+        while not is_final_status(message.status):
+            if not is_interim_status(message.status):
+                raise MalformedMessageError(f"{message.status:03} is no status of a response")
             self._messages.popleft()
+            message = self._next_response()
         framing, length = framing_of(message.headers)
         self._bodiless = bodiless
         keep_alive = message.keep_alive
@@ -279,6 +278,12 @@
         self._until_close = framing is Framing.UNTIL_CLOSE
         return AnswerHead(message.status, message.headers, framing, length, keep_alive)
 
+    def _next_response(self) -> _Message:
+        message = self._next_head()
+        if message is None:
+            raise TruncatedMessageError
+        return message
+
     def next_piece(self) -> bytes:
         """Return the next piece of the body, empty at its end.
 
--- a/src/cranklane/common/http_client.py
+++ b/src/cranklane/common/http_client.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from http import HTTPStatus
 from typing import Any
 
 from geventhttpclient.connectionpool import ConnectionPool
@@ -17,6 +16,7 @@
     HTTPSocketPoolResponse,
 )
 
+from cranklane.common.http1.message import is_final_status, is_interim_status
 from cranklane.errors import TruncatedAnswerError
 from cranklane.runtime.interface import Address, Runtime, format_address
 
@@ -73,6 +73,12 @@
     _ended = False
     _has_surplus = False
 
+    def _on_headers_complete(self) -> int | bool | None:
+        status = self.get_code()
+        if not is_final_status(status) and not is_interim_status(status):
+            raise HTTPProtocolViolationError(f"{status:03} is no status of a response")
+        return super()._on_headers_complete()
+
     def _on_message_begin(self) -> None:
         if self._ended:
             raise HTTPProtocolViolationError("bytes follow the end of the response")
@@ -81,7 +87,7 @@
     def _on_message_complete(self) -> None:
         self.message_complete = True
         # An interim response is followed by the final one.
-        self._ended = self.get_code() >= HTTPStatus.OK
+        self._ended = is_final_status(self.get_code())
 
     def feed(self, data: str | bytes) -> None:
         """Parse received bytes; those after the end of the response are dropped."""
--- a/src/cranklane/node/attempt.py
+++ b/src/cranklane/node/attempt.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from cranklane.common.http1.message import is_final_status
 from cranklane.common.units import MILLISECONDS
 from cranklane.errors import ConnectionLostError
 from cranklane.node import retry_after
@@ -167,7 +168,13 @@
             self._count_failure(member)
         else:
             member.answered(now - started)
-        answer = Answer(Outcome(head.outcome), reason, head.status, head.headers)
+        outcome = Outcome(head.outcome)
+        if outcome is Outcome.ANSWERED and not is_final_status(head.status):
+            # Nodes of former releases pass on any status that a worker sends.
+            open_attempt.call.cancel(Reason.ANSWER_CUT)
+            self._count_failure(member)
+            return self._unknown_answer(open_attempt, Reason.ANSWER_CUT)
+        answer = Answer(outcome, reason, head.status, head.headers)
         answer.retry_after_ms = head.retry_after_ms
         if answer.outcome is Outcome.ANSWERED:
             answer.body = _AnswerBody(open_attempt)
--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Generator
 from functools import partial
 
+from cranklane.common.http1.message import is_final_status
 from cranklane.common.units import MILLISECONDS
 from cranklane.errors import ConnectionLostError, MalformedRecordError, TruncatedAnswerError
 from cranklane.outcome import Outcome, Reason
@@ -98,6 +99,9 @@
     ) -> Reply:
         """Return the reply; release the connection once the response is complete."""
         answer = self._receive_answer(records, attempt, lease)
+        if answer.outcome == Outcome.ANSWERED and not is_final_status(answer.status):
+            # Sidecars of former releases pass on any status that a worker sends.
+            return unknown(Reason.ANSWER_CUT)
         reply = decode_reply(answer)
         if not answer.whole:
             reply.rest = StreamedAnswer(
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -306,6 +306,14 @@
         return True
 
     def _finish(self, stream: Any, request: bytes) -> bool:
+        raw_answer = self.state.raw_answer
+        if raw_answer is not None:
+            answer = raw_answer(request)
+            stream.sendall(answer)
+            return b"Connection: close" not in answer
+        return self._finish_properly(stream, request)
+
+    def _finish_properly(self, stream: Any, request: bytes) -> bool:
         state = self.state
         if state.consume_fault("fail"):
             return self._answer(stream, request, 500, b"failed")
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -70,6 +70,8 @@
     :ivar late_bodies: bodies read after an early answer.
     :ivar keeps_late_bodies: whether they are kept.
     :ivar on_late_body: called with each of them.
+    :ivar raw_answer: returns the bytes that answer a request in place of a proper response, from
+        the request's id; None for proper responses.
     :ivar reads_body: whether it reads the bodies of requests.
     :ivar fail: fault: run the request and respond with 500.
     :ivar endless_answers: fault: send ``endless_part`` without end, until the caller closes.
@@ -132,6 +134,7 @@
     body: bytes = b"answer"
     echoes: bool = False
     work: Callable[[RoutedRun], int] | None = None
+    raw_answer: Callable[[bytes], bytes] | None = None
     work_time_factor: float = 1.0
     shed_fraction: float = 0.0
     crash_mark: bytes = b""
