Soak: unreadable tables, turned weights, answers with invalid statuses

The operator of the soak sends tables that cannot be read in full, which must not be acknowledged; a route gives its whole share to the other service with each version, and after the last one no request may go to the service of weight 0; workers answer with statuses that are not in the protocol.

--- a/src/cranklane_lab/soak/loads.py
+++ b/src/cranklane_lab/soak/loads.py
@@ -26,6 +26,18 @@
     UPLOAD_ROUTE: {"prefix": f"/{UPLOAD_ROUTE}/", "service": "t", "repeat": "upload"},
 }
 
+TURNED_ROUTE = "turned"
+"""Route whose whole share changes between the two services with each version of the table."""
+
+TURNED_WEIGHTS = (1, 100, 100_000)
+"""Weights of the service that has the whole share; the other one has 0."""
+
+UNREADABLE_PARTS = (b"\xed\xa0\xbd\xed\xb8\x80", b"\xff", b'", "x": NaN, "y": "', b"\\ud800")
+"""Texts that make a document unreadable in the place of one of its strings."""
+
+UNREADABLE_FRACTION = 0.2
+"""Fraction of the versions before which a version that cannot be read is sent."""
+
 ROUTE_CHOICES = ("read", "sign", "both") * 5 + (UPLOAD_ROUTE,)
 """Routes of callers' requests; one of 16 is an upload."""
 
@@ -88,6 +100,18 @@
     }
 
 
+def turned_split(version: int) -> tuple[dict[str, Any], str]:
+    """Return the turned route of a version, and the service that gets its requests.
+
+    >>> turned_split(3)[1], turned_split(5)[1]
+    ('t', 's')
+    """
+    service, other = ("s", "t") if version // 2 % 2 == 0 else ("t", "s")
+    weight = TURNED_WEIGHTS[version % len(TURNED_WEIGHTS)]
+    shares = [{"service": other, "weight": 0}, {"service": service, "weight": weight}]
+    return {"prefix": f"/{TURNED_ROUTE}/", "split": shares}, service
+
+
 def upload_body(request_id: str, size: int) -> bytes:
     """Return the body of an upload, which differs for each request.
 
--- a/src/cranklane_lab/soak/run.py
+++ b/src/cranklane_lab/soak/run.py
@@ -6,6 +6,7 @@
 import tempfile
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -27,12 +28,16 @@
     ROUTE_CHOICES,
     ROUTES,
     TENANTS,
+    TURNED_ROUTE,
     UNLIMITED,
+    UNREADABLE_FRACTION,
+    UNREADABLE_PARTS,
     UPLOAD_PAUSES_SECONDS,
     UPLOAD_ROUTE,
     SoakTenant,
     random_upload_size,
     tenant_entries,
+    turned_split,
 )
 from cranklane_lab.soak.run_times import SlowPeriods
 from cranklane_lab.soak.site import CONTROLLERS, SERVICES, SoakSite
@@ -49,6 +54,9 @@
 EDIT_INTERVAL_SECONDS = 0.7
 FINAL_REQUESTS = 60
 
+APPLY_SECONDS = 2.5
+"""Time after the acknowledgement of a table from which only it may be used."""
+
 CRASH_TARGETS = 2
 MEAN_CRASH_PAUSE_SECONDS = 0.7
 """Mean time between two requests to the same crashing target."""
@@ -114,6 +122,7 @@
                 self._run_with_faults()
                 self._check_recovery()
                 self._check_table()
+                self._check_turned_route()
                 self._observations.check_runs(self._site.workers)
                 self._observations.check_quarantine(self._site.crashes, self._site.workers)
                 self._check_notices()
@@ -220,6 +229,25 @@
                 f"version {table['version']} differs from the document that was sent"
             )
 
+    def _check_turned_route(self) -> None:
+        """Turn a split over; check that the service whose weight is 0 then gets no request."""
+        version = self._observations.acknowledged_version
+        if not self._put_table(version + 2, version, 30.0):
+            self._observations.record_violation("the last route table was not acknowledged in time")
+            return
+        gevent.sleep(APPLY_SECONDS)
+        runs_before = {id(run) for worker in self._site.workers for run in worker.state.runs}
+        for number in range(FINAL_REQUESTS):
+            self._caller.send(number % self._site.machines, TURNED_ROUTE, f"turned-{number}")
+        _, service = turned_split(version + 2)
+        for worker in self._site.workers:
+            runs = [run for run in worker.state.runs if id(run) not in runs_before]
+            turned = [run.request for run in runs if run.request.startswith(TURNED_ROUTE)]
+            if worker.service != service and turned:
+                self._observations.record_violation(
+                    f"{len(turned)} requests went to {worker.service}, whose weight is 0"
+                )
+
     def _run_caller(self, tenant: SoakTenant) -> None:
         random = Random(self._random.random())
         caller = Caller(self._runtime, self._site, self._rules, tenant)
@@ -254,6 +282,8 @@
         version = 1
         while not self._stopping:
             gevent.sleep(EDIT_INTERVAL_SECONDS)
+            if self._random.random() < UNREADABLE_FRACTION:
+                self._put_unreadable_table(version + 1, version)
             if self._put_table(version + 2, version, 30.0):
                 version += 2
             acknowledged_version = self._observations.acknowledged_version
@@ -266,9 +296,7 @@
 
         :return: whether it was acknowledged.
         """
-        routes = {**ROUTES, f"v{version}": {"prefix": f"/v{version}/", "service": "s"}}
-        document = route_table(version, base, routes, ("s", "t"), tenant_entries())
-        document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+        document = self._document(version, base)
         self._observations.sent_tables[version] = json.dumps(document, sort_keys=True)
         body = json.dumps(document).encode()
         deadline = self._runtime.monotonic() + seconds
@@ -289,6 +317,29 @@
             gevent.sleep(0.1)
         return False
 
+    @staticmethod
+    def _document(version: int, base: int) -> dict[str, Any]:
+        turned, _ = turned_split(version)
+        routes = {
+            **ROUTES,
+            TURNED_ROUTE: turned,
+            f"v{version}": {"prefix": f"/v{version}/", "service": "s"},
+        }
+        document = route_table(version, base, routes, ("s", "t"), tenant_entries())
+        document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+        return document
+
+    def _put_unreadable_table(self, version: int, base: int) -> None:
+        """Send a route table that cannot be read in full; it must not be acknowledged."""
+        body = json.dumps(self._document(version, base)).encode()
+        part = self._random.choice(UNREADABLE_PARTS)
+        unreadable = body.replace(b"/v%d/" % version, b"/v%s/" % part)
+        answer = self._send_to_controller("POST", unreadable, version % CONTROLLERS)
+        if answer is not None and answer.status < HTTPStatus.BAD_REQUEST:
+            self._observations.record_violation(
+                f"an unreadable version {version} was answered with {answer.status}"
+            )
+
     def _read_table(self, seconds: float) -> dict[str, Any] | None:
         deadline = self._runtime.monotonic() + seconds
         while True:
--- a/src/cranklane_lab/soak/worker_needs.py
+++ b/src/cranklane_lab/soak/worker_needs.py
@@ -1,4 +1,4 @@
-"""Lets workers state limits and departures, answer without end or before they read, at random."""
+"""Lets workers state limits and departures, and answer in ways that others must bear, at random."""
 
 from __future__ import annotations
 
@@ -27,6 +27,9 @@
 """Time from the head of a request to its early answer, and from there to the first read of its
 body. In the longer ones, bodies fill the buffers of all connections on the way."""
 
+INVALID_STATUSES = (b"000", b"099", b"101", b"600", b"999")
+MAX_INVALID_ANSWERS = 5
+
 LEAVING_SECONDS = (1.0, 4.0)
 """Shortest and longest time from the statement of a departure to the exit."""
 
@@ -52,6 +55,7 @@
             self._send_without_end,
             self._answer_early,
             self._answer_early,
+            self._answer_with_invalid_status,
         )
         while not should_stop():
             number = self._random.randrange(len(self._site.workers))
@@ -61,6 +65,7 @@
             worker.state.rate_limit = b""
             worker.state.endless_answers = 0
             worker.state.refuse_early = worker.state.answer_early = 0
+            worker.state.invalid_statuses = []
 
     def _state_limit(self, number: int) -> None:
         limit = self._random.choice(LIMITS)
@@ -92,6 +97,13 @@
         setattr(state, fault, count)
         self._on_change(f"worker-{number}: {fault} {count} after {state.early_answer_delay} s")
 
+    def _answer_with_invalid_status(self, number: int) -> None:
+        """Let the next answers of a worker have statuses that are not in the protocol."""
+        count = self._random.randint(1, MAX_INVALID_ANSWERS)
+        statuses = self._random.choices(INVALID_STATUSES, k=count)
+        self._site.workers[number].state.invalid_statuses = statuses
+        self._on_change(f"worker-{number} answers with {b' '.join(statuses).decode()}")
+
     def _leave(self, number: int) -> None:
         """State a departure, which no heartbeat mentions, and exit some time later."""
         worker = self._site.workers[number]
--- a/src/cranklane_lab/standins/routed_answers.py
+++ b/src/cranklane_lab/standins/routed_answers.py
@@ -64,6 +64,11 @@
             lines += b"Content-Length: %d\r\n" % len(body)
         return status_line(status) + lines + b"\r\n" + body
 
+    def with_status_text(self, request: bytes, status: bytes) -> bytes:
+        """Return an encoded answer to a run with any text in place of its status."""
+        proper = self.encode(request, HTTPStatus.OK, self._worker.state.body)
+        return proper.replace(b" 200 ", b" %s " % status, 1)
+
     def health(self, is_ready: bool) -> bytes:
         """Return the encoded answer to a health check.
 
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -311,6 +311,11 @@
             answer = raw_answer(request)
             stream.sendall(answer)
             return b"Connection: close" not in answer
+        if self.state.invalid_statuses:
+            stream.sendall(
+                self._answers.with_status_text(request, self.state.invalid_statuses.pop())
+            )
+            return True
         return self._finish_properly(stream, request)
 
     def _finish_properly(self, stream: Any, request: bytes) -> bool:
--- a/src/cranklane_lab/standins/routed_worker_state.py
+++ b/src/cranklane_lab/standins/routed_worker_state.py
@@ -70,6 +70,7 @@
     :ivar late_bodies: bodies read after an early answer.
     :ivar keeps_late_bodies: whether they are kept.
     :ivar on_late_body: called with each of them.
+    :ivar invalid_statuses: fault: texts in place of the statuses of the next answers to runs.
     :ivar raw_answer: returns the bytes that answer a request in place of a proper response, from
         the request's id; None for proper responses.
     :ivar reads_body: whether it reads the bodies of requests.
@@ -134,6 +135,7 @@
     body: bytes = b"answer"
     echoes: bool = False
     work: Callable[[RoutedRun], int] | None = None
+    invalid_statuses: list[bytes] = field(default_factory=list)
     raw_answer: Callable[[bytes], bytes] | None = None
     work_time_factor: float = 1.0
     shed_fraction: float = 0.0
