--- a/src/cranklane/cli/entry.py
+++ b/src/cranklane/cli/entry.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
-from typing import Any
+from typing import Any, NoReturn
 
 
 def _is_daemon(arguments: list[str]) -> bool:
@@ -40,11 +41,22 @@
     return run(command, arguments, **process_arguments)
 
 
+def exit_daemon(status: int) -> NoReturn:
+    """End the process at once, without the interpreter's finalization.
+
+    That takes a tenth of a second beside open connections, which the end of a planned stop does
+    not have. Files are synced when they are written, and the log lines have been written.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
+
+
 def main() -> None:
     """Run the daemon or operator command named by the first argument."""
     arguments = sys.argv[1:]
     if _is_daemon(arguments):
-        sys.exit(run_daemon(arguments[0], arguments[1:]))
+        exit_daemon(run_daemon(arguments[0], arguments[1:]))
     from cranklane.cli.main import application
 
     application()
