Decisions of a planned stop are modules of their own

Change: StopAdmission (a run at the local worker) and StopLimit (an attempt of a call) beside them, on PlannedStop and RunTimes, which both share. No change of behaviour.

--- a/src/cranklane/common/planned_stop.py
+++ b/src/cranklane/common/planned_stop.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from cranklane.common.units import MILLISECONDS
 from cranklane.runtime.interface import Runtime
 
 RESTART_SECONDS = 1.0
@@ -51,9 +52,10 @@
             return math.inf
         return max(0.0, self.ends_at - longest_seconds - self._clock())
 
-    def seconds_until_restart(self) -> float:
-        """Return the seconds after which the next process accepts requests, at the latest."""
-        return max(0.0, self.ends_at - self._clock()) + RESTART_SECONDS
+    def milliseconds_until_restart(self) -> int:
+        """Return the time after which the next process accepts requests, at the latest."""
+        seconds = max(0.0, self.ends_at - self._clock()) + RESTART_SECONDS
+        return int(seconds * MILLISECONDS)
 
 
 def wait_until_idle(runtime: Runtime, is_busy: Callable[[], bool], ends_at: float) -> bool:
--- a/src/cranklane/node/outbound.py
+++ b/src/cranklane/node/outbound.py
@@ -12,7 +12,6 @@
 
 from cranklane.common.planned_stop import PlannedStop
 from cranklane.common.run_times import RunKey, RunTimes
-from cranklane.common.units import MILLISECONDS
 from cranklane.node import retry_after
 from cranklane.node.answer import Answer, Request, refused_answer
 from cranklane.node.attempt import AttemptSender, OutboundCall
@@ -69,7 +68,7 @@
         call = OutboundCall(context, request, service, route, criticality)
         if not self._can_finish(call):
             answer = self._refuse(request, criticality, Reason.STOPPING)
-            answer.retry_after_ms = int(self._stop.seconds_until_restart() * MILLISECONDS)
+            answer.retry_after_ms = self._stop.milliseconds_until_restart()
             return answer
         answer = self._call_with_retries(call)
         if (
--- a/src/cranklane/sidecar/admission/gate.py
+++ b/src/cranklane/sidecar/admission/gate.py
@@ -10,14 +10,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.planned_stop import PlannedStop
-from cranklane.common.run_times import RunKey, RunTimes
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
@@ -30,13 +28,13 @@
 from cranklane.sidecar.admission.outcome_limiter import OutcomeLimiter
 from cranklane.sidecar.admission.slot_admission import SlotAdmission
 from cranklane.sidecar.admission.slots import Slots, Waiter
+from cranklane.sidecar.admission.stop_admission import StopAdmission
 from cranklane.sidecar.admission.worker_notices import WorkerNotices
 from cranklane.sidecar.capacity.worker_capacity import WorkerCapacity
 from cranklane.sidecar.quarantine.table import Quarantine
 from cranklane.sidecar.request.attempt import Attempt, Load, Reply, refusal
 from cranklane.sidecar.request.call_tree import CallTree
 from cranklane.sidecar.request.streamed_answer import StreamedAnswer
-from cranklane.sidecar.routing.waiting import longest_by_objective
 from cranklane.sidecar.worker.condition import WorkerCondition
 from cranklane.sidecar.worker.exchange import RunListener, WorkerExchange
 from cranklane.sidecar.worker.exit import WorkerExits
@@ -79,7 +77,7 @@
     :param quarantine: requests suspected of crashing workers.
     :param stop: the planned stop of this process.
     :ivar notices: what the worker states in its answers.
-    :ivar run_times: how long the worker's runs take, by route.
+    :ivar stop_admission: refuses runs that would outlast this process.
     """
 
     def __init__(
@@ -93,8 +91,6 @@
         stop: PlannedStop,
     ) -> None:
         self._clock = runtime.monotonic
-        self._stop = stop
-        self.run_times = RunTimes()
         self._worker = registry = worker.registry
         self._slots = worker.slots
         self._slow_start = registry.slow_start
@@ -104,6 +100,7 @@
         self._on_admission = listener.admission
         self._on_release = listener.slot_released
         self._limiter = OutcomeLimiter(runtime.monotonic, listener.limit_changed)
+        self.stop_admission = StopAdmission(stop, worker.capacity.pace.factor)
         self._slot_admission = SlotAdmission(
             runtime.monotonic, worker.slots, worker.capacity, listener.admission_level_changed
         )
@@ -173,7 +170,7 @@
     def _retry_after_ms(self, reason: Reason) -> int:
         """Return the delay before a refused request may be sent here again, in milliseconds."""
         if reason is Reason.STOPPING:
-            return int(self._stop.seconds_until_restart() * MILLISECONDS)
+            return self.stop_admission.retry_after_ms()
         return retry_after.at_worker_ms(reason, self._expected_wait)
 
     def _take_slot(
@@ -184,7 +181,7 @@
         reason = unavailable_reason(serves, self._worker.state)
         if reason is not Reason.NONE:
             return reason
-        if self._stop.begun and not self._can_finish(request, arrived_at):
+        if not self.stop_admission.admits(request, arrived_at):
             return Reason.STOPPING
         self.notices.request_arrived(request)
         if self._slot_admission.is_handed_back(request):
@@ -192,7 +189,7 @@
         if not self._limiter.admits(request.route, request.priority, request.caller):
             return Reason.REFUSED_EARLY
         reason = self._slot_admission.acquire(request, on_wait)
-        if reason is Reason.NONE and self._stop.begun and not self._can_finish(request, arrived_at):
+        if reason is Reason.NONE and not self.stop_admission.admits(request, arrived_at):
             # Its time has passed in the queue.
             self._slots.release(self._slots.slot_seconds)
             reason = Reason.STOPPING
@@ -200,14 +197,6 @@
             self._limiter.released(request.route)
         return reason
 
-    def _can_finish(self, request: ForwardRequest, arrived_at: float) -> bool:
-        """Return whether a run that begins now is expected to end before this process."""
-        deadline = arrived_at + request.deadline_ms / MILLISECONDS
-        longest = self.run_times.longest(_run_key(request))
-        if longest is None:
-            longest = longest_by_objective(request.root_objective_ms) or math.inf
-        return self._stop.can_finish(deadline, longest * self._capacity.pace.factor())
-
     def _expected_wait(self) -> float:
         """Return the expected queue wait of a highest-priority request, in seconds."""
         return self._slots.expected_wait(self._slots.rank(0, 0.0))
@@ -283,7 +272,8 @@
 
     def _stream_completed(self, admitted: AdmittedRun) -> None:
         """Record that a streamed response is complete."""
-        self.run_times.record(_run_key(admitted.request), self._clock() - admitted.started_at)
+        seconds = self._clock() - admitted.started_at
+        self.stop_admission.record(admitted.request, seconds)
         self._evidence.answered(admitted.request)
 
     def _exchange_with_worker(self, attempt: Attempt, admitted: AdmittedRun) -> Reply:
@@ -317,7 +307,7 @@
         if failed:
             reply.failure = run.failure
         if reply.rest is None and run_outcome.measures_latency(reply):
-            self.run_times.record(_run_key(request), run_seconds)
+            self.stop_admission.record(request, run_seconds)
         slowness = None
         if request.expected_latency_us > 0 and run_outcome.measures_latency(reply):
             slowness = latency_ratio(request.expected_latency_us / MICROSECONDS, usual_seconds)
@@ -335,10 +325,6 @@
         self._limiter.ended(request.route, admitted.limiter_round, starved, run_seconds)
 
 
-def _run_key(request: ForwardRequest) -> RunKey:
-    return request.route, request.service
-
-
 def _wait_canceller(attempt: Attempt) -> Callable[[Waiter], None]:
     """Return a callback that ends a slot wait when its attempt is cancelled."""
 
--- a/src/cranklane/sidecar/routing/dispatcher.py
+++ b/src/cranklane/sidecar/routing/dispatcher.py
@@ -2,7 +2,7 @@
 
 ``worker_choice`` selects the worker, ``waiting`` limits waiting times, ``retry_policy`` and
 ``retry_budget`` decide on retries, and ``feedback`` updates the destination after each reply.
-During a planned stop no attempt begins that is expected to outlast the process.
+``stop_limit`` begins no attempt that would outlast the process during a planned stop.
 """
 
 from __future__ import annotations
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 
 from cranklane.common.planned_stop import PlannedStop
-from cranklane.common.run_times import RunTimes
 from cranklane.common.units import MICROSECONDS, MILLISECONDS
 from cranklane.outcome import Outcome, Reason
 from cranklane.records.messages import ForwardRequest
@@ -31,6 +30,7 @@
 from cranklane.sidecar.routing.retry_budget import RetryBudget
 from cranklane.sidecar.routing.retry_policy import Verdict
 from cranklane.sidecar.routing.retry_spending import RetryReport, RetrySpending
+from cranklane.sidecar.routing.stop_limit import StopLimit
 from cranklane.sidecar.routing.worker_choice import WorkerChoice
 
 _ANSWERED = Verdict.ANSWERED
@@ -82,8 +82,8 @@
         self._choice = dependencies.choice
         self._gate = dependencies.gate
         self._peers = dependencies.peers
-        self._stop = stop or PlannedStop(runtime.monotonic)
-        self.run_times = RunTimes()
+        self._stop_limit = StopLimit(stop or PlannedStop(runtime.monotonic))
+        self.run_times = self._stop_limit.run_times
         self._feedback = DestinationFeedback(
             runtime, dependencies.destinations, dependencies.peers, self.run_times
         )
@@ -119,9 +119,9 @@
         may_have_run = False
         has_answer = False
         while True:
-            if self._stop.begun and not self._can_finish(call):
+            if not self._stop_limit.allows(call):
                 if result.outcome is Outcome.NOT_RUN:
-                    result = self._refuse_stopping(call)
+                    result = self._stop_limit.refuse(call)
                 break
             destination = self._choose(progress)
             if destination is None:
@@ -147,25 +147,6 @@
             result = Reply(Outcome.UNKNOWN, result.reason, arrived=True)
         return result
 
-    def _can_finish(self, call: Call) -> bool:
-        """Return whether an attempt that begins now is expected to end before this process."""
-        return self._stop.can_finish(call.deadline, self._longest_seconds(call))
-
-    def _longest_seconds(self, call: Call) -> float:
-        """Return the longest time that an attempt of a call is expected to take, in seconds."""
-        longest = self.run_times.longest(call.run_key)
-        return waiting.longest_by_objective(call.route.objective_ms) if longest is None else longest
-
-    def _refuse_stopping(self, call: Call) -> Reply:
-        """Return the refusal of a call that would outlast this process.
-
-        Clients may turn to another machine at once; a call of the local worker may not.
-        """
-        delay_ms = retry_after.DEFAULT_MS
-        if not call.of_client:
-            delay_ms = int(self._stop.seconds_until_restart() * MILLISECONDS)
-        return refusal(Reason.STOPPING, retry_after_ms=delay_ms)
-
     def _choose(self, progress: CallProgress) -> Destination | None:
         """Return the destination of the next attempt."""
         call = progress.call
@@ -264,10 +245,11 @@
         root = call.root
         remaining = max(0.0, call.deadline - now)
         expected_latency = self._latencies.of(call.run_key)
-        start_within = min(remaining, waiting.max_start_wait(call, expected_latency, now))
-        if self._stop.begun:
-            longest = self._longest_seconds(call)
-            start_within = min(start_within, self._stop.start_within(call.deadline, longest))
+        start_within = min(
+            remaining,
+            waiting.max_start_wait(call, expected_latency, now),
+            self._stop_limit.start_within(call),
+        )
         return ForwardRequest(
             deadline_ms=int(remaining * MILLISECONDS),
             start_within_ms=_nonnegative_milliseconds(start_within),
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -253,7 +253,10 @@
         entry, worker_side = mesh.machines
         worker_side.worker.state.body = bytes(400_000)
         assert Sent(mesh, entry, "/back/", "download").status == 200
-        learnt = (entry.sidecar.dispatcher.run_times, worker_side.sidecar.gate.run_times)
+        learnt = (
+            entry.sidecar.dispatcher.run_times,
+            worker_side.sidecar.gate.stop_admission.run_times,
+        )
         return [times.longest(("back", "t")) is not None for times in learnt]
 
     assert play(script) == [True, True]
