A sidecar that refuses because it stops is used again after its restart

Result: in test_planned_stops a sidecar is stopped and started with all controllers dead; its worker gets requests again 6 s later (none on the commit before).

--- a/src/cranklane/sidecar/routing/ejection.py
+++ b/src/cranklane/sidecar/routing/ejection.py
@@ -27,8 +27,14 @@
 SIDECAR_UNREACHABLE = (Reason.PEER_UNREACHABLE, Reason.PEER_LOST)
 """Reasons given when the destination's sidecar does not respond."""
 
-WORKER_UNREACHABLE = (Reason.WORKER_UNREACHABLE, Reason.WORKER_ENDED, Reason.WORKER_LEFT)
-"""Reasons given when no process listens at the worker's address."""
+WORKER_UNREACHABLE = (
+    Reason.WORKER_UNREACHABLE,
+    Reason.WORKER_ENDED,
+    Reason.WORKER_LEFT,
+    Reason.STOPPING,
+)
+"""Reasons given when no process listens at the worker's address, or when its sidecar is about to
+restart: the end of that cannot be learnt from control while it is away."""
 
 _CALLER_REASONS = (Reason.CANCELLED, Reason.DEADLINE_PASSED)
 
--- a/src/cranklane/sidecar/routing/feedback.py
+++ b/src/cranklane/sidecar/routing/feedback.py
@@ -27,9 +27,6 @@
 from cranklane.sidecar.routing.peer_client import PeerClient
 from cranklane.sidecar.worker.slowness import TOLERATED_SLOWNESS, ExpectedLatencies
 
-_LEAVING = (Reason.DRAINING, Reason.STOPPING)
-"""Reasons given when the destination's worker or sidecar is about to exit."""
-
 
 class DestinationFeedback:
     """Updates destinations from the replies to attempts.
@@ -88,7 +85,7 @@
             seconds = reply.retry_after_ms / MILLISECONDS
             rank = _saturated_rank(call, reply)
             destination.record_capacity_refusal(now, rank, reply.reason, seconds)
-        if reply.reason in _LEAVING:
+        if reply.reason is Reason.DRAINING:
             # The reply comes before control's update.
             destination.state = MemberState.DRAINING
         failure = failure_of(reply.outcome, reply.reason)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -192,6 +192,34 @@
     assert statuses == [200] * 50
 
 
+def test_a_machine_that_refused_while_it_stopped_is_used_again_without_control():
+    """Guards against a neighbour that takes a restarted sidecar for a leaving one until told."""
+
+    def script(mesh):
+        entry, stopping, _ = mesh.machines
+        for machine in mesh.machines:
+            machine.worker.state.seconds = 2.0
+        for number in range(8):
+            assert Sent(mesh, entry, "/sign/", f"learnt-{number}", method="POST").status == 200
+        for controller in mesh.controllers:
+            controller.process.kill()
+        stop(mesh, stopping)
+        for number in range(60):
+            gevent.sleep(0.1)
+            Sent(mesh, entry, "/sign/", f"during-{number}", method="POST")
+        assert stopping.process.dead
+        mesh.restart_sidecar(stopping)
+        gevent.sleep(6.0)
+        before = len(stopping.worker.state.runs)
+        statuses = [
+            Sent(mesh, entry, "/sign/", f"after-{number}", method="POST").status
+            for number in range(8)
+        ]
+        return statuses, len(stopping.worker.state.runs) > before
+
+    assert play(script, ("s", "t", "t")) == ([200] * 8, True)
+
+
 def test_a_request_queued_at_a_stopping_machine_is_not_begun_too_late():
     """Guards against a run that begins after a wait and that the end of the process cuts."""
 
