An update that could not be sent is sent again

Cause: departures, addresses of controllers, members of a node's services and admission ratios were marked as sent before they were sent. Since a failed update no longer ends the publishing task, it would have counted as sent.

Change: the mark follows the record. The check of escaped surrogates in strict_json names its two halves in place of counting back.

--- a/src/cranklane/common/strict_json.py
+++ b/src/cranklane/common/strict_json.py
@@ -19,7 +19,10 @@
 _ESCAPE = re.compile(r"\\(?:u([0-9a-fA-F]{4})|.)", re.DOTALL)
 
 _HIGH_SURROGATES = range(0xD800, 0xDC00)
+"""First halves of the escapes of a character beyond the first 65,536."""
+
 _LOW_SURROGATES = range(0xDC00, 0xE000)
+"""Second halves."""
 
 
 class JsonTextError(ValueError):
@@ -108,14 +111,19 @@
     """
     if "\\u" not in text:
         return
-    high_end = -1
-    for match in _ESCAPE.finditer(text):
-        code = int(match.group(1), 16) if match.group(1) else 0
-        is_second = high_end == match.start()
-        if high_end >= 0 and not (is_second and code in _LOW_SURROGATES):
-            raise JsonTextError(f"{_place(text, high_end - 6)}: an unpaired surrogate")
-        if code in _LOW_SURROGATES and not is_second:
-            raise JsonTextError(f"{_place(text, match.start())}: an unpaired surrogate")
-        high_end = match.end() if code in _HIGH_SURROGATES else -1
-    if high_end >= 0:
-        raise JsonTextError(f"{_place(text, high_end - 6)}: an unpaired surrogate")
+    first_half: re.Match[str] | None = None
+    for escape in _ESCAPE.finditer(text):
+        code = int(escape.group(1), 16) if escape.group(1) else 0
+        is_second_half = code in _LOW_SURROGATES
+        follows_first_half = first_half is not None and first_half.end() == escape.start()
+        if first_half is not None and not (is_second_half and follows_first_half):
+            raise _unpaired(text, first_half)
+        if is_second_half and first_half is None:
+            raise _unpaired(text, escape)
+        first_half = escape if code in _HIGH_SURROGATES else None
+    if first_half is not None:
+        raise _unpaired(text, first_half)
+
+
+def _unpaired(text: str, escape: re.Match[str]) -> JsonTextError:
+    return JsonTextError(f"{_place(text, escape.start())}: an unpaired surrogate")
--- a/src/cranklane/distribution/subscriber_updates.py
+++ b/src/cranklane/distribution/subscriber_updates.py
@@ -100,8 +100,8 @@
         is_first = subscriber.sent_departures is None
         if is_first and not self.sidecars.knows_departures_until(subscriber.subscribed_at):
             return False
-        subscriber.sent_departures = position
         subscriber.records.send(self.sidecars.departures_of(node))
+        subscriber.sent_departures = position
         return True
 
     def mark_current(self, subscriber: Subscriber) -> None:
@@ -113,18 +113,19 @@
         addresses = self._replicas() if self._replicas is not None else []
         if addresses == subscriber.sent_replicas:
             return False
-        subscriber.sent_replicas = addresses
         subscriber.records.send(ControlReplicas(addresses))
+        subscriber.sent_replicas = addresses
         return True
 
     def _send_shares(self, subscriber: Subscriber) -> bool:
         if self.sidecars is None:
             return False
+        position = self.sidecars.shares_position
         shares = self.sidecars.shares_since(subscriber.sent_shares)
         if shares is None:
             return False
-        subscriber.sent_shares = self.sidecars.shares_position
         subscriber.records.send(shares)
+        subscriber.sent_shares = position
         return True
 
     def _send_configuration(self, subscriber: Subscriber) -> bool:
@@ -205,12 +206,12 @@
     def _send_members_of_services(self, subscriber: Subscriber) -> bool:
         whole = subscriber.sent_members == 0
         changed, position = self._membership.since(subscriber.sent_members)
-        subscriber.sent_members = position
         members = [member for member in changed if _is_relevant_member(subscriber, member)]
-        if not members and not whole:
-            return False
-        subscriber.records.send(MemberDelta(whole, members))
-        return True
+        has_news = bool(members) or whole
+        if has_news:
+            subscriber.records.send(MemberDelta(whole, members))
+        subscriber.sent_members = position
+        return has_news
 
     def _member_frame(self, sent: int) -> bytes:
         """Return the frame with all members changed since a position, empty for none."""
--- a/tests/test_unreadable_tables.py
+++ b/tests/test_unreadable_tables.py
@@ -12,6 +12,8 @@
 from cranklane.controller.process import Controller, ControllerSettings
 from cranklane.controller.route_store import RouteTableStore
 from cranklane.distribution.subscriber_updates import SubscriberUpdates
+from cranklane.errors import MalformedRecordError
+from cranklane.records.connection import RecordConnection
 from cranklane.records.messages import ConfigDelta, ConfigRow
 from cranklane.routes.review import review
 from cranklane.sidecar.quarantine.api import _json_object
@@ -22,6 +24,7 @@
 from cranklane_lab.simulation.world import simulate
 from cranklane_lab.standins.route_tables import route_table
 from mesh_support import ROUTES, play
+from test_request_timeline import captured_lines
 
 STORED_DATA = Path(__file__).with_name("stored_data")
 HOST = "10.0.0.1"
@@ -233,6 +236,35 @@
     assert play(script) == ({2}, True, True)
 
 
+@pytest.mark.parametrize("record", ["ControlReplicas", "Departures"])
+def test_an_update_that_failed_once_is_sent_the_next_time(monkeypatch, record):
+    """Guards against an update that counts as sent although it was not."""
+    original = RecordConnection.send
+    failed = []
+
+    def send_failing_once(self, message, *arguments):
+        if type(message).__name__ == record and not failed:
+            failed.append(message)
+            raise MalformedRecordError("cannot be packed this time")
+        return original(self, message, *arguments)
+
+    monkeypatch.setattr(RecordConnection, "send", send_failing_once)
+
+    def scenario(world):
+        mesh = Mesh(world)
+        mesh.start_controllers(1, 0)
+        machine = mesh.add_machine("s")
+        assert mesh.wait_for(lambda: mesh.voters() == 1, 10)
+        gevent.sleep(3.0)
+        subscription = machine.sidecar.control.subscription
+        return len(failed), bool(subscription._announced)
+
+    with captured_lines() as lines:
+        assert simulate(1, delay, scenario) == (1, True)
+    known = [json.loads(line) for line in lines if "departures_known" in line]
+    assert [line["learned_from"] for line in known] == ["control"]
+
+
 def test_an_entry_of_the_log_that_cannot_be_applied_does_not_stop_the_later_ones(capsys):
     """Guards against a replica whose task that applies entries has ended."""
 
