--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -7,9 +7,8 @@
 import gevent
 import pytest
 
-from cranklane_lab.simulation.mesh import Mesh
-from cranklane_lab.simulation.world import simulate
-from cranklane_lab.standins.route_tables import route_table
+from mesh_support import configure_workers
+from mesh_support import play as play_mesh
 
 ROUTES = {
     "front": {"prefix": "/front/", "service": "s", "timeout_ms": 30_000, "max_attempts": 1},
@@ -28,27 +27,28 @@
 NOT_RUN = 503
 
 
-def delay(_source, _target):
-    return 0.0005
+def play(script, services=("s", "t"), slots=20, seed=1):
+    """Return the result of ``script(mesh)`` on a mesh with the routes of these tests."""
+    return play_mesh(script, seed, services=services, routes=ROUTES, slots=slots)
 
 
-def play(script, services=("s", "t"), slots=20, seed=1):
-    """Return the result of ``script(mesh)`` on a mesh with a route table."""
+def learn(mesh, entry, count, path="/sign/", seconds=None):
+    """Send requests at a machine one after the other, so that it knows how long they take.
 
-    def scenario(world):
-        mesh = Mesh(world)
-        mesh.start_controllers(3)
-        for service in services:
-            mesh.add_machine(service, slots)
-        assert mesh.wait_for(lambda: mesh.voters() == 3, 10)
-        table = route_table(1, 0, ROUTES, ("s", "t"))
-        assert mesh.wait_for(lambda: mesh.apply_route_table(table).status == 200, 5)
-        gevent.sleep(2.0)
-        result = script(mesh)
-        assert not world.loop.task_errors
-        return result
+    :param seconds: work time of all workers from now on; None leaves it.
+    """
+    if seconds is not None:
+        configure_workers(mesh, seconds=seconds)
+    method = "POST" if path == "/sign/" else "GET"
+    for number in range(count):
+        assert Sent(mesh, entry, path, f"learnt-{number}", method=method).status == 200
 
-    return simulate(seed, delay, scenario)
+
+def stop_without_control(mesh, machine):
+    """Stop a machine's sidecar while no controller can tell others of it."""
+    for controller in mesh.controllers:
+        controller.process.kill()
+    stop(mesh, machine)
 
 
 def stop(mesh, machine):
@@ -98,9 +98,7 @@
         return ran and self.status in (0, 502, NOT_RUN) and self.ended_at < self.deadline
 
 
-def calls_during_a_stop(
-    sent_after, work_seconds, deadline_ms=PARENT_DEADLINE_MS, learnt_runs=0, learnt_path="/back/"
-):
+def calls_during_a_stop(sent_after, work_seconds, deadline_ms=PARENT_DEADLINE_MS, learnt_runs=0):
     """Return six calls of runs at a stopping machine, sent some seconds after the SIGTERM.
 
     :param learnt_runs: requests of the route that the machine has sent before, with that work.
@@ -110,8 +108,7 @@
         front, back = mesh.machines
         front.worker.state.seconds = GRACE_SECONDS + 1.0
         back.worker.state.seconds = work_seconds
-        for number in range(learnt_runs):
-            assert Sent(mesh, front, learnt_path, f"learnt-{number}").status == 200
+        learn(mesh, front, learnt_runs, "/back/")
         parents = [Sent(mesh, back, "/front/x", f"p{number}", deadline_ms) for number in range(6)]
         gevent.sleep(0.1)
         stopping = stop(mesh, front)
@@ -174,13 +171,8 @@
 
     def script(mesh):
         entry, stopping, _ = mesh.machines
-        for machine in mesh.machines:
-            machine.worker.state.seconds = 2.0
-        for number in range(8):
-            assert Sent(mesh, entry, "/sign/", f"learnt-{number}", method="POST").status == 200
-        for controller in mesh.controllers:
-            controller.process.kill()
-        stop(mesh, stopping)
+        learn(mesh, entry, 8, seconds=2.0)
+        stop_without_control(mesh, stopping)
         sent = []
         for number in range(50):
             gevent.sleep(0.1)
@@ -197,13 +189,8 @@
 
     def script(mesh):
         entry, stopping, _ = mesh.machines
-        for machine in mesh.machines:
-            machine.worker.state.seconds = 2.0
-        for number in range(8):
-            assert Sent(mesh, entry, "/sign/", f"learnt-{number}", method="POST").status == 200
-        for controller in mesh.controllers:
-            controller.process.kill()
-        stop(mesh, stopping)
+        learn(mesh, entry, 8, seconds=2.0)
+        stop_without_control(mesh, stopping)
         for number in range(60):
             gevent.sleep(0.1)
             Sent(mesh, entry, "/sign/", f"during-{number}", method="POST")
@@ -225,12 +212,8 @@
 
     def script(mesh):
         entry, stopping = mesh.machines
-        stopping.worker.state.seconds = 1.5
-        for number in range(4):
-            assert Sent(mesh, entry, "/sign/", f"learnt-{number}", method="POST").status == 200
-        for controller in mesh.controllers:
-            controller.process.kill()
-        stop(mesh, stopping)
+        learn(mesh, entry, 4, seconds=1.5)
+        stop_without_control(mesh, stopping)
         gevent.sleep(1.9)
         sent = [Sent(mesh, entry, "/sign/", f"sent-{n}", method="POST") for n in range(6)]
         return [request.was_cut() for request in sent], [request.status for request in sent]
@@ -245,10 +228,7 @@
 
     def script(mesh):
         entry = mesh.machines[0]
-        for machine in mesh.machines:
-            machine.worker.state.seconds = 2.4
-        for number in range(4):
-            assert Sent(mesh, entry, "/back/", f"learnt-{number}").status == 200
+        learn(mesh, entry, 4, "/back/", seconds=2.4)
         stop(mesh, entry)
         gevent.sleep(1.9)
         for machine in mesh.machines[1:]:
