A planned stop leaves time for late responses, late timers and the exit

Cause: the stop was exact to its last moment. A deadline or a run that ended with the process "fitted", though its response still passes two processes; a request of unknown duration was taken by 0.7 of its objective until the end; 0.1 s was left for the exit, counted from when the process noticed the signal.

Change: a request begins only if it is expected to end 0.1 s before the end of the stop; the end lies 0.3 s before SIGKILL; both move by the longest delay of a timer in this stop; the guess holds in the first part of the stop only. A controller has stop_seconds; the parts of an edge's stop share one end; the exit does not wait for a reader of its output. The lines stop_signal, stopping, stopped and exiting tell the course of a stop.

--- a/src/cranklane/cli/daemon.py
+++ b/src/cranklane/cli/daemon.py
@@ -18,6 +18,7 @@
 import gevent
 from gevent.event import Event
 
+from cranklane.cli.stop_signals import StopSignals
 from cranklane.common.logs import configure_logs, logger
 from cranklane.errors import CorruptedLogError, InvariantError, SettingsError
 from cranklane.runtime.real import RealRuntime
@@ -51,8 +52,11 @@
         :raises OSError: when a port or file cannot be opened.
         """
 
-    def stop(self) -> bool:
-        """Drain and stop; return whether all requests in flight finished."""
+    def stop(self, signalled_at: float | None = None, /) -> bool:
+        """Drain and stop; return whether all requests in flight finished.
+
+        :param signalled_at: monotonic second of the signal; None: now.
+        """
 
 
 def _kinds(command: str) -> tuple[Any, Any]:
@@ -109,8 +113,9 @@
         return EXIT_START_FAILED
     log_queue = configure_logs()
     _exit_on_invariant_error()
-    process: Process = process_class(RealRuntime(), settings, **process_arguments)
-    stop_requested = _handle_stop_signals()
+    runtime = RealRuntime()
+    process: Process = process_class(runtime, settings, **process_arguments)
+    stop_signals = StopSignals(runtime.monotonic)
     exit_status = _start(process, settings)
     if exit_status is not None:
         return exit_status
@@ -121,10 +126,11 @@
         # Without a file to reload, a closed terminal ends the process.
         signal.signal(signal.SIGHUP, signal.SIG_DFL)
     _tune_garbage_collector()
-    stop_requested.wait()
+    signalled_at = stop_signals.wait()
     try:
-        return 0 if process.stop() else EXIT_DRAIN_INCOMPLETE
+        return 0 if process.stop(signalled_at) else EXIT_DRAIN_INCOMPLETE
     finally:
+        stop_signals.log_exit()
         # Flushes queued log lines, which record the outcome of the stop.
         log_queue.write_now()
 
@@ -155,14 +161,6 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
-def _handle_stop_signals() -> Event:
-    """Return an event that SIGTERM and SIGINT set."""
-    stop_requested = Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signal_number, stop_requested.set)
-    return stop_requested
-
-
 def _watch_settings(path: str, read: Callable[[], Any], reload: Callable[[Any], None]) -> None:
     """Reload settings on SIGHUP and when the settings file changes."""
     reload_requested = Event()
--- a/src/cranklane/cli/entry.py
+++ b/src/cranklane/cli/entry.py
@@ -9,7 +9,7 @@
 import os
 import signal
 import sys
-from typing import Any, NoReturn
+from typing import Any, NoReturn, TextIO
 
 
 def _is_daemon(arguments: list[str]) -> bool:
@@ -47,11 +47,21 @@
     That takes a tenth of a second beside open connections, which the end of a planned stop does
     not have. Files are synced when they are written, and the log lines have been written.
     """
-    sys.stdout.flush()
-    sys.stderr.flush()
+    for output in (sys.stdout, sys.stderr):
+        _flush_without_waiting(output)
     os._exit(status)
 
 
+def _flush_without_waiting(output: TextIO) -> None:
+    """Flush an output, unless its reader is gone or does not read."""
+    try:
+        os.set_blocking(output.fileno(), False)
+        output.flush()
+    except (OSError, ValueError):
+        # Nobody can be told: the output itself has failed, or is closed.
+        return
+
+
 def main() -> None:
     """Run the daemon or operator command named by the first argument."""
     arguments = sys.argv[1:]
--- a/src/cranklane/common/http_server.py
+++ b/src/cranklane/common/http_server.py
@@ -8,7 +8,7 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 
-from cranklane.common.planned_stop import wait_until_idle
+from cranklane.common.planned_stop import PlannedStop
 from cranklane.common.request_headers import RequestHeaders
 from cranklane.errors import TruncatedAnswerError
 from cranklane.runtime.interface import Address, Listener, Runtime
@@ -125,16 +125,13 @@
         self._server.stopping = True
         self._listener.close()
 
-    def finish(self, seconds: float) -> bool:
-        """Close the port and wait for the requests in flight.
+    def finish(self, stop: PlannedStop) -> bool:
+        """Close the port and wait for the requests in flight, until the stop's end at most.
 
-        :param seconds: maximum wait.
         :returns: whether all of them have been answered.
         """
         self.stop_accepting()
-        runtime = self._server.runtime
-        ends_at = runtime.monotonic() + seconds
-        return wait_until_idle(runtime, lambda: self._server.requests_in_flight > 0, ends_at)
+        return stop.wait_until_idle(lambda: self._server.requests_in_flight > 0)
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
--- a/src/cranklane/control/process.py
+++ b/src/cranklane/control/process.py
@@ -10,6 +10,7 @@
 
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
+from cranklane.common.planned_stop import PlannedStop
 from cranklane.control.editor import Editor
 from cranklane.control.operator_api import OperatorApi
 from cranklane.control.operators import Operators
@@ -133,12 +134,15 @@
         self._nodes.start(self.replica)
         self._log.info("started", revision=self.store.revision)
 
-    def stop(self) -> bool:
+    def stop(self, signalled_at: float | None = None) -> bool:
         """Finish the operators' requests in flight; acknowledged entries are already on disk.
 
+        :param signalled_at: monotonic second of the signal; None: now.
         :returns: whether all of them have been answered.
         """
-        finished = self.http.finish(STOP_SECONDS)
+        stop = PlannedStop(self.runtime.monotonic)
+        stop.begin((signalled_at or self.runtime.monotonic()) + STOP_SECONDS)
+        finished = self.http.finish(stop)
         self._listener.close()
         self._log.info("stopped", revision=self.store.revision)
         return finished
--- a/src/cranklane/controller/process.py
+++ b/src/cranklane/controller/process.py
@@ -12,6 +12,7 @@
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
 from cranklane.common.metrics_server import GaugeRegistry, MetricsServer
+from cranklane.common.planned_stop import PlannedStop, end_of_stop
 from cranklane.common.small_http import SmallHttp
 from cranklane.controller.confirmation import StateFreshness
 from cranklane.controller.controller_state import ControllerStateMachine
@@ -95,6 +96,9 @@
     advertise: str = setting(
         OPTIONAL_ADDRESS, "", help="address announced to other processes, if it differs from listen"
     )
+    stop_seconds: float = setting(
+        seconds(0, 3600), 6.0, help="maximum duration of a planned stop, in seconds"
+    )
 
 
 class Controller:
@@ -192,14 +196,25 @@
             problems=problems[:MAX_LOGGED_PROBLEMS],
         )
 
-    def stop(self) -> bool:
+    def stop(self, signalled_at: float | None = None) -> bool:
         """Finish the operators' requests in flight; acknowledged entries are already on disk.
 
+        :param signalled_at: monotonic second of the signal; None: now.
         :returns: whether all of them have been answered.
         """
-        finished = self.http.finish(STOP_SECONDS)
+        signalled_at = signalled_at or self.runtime.monotonic()
+        stop = PlannedStop(self.runtime.monotonic)
+        latest_end = end_of_stop(signalled_at, self.settings.stop_seconds)
+        stop.begin(min(signalled_at + STOP_SECONDS, latest_end))
+        finished = self.http.finish(stop)
         self._listener.close()
-        self._log.info("stopped", version=self.store.version)
+        self._log.info(
+            "stopped",
+            version=self.store.version,
+            finished=finished,
+            seconds=round(self.runtime.monotonic() - signalled_at, 3),
+            timer_delay=round(stop.timer_delay.longest, 3),
+        )
         return finished
 
     def reload(self, settings: ControllerSettings) -> None:
--- a/src/cranklane/ledger/process.py
+++ b/src/cranklane/ledger/process.py
@@ -90,7 +90,7 @@
         self.runtime.spawn_restarting(self._subscription.follow)
         self._log.info("started", entries=len(self.store))
 
-    def stop(self) -> bool:
+    def stop(self, _signalled_at: float | None = None) -> bool:
         """Stop at once, as all acknowledged requests are on disk."""
         self._subscription.stop()
         self._listener.close()
--- a/src/cranklane/node/outbound.py
+++ b/src/cranklane/node/outbound.py
@@ -86,10 +86,9 @@
         """
         if not self._stop.begun:
             return True
-        longest = self.run_times.longest(run_key(call.service, call.route))
-        return self._stop.can_finish(
-            call.context.deadline, math.inf if longest is None else longest
-        )
+        learnt = self.run_times.longest(run_key(call.service, call.route))
+        longest = self._stop.longest_or_estimate(learnt, math.inf)
+        return self._stop.can_finish(call.context.deadline, longest)
 
     def _refuse(self, request: Request, criticality: Criticality, reason: Reason) -> Answer:
         self._metrics.call(
--- a/src/cranklane/node/process.py
+++ b/src/cranklane/node/process.py
@@ -6,7 +6,7 @@
 
 from cranklane.common.http_server import HttpServer
 from cranklane.common.logs import logger
-from cranklane.common.planned_stop import PlannedStop, wait_until_idle
+from cranklane.common.planned_stop import PlannedStop
 from cranklane.common.units import MILLISECONDS
 from cranklane.distribution.member_state import MemberState
 from cranklane.distribution.subscription import Subscription
@@ -226,38 +226,44 @@
             self.inbound.announce_stop()
         self._log.info("draining")
 
-    def stop(self) -> bool:
+    def stop(self, signalled_at: float | None = None) -> bool:
         """Drain, then stop; wait at most ``stop_seconds`` for calls in flight.
 
+        An edge keeps its clients' connections for up to ``IDLE_GRACE_SECONDS`` more.
+
+        :param signalled_at: monotonic second of the signal; None: now.
         :returns: whether all calls in flight finished.
         """
         if self._stopping:
             return True
         self._stopping = True
-        stop_seconds = STOP_ANNOUNCE_SECONDS + self._settings.stop_seconds
-        self._planned_stop.begin(self._runtime.monotonic() + stop_seconds)
+        signalled_at = signalled_at or self._runtime.monotonic()
+        drained_at = signalled_at + STOP_ANNOUNCE_SECONDS + self._settings.stop_seconds
+        ends_at = drained_at + (IDLE_GRACE_SECONDS if self.inbound is None else 0.0)
+        self._planned_stop.begin(ends_at)
         self._log.info("stopping", in_flight=self._in_flight())
         self.drain()
         if self.inbound is None:
             self.http.stop_accepting()
         # With a worker, keep the port open for the child calls of running calls.
-        gevent.sleep(STOP_ANNOUNCE_SECONDS)
+        self._planned_stop.wait(STOP_ANNOUNCE_SECONDS)
         self.subscription.stop()
         if self.inbound is not None:
             self._listener.close()
-        finished = self._wait_until_idle()
+        finished = self._wait_until_idle(drained_at)
         if self.inbound is None:
             # Clients may still send requests on idle connections; answer these, and ask the
             # clients to close.
             self._wait_for_clients_to_close()
-            finished = self._wait_until_idle() and finished
+            finished = self._wait_until_idle(ends_at) and finished
         self.http.stop_accepting()
         self.http.close_idle()
         self._log.info("stopped", cut=self._in_flight())
         return finished
 
     def _wait_for_clients_to_close(self) -> None:
-        deadline = self._runtime.monotonic() + IDLE_GRACE_SECONDS
+        now = self._runtime.monotonic()
+        deadline = min(now + IDLE_GRACE_SECONDS, self._planned_stop.ends_at)
         while self.http.connections and self._runtime.monotonic() < deadline:
             gevent.sleep(CLIENT_CHECK_SECONDS)
 
@@ -265,6 +271,5 @@
         inbound = self.inbound.calls if self.inbound is not None else 0
         return inbound + self.callers.calls + self.once.pending_stores
 
-    def _wait_until_idle(self) -> bool:
-        ends_at = self._runtime.monotonic() + self._settings.stop_seconds
-        return wait_until_idle(self._runtime, lambda: self._in_flight() > 0, ends_at)
+    def _wait_until_idle(self, until: float) -> bool:
+        return self._planned_stop.wait_until_idle(lambda: self._in_flight() > 0, until)
--- a/src/cranklane/sidecar/admission/stop_admission.py
+++ b/src/cranklane/sidecar/admission/stop_admission.py
@@ -36,10 +36,10 @@
         if not self._stop.begun:
             return True
         deadline = arrived_at + request.deadline_ms / MILLISECONDS
-        longest = self.run_times.longest(_run_key(request))
-        if longest is None:
-            # Once the objective has passed, only the deadline bounds the run.
-            longest = longest_by_objective(request.root_objective_ms) or math.inf
+        # Once the objective has passed, only the deadline bounds the run.
+        estimate = longest_by_objective(request.root_objective_ms) or math.inf
+        learnt = self.run_times.longest(_run_key(request))
+        longest = self._stop.longest_or_estimate(learnt, estimate)
         return self._stop.can_finish(deadline, longest * self._run_time_factor())
 
     def retry_after_ms(self) -> int:
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -75,6 +75,7 @@
     :ivar refuses_clients: whether clients' requests are refused because the process may exit
         before they finish; calls of runs at the local worker are still accepted.
     :ivar in_flight: requests whose head has been read and whose response is not yet written.
+    :ivar last_response_at: monotonic second of the last response of a stop; None without one.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         self.stopping = False
         self.refuses_clients = False
         self.in_flight = 0
+        self.last_response_at: float | None = None
 
     def accept(self, stream: Any, _address: Address) -> None:
         """Serve a caller's connection until it is closed."""
@@ -138,6 +140,8 @@
             return self._serve(connection, self._request(head))
         finally:
             self.in_flight -= 1
+            if self.stopping:
+                self.last_response_at = self._runtime.monotonic()
 
     def _reject(self, connection: CallerConnection, status: HTTPStatus | None) -> bool:
         """Answer a request that could not be read, and end its connection."""
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import gevent
-
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.logs import logger
 from cranklane.common.metrics_server import MetricsServer
-from cranklane.common.planned_stop import PlannedStop, wait_until_idle
+from cranklane.common.planned_stop import PlannedStop
 from cranklane.common.small_http import SmallHandler, SmallHttp
 from cranklane.common.units import MILLISECONDS
 from cranklane.records.messages import Hello
@@ -299,35 +297,54 @@
         self.destinations.set_local_member(self.local_member.next_member())
         self.control.announce()
 
-    def stop(self) -> bool:
+    def stop(self, signalled_at: float | None = None) -> bool:
         """Stop as planned: withdraw, accept requests for a while, and finish those in flight.
 
+        :param signalled_at: monotonic second of the signal; None: now.
         :returns: whether all requests finished.
         """
         if self.local_member.stopping:
             return True
         began_at = self._runtime.monotonic()
-        times = stop_times(began_at, self.settings.stop_seconds)
-        self.planned_stop.begin(times.ends_at)
-        self._withdraw()
-        gevent.sleep(times.withdrawal_seconds)
+        signalled_at = signalled_at or began_at
+        times = stop_times(signalled_at, self.settings.stop_seconds)
+        self.planned_stop.begin(times.ends_at, times.estimates_until)
+        self._withdraw(began_at - signalled_at)
+        self.planned_stop.wait(times.withdrawal_seconds)
         self.ingress.close_idle()
-        wait_until_idle(self._runtime, self._is_busy, times.accepts_until)
+        self.planned_stop.wait_until_idle(self._is_busy, times.accepts_until)
         self.ingress.refuses_clients = True
-        wait_until_idle(self._runtime, self._is_busy, times.ends_at)
+        self.planned_stop.wait_until_idle(self._is_busy)
+        idle_at = self._runtime.monotonic()
         finished = self._close()
+        self._log_stopped(signalled_at, idle_at)
+        return finished
+
+    def _log_stopped(self, signalled_at: float, idle_at: float) -> None:
+        """Log the stop's course in seconds since the signal."""
+        last_response_at = self.ingress.last_response_at
         self._log.info(
             "stopped",
             cut=self.ingress.in_flight + self.slots.running,
-            seconds=round(self._runtime.monotonic() - began_at, 3),
+            last_response=last_response_at and round(last_response_at - signalled_at, 3),
+            wait_ended=round(idle_at - signalled_at, 3),
+            seconds=round(self._runtime.monotonic() - signalled_at, 3),
+            timer_delay=round(self.planned_stop.timer_delay.longest, 3),
         )
-        return finished
 
-    def _withdraw(self) -> None:
-        """Announce to control and callers that this sidecar is draining."""
+    def _withdraw(self, noticed_after: float) -> None:
+        """Announce to control and callers that this sidecar is draining.
+
+        :param noticed_after: seconds from the signal until the stop began.
+        """
         self.local_member.stopping = True
         self.ingress.stopping = True
-        self._log.info("stopping", in_flight=self.ingress.in_flight, running=self.slots.running)
+        self._log.info(
+            "stopping",
+            in_flight=self.ingress.in_flight,
+            running=self.slots.running,
+            noticed_after=round(noticed_after, 3),
+        )
         self._worker_changed()
 
     def _close(self) -> bool:
--- a/src/cranklane/sidecar/routing/stop_limit.py
+++ b/src/cranklane/sidecar/routing/stop_limit.py
@@ -34,8 +34,9 @@
         return self._stop.start_within(call.deadline, self._longest(call))
 
     def _longest(self, call: Call) -> float:
-        longest = self.run_times.longest(call.run_key)
-        return longest_by_objective(call.route.objective_ms) if longest is None else longest
+        return self._stop.longest_or_estimate(
+            self.run_times.longest(call.run_key), longest_by_objective(call.route.objective_ms)
+        )
 
     def refuse(self, call: Call) -> Reply:
         """Return the refusal of a call that would outlast this process.
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -467,3 +467,27 @@
         return answer.status if answer is not None else 0
 
     assert play(script) == 200
+
+
+def test_a_stopping_controller_ends_before_it_is_killed_though_an_order_is_in_its_hand():
+    """Guards against a wait for an order that lasts beyond the kill of the process."""
+
+    def script(mesh):
+        assert put(mesh, 1, 0) == 200
+        leader = mesh.leader()
+        leader.controller.settings.stop_seconds = 2.0
+        for other in mesh.controllers:
+            if other is not leader:
+                other.process.kill()
+        gevent.spawn(
+            mesh.send_to_controller, "POST", json.dumps(table(2, 1)).encode(), leader.number
+        )
+        server = leader.controller.http._server
+        assert mesh.wait_for(lambda: server.requests_in_flight > 0, 1.0, 0.0005)
+        began_at = mesh.world.loop.now()
+        finished = leader.process.spawn(leader.controller.stop).get()
+        return finished, mesh.world.loop.now() - began_at
+
+    finished, seconds = play(script)
+    assert not finished
+    assert seconds < 2.0
