--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -69,6 +69,11 @@
     assert run_pytest(tmp_path, known_red_text, "tests/test_two.py::test_fails").returncode == 0
 
 
+def test_lines_on_crowds_do_not_count_against_the_limit():
+    line = "tests/test_crowd.py::test_a | b | 1\n"
+    assert len(parse_list(line * 4 + "a | b | 1\n" * 3)) == 7
+
+
 @pytest.mark.parametrize("text", ["a test", "a | b", "a | b | ", "a | b | 1\n" * 4])
 def test_a_malformed_list_is_refused(text):
     with pytest.raises(ValueError, match=r"KNOWN-RED\.txt"):
