--- a/src/cranklane/common/http1/message.py
+++ b/src/cranklane/common/http1/message.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-Header = tuple[bytes, bytes]
-"""Name and value as received, without normalization."""
+from cranklane.common.http1.header_block import HeaderBlock
 
 
 class Framing(IntEnum):
@@ -67,14 +66,14 @@
 
     method: bytes
     target: bytes
-    headers: list[Header]
+    headers: HeaderBlock
     framing: Framing
     length: int
     keep_alive: bool
 
     def value(self, lower_name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
-        return header_value(self.headers, lower_name)
+        return self.headers.value(lower_name)
 
 
 @dataclass(slots=True)
@@ -82,41 +81,25 @@
     """Status line and headers."""
 
     status: int
-    headers: list[Header]
+    headers: HeaderBlock
     framing: Framing
     length: int
     keep_alive: bool
 
     def value(self, lower_name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
-        return header_value(self.headers, lower_name)
+        return self.headers.value(lower_name)
 
 
-def header_value(headers: list[Header], lower_name: bytes) -> bytes | None:
-    """Return the first value of a header, or None.
-
-    >>> header_value([(b"X-Id", b"7")], b"x-id")
-    b'7'
-    """
-    for name, value in headers:
-        if len(name) == len(lower_name) and name.lower() == lower_name:
-            return value
-    return None
-
-
-def framing_of(headers: list[Header]) -> tuple[Framing, int]:
+def framing_of(headers: HeaderBlock) -> tuple[Framing, int]:
     """Return a body's framing and its ``Content-Length`` (0 if not applicable).
 
-    >>> framing_of([(b"Content-Length", b"3")])
+    >>> framing_of(HeaderBlock(b"Content-Length: 3\\r\\n"))
     (<Framing.LENGTH: 1>, 3)
     """
-    length = -1
-    for name, value in headers:
-        lower = name.lower()
-        if lower == b"transfer-encoding":
-            return Framing.CHUNKED, 0
-        if lower == b"content-length":
-            length = int(value)
-    if length < 0:
+    if headers.value(b"transfer-encoding") is not None:
+        return Framing.CHUNKED, 0
+    length = headers.value(b"content-length")
+    if length is None:
         return Framing.NONE, 0
-    return Framing.LENGTH, length
+    return Framing.LENGTH, int(length)
--- a/src/cranklane/common/http1/reader.py
+++ b/src/cranklane/common/http1/reader.py
@@ -1,12 +1,13 @@
 """Reads HTTP/1.1 messages from a connection with the ``httptools`` parser.
 
-Bodies are pulled in pieces: a slow consumer applies backpressure to the sender, and
-large bodies are not kept in memory.
+Received bytes are kept as they are until they are needed: the parser gets a head once it is
+complete, and nothing beyond the end of the current message. So neither an unfinished head nor what
+follows a message costs more memory than its bytes. Bodies are pulled in pieces: a slow consumer
+applies backpressure to the sender, and large bodies are not kept in memory.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -15,10 +16,10 @@
 
 import httptools
 
+from cranklane.common.http1.header_block import EMPTY_BLOCK, HeaderBlock
 from cranklane.common.http1.message import (
     AnswerHead,
     Framing,
-    Header,
     HeadTooLargeError,
     MalformedMessageError,
     RequestHead,
@@ -27,41 +28,68 @@
     is_final_status,
     is_interim_status,
 )
+from cranklane.common.http1.parsing_turns import PARSE_AT_ONCE, ParsingTurns
 
 RECEIVE_BYTES = 64 * 1024
-"""Buffer size of one receive call."""
+"""Buffer size of one receive call for a body."""
+
+RECEIVE_CHUNKED_BYTES = 16 * 1024
+"""The same for a chunked body, whose parsing takes longer: bounds the time between two tasks."""
+
+MAX_START_LINE_BYTES = 64
+"""Bytes of a start line beside the request target: method, spaces, version and line end."""
+
+_LINE_END = b"\r\n"
+_EMPTY_LINE = b"\r\n\r\n"
+"""Ends each head, and each chunked body with its trailers."""
+
+_EMPTY_LINE_PARTS = (b"\r\n\r", b"\r\n", b"\r", b"")
+"""Beginnings of an empty line of which the rest may arrive later."""
 
 _NO_BODY_STATUS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 @dataclass(slots=True)
 class _Message:
-    """A message, possibly only partly parsed."""
+    """A message, possibly only partly parsed.
+
+    :ivar begun: whether its first byte has been parsed.
+    :ivar body_bytes_left: part of a body of known length that has not been parsed.
+    """
 
     url: bytes = b""
-    headers: list[Header] = field(default_factory=list)
+    headers: HeaderBlock = EMPTY_BLOCK
+    begun: bool = False
     head_done: bool = False
     done: bool = False
-    pieces: deque[bytes] = field(default_factory=deque)
+    pieces: list[bytes] = field(default_factory=list)
     method: bytes = b""
     status: int = 0
     keep_alive: bool = True
+    framing: Framing = Framing.NONE
+    length: int = 0
+    body_bytes_left: int = 0
 
 
 class _MessageReader:
-    """Base of the request and response readers."""
+    """Base of the request and response readers.
+
+    :ivar turns: bounds the share of the time that is spent on parsing long heads.
+    """
 
     def __init__(self, connection: Any, max_head_bytes: int) -> None:
         self._connection = connection
         self._max_head_bytes = max_head_bytes
-        self._messages: deque[_Message] = deque()
-        self._parsing = _Message()
+        self._received = b""
+        self._message = _Message()
         self._error: str = ""
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._ended = False
         self._deadline = inf
         self._clock: Callable[[], float] | None = None
         self._parser = self._new_parser()
+        self.turns: ParsingTurns = PARSE_AT_ONCE
 
     def _new_parser(self) -> Any:
         raise NotImplementedError
@@ -72,112 +100,253 @@
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
-        """Add an empty message to the queue."""
-        self._parsing = _Message()
-        self._messages.append(self._parsing)
+        """Note the begin of the message; nothing of a second one is parsed meanwhile."""
+        if self._message.begun:
+            self._error = "bytes of another message follow within this one"
+        self._message.begun = True
 
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
-        self._parsing.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; trailers after the body are dropped."""
-        message = self._parsing
-        if not message.head_done:
-            message.headers.append((name, value))
+        self._message.url += url
 
     def on_headers_complete(self) -> None:
         """Mark the head as complete."""
-        message = self._parsing
-        self._head_parsed(message)
-        message.head_done = True
-        self._head_bytes = 0
+        self._head_parsed(self._message)
+        self._message.head_done = True
 
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
         if data:
-            self._parsing.pieces.append(data)
+            self._message.pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Mark the message as complete."""
-        self._parsing.done = True
+        self._message.done = True
+
+    # Receiving and parsing.
 
     @property
     def started(self) -> bool:
         """Whether any part of an unread message has been received."""
-        return self._head_bytes > 0 or bool(self._messages)
+        return self._message.begun or bool(self._received)
 
-    def _receive(self) -> bool:
-        """Receive and parse the next bytes; return False at the end of the connection."""
+    def _receive(self, size: int) -> bool:
+        """Receive up to ``size`` bytes; return False at the end of the connection."""
         if self._ended:
             return False
         if self._clock is not None:
             self._limit_receive_time(self._deadline - self._clock())
-        data = self._connection.recv(RECEIVE_BYTES)
+        data = self._connection.recv(size)
         if not data:
             # Avoids another blocking receive on the ended connection.
             self._ended = True
             return False
+        self._received = self._received + data if self._received else data
+        return True
+
+    def _limit_receive_time(self, remaining: float) -> None:
+        if remaining <= 0:
+            raise TimeoutError
+        self._connection.settimeout(remaining)
+
+    def _feed(self, data: bytes) -> None:
+        """Parse bytes; an error is kept until the part before it has been read."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._error = "protocol upgrades are not supported"
         except httptools.HttpParserError as error:
             self._error = str(error) or type(error).__name__
-        if not self._parsing.head_done:
-            self._head_bytes += len(data)
-        return True
 
-    def _limit_receive_time(self, remaining: float) -> None:
-        if remaining <= 0:
-            raise TimeoutError
-        self._connection.settimeout(remaining)
+    def _take(self, size: int) -> bytes:
+        """Remove and return the first received bytes."""
+        data = self._received
+        if size >= len(data):
+            self._received = b""
+            return data
+        self._received = data[size:]
+        return data[:size]
+
+    # Heads.
+
+    def _parse_head(self) -> None:
+        """Parse the head if it has been received whole, else the start line alone.
+
+        The start line is parsed as it arrives, since it shows whether the bytes are HTTP.
+        """
+        while not (self._message.head_done or self._error):
+            end = self._received.find(_EMPTY_LINE)
+            if end < 0:
+                self._parse_start_line()
+                return
+            head = self._take(end + len(_EMPTY_LINE))
+            self._head_bytes += len(head)
+            if self._head_bytes > self._max_head_bytes + MAX_START_LINE_BYTES:
+                # Too large, as _head_room tells.
+                return
+            start_line_begun = self._message.begun
+            self.turns.take(head, self._feed)
+            self._head_fed(head if start_line_begun else head.lstrip(_LINE_END))
+
+    def _parse_start_line(self) -> None:
+        if self._message.begun:
+            return
+        end = self._received.find(_LINE_END)
+        # The line end is left, so that it is found whole.
+        start_line = self._received.rstrip(b"\r") if end < 0 else self._received[:end]
+        if start_line:
+            self._head_bytes += len(start_line)
+            self._received = self._received[len(start_line) :]
+            self._feed(start_line)
+
+    def _head_fed(self, head: bytes) -> None:
+        """Keep the header lines of a head that the parser has accepted.
+
+        :param head: the rest of the start line, the header lines and the empty line.
+        """
+        message = self._message
+        if not message.head_done or self._error:
+            return
+        message.headers = HeaderBlock(head.partition(_LINE_END)[2][: -len(_LINE_END)])
+        message.framing, message.length = framing_of(message.headers)
+        if message.framing is Framing.LENGTH:
+            message.body_bytes_left = message.length
+        if message.pieces:
+            # The parser saw the end of the head before its empty line.
+            self._error = "the head does not end with an empty line"
+
+    def _head_room(self) -> int:
+        """Return how many bytes the head may still get; negative if it is too large.
+
+        The limit applies to the header lines and the request target. Of an incomplete head it is
+        not known which bytes these are.
+        """
+        message = self._message
+        if message.head_done:
+            return self._max_head_bytes - len(message.headers.lines) - len(message.url)
+        allowed = self._max_head_bytes + MAX_START_LINE_BYTES
+        return allowed - self._head_bytes - len(self._received)
 
     def _next_head(self) -> _Message | None:
-        """Return the next message once its head is complete; None at a clean end."""
-        while not (self._messages and self._messages[0].head_done):
+        """Return the next message once its head is complete; None at a clean end.
+
+        :raises MalformedMessageError: if the bytes are not a valid head.
+        :raises HeadTooLargeError: if the head exceeds the limit.
+        :raises TruncatedMessageError: if the connection ends within the head.
+        """
+        while True:
+            self._parse_head()
             if self._error:
                 raise MalformedMessageError(self._error)
-            if self._head_bytes > self._max_head_bytes:
+            room = self._head_room()
+            if room < 0:
                 raise HeadTooLargeError
-            if not self._receive():
+            if self._message.head_done:
+                return self._message
+            if not self._receive(room + 1):
                 if self.started:
                     raise TruncatedMessageError
                 return None
-        message = self._messages[0]
-        if (
-            sum(len(name) + len(value) + 4 for name, value in message.headers) + len(message.url)
-            > self._max_head_bytes
-        ):
-            raise HeadTooLargeError
-        return message
+
+    # Bodies.
+
+    def _parse_body(self) -> None:
+        """Parse what has been received of the body, and nothing after its end."""
+        message = self._message
+        if message.framing is Framing.LENGTH:
+            data = self._take(message.body_bytes_left)
+            message.body_bytes_left -= len(data)
+            self._feed(data)
+        elif message.framing is Framing.CHUNKED:
+            self._parse_chunks()
+        elif not message.done:
+            self._feed(self._take(len(self._received)))
+
+    def _parse_chunks(self) -> None:
+        """Parse a chunked body up to each empty line in turn, as it ends with one of them.
+
+        An empty line may also be part of the data, and may arrive in two parts.
+        """
+        message = self._message
+        while self._received and not (message.done or self._error):
+            end = self._received.find(_EMPTY_LINE)
+            if end < 0:
+                begun = next(part for part in _EMPTY_LINE_PARTS if self._received.endswith(part))
+                self._feed(self._take(len(self._received) - len(begun)))
+                return
+            self._feed(self._take(end + len(_EMPTY_LINE)))
+
+    def _receive_body(self) -> bool:
+        """Receive and parse the next bytes of the body; return False at the connection's end.
+
+        :raises MalformedMessageError: if chunk headers and trailers exceed the size of a head.
+        """
+        chunked = self._message.framing is Framing.CHUNKED
+        if not self._receive(RECEIVE_CHUNKED_BYTES if chunked else RECEIVE_BYTES):
+            if not self._received:
+                return False
+            # The beginning of an empty line that does not come.
+            self._feed(self._take(len(self._received)))
+            return True
+        received = len(self._received)
+        self._parse_body()
+        if self._message.pieces:
+            self._framing_bytes = 0
+        elif chunked:
+            self._framing_bytes += received
+            if self._framing_bytes > self._max_head_bytes + RECEIVE_CHUNKED_BYTES:
+                raise MalformedMessageError("trailers or chunk extensions are too large")
+        return True
 
     def _next_piece(self) -> bytes:
         """Return the next piece of the current body, empty at its end."""
-        message = self._messages[0]
+        message = self._message
+        if self._received and not (message.pieces or message.done):
+            self._parse_body()
         while not message.pieces:
             if message.done:
                 return b""
             if self._error:
                 raise MalformedMessageError(self._error)
-            if not self._receive():
+            if not self._receive_body():
                 raise TruncatedMessageError
-        return message.pieces.popleft()
+        return self._take_pieces()
+
+    def _take_pieces(self) -> bytes:
+        pieces = self._message.pieces
+        if len(pieces) == 1:
+            return pieces.pop()
+        data = b"".join(pieces)
+        pieces.clear()
+        return data
 
     def take_buffered_body(self) -> tuple[bytes, bool]:
         """Remove and return the buffered part of the body, and whether it is the last part."""
-        message = self._messages[0]
-        data = b"".join(message.pieces)
-        message.pieces.clear()
-        return data, message.done
+        if self._received and not self._message.done:
+            self._parse_body()
+        return self._take_pieces(), self._message.done
 
     def finish(self) -> None:
         """Remove the current message after its body has been read."""
-        self._messages.popleft()
+        self._message = _Message()
+        self._head_bytes = 0
+        self._framing_bytes = 0
+
+
+def _hold_any(_size: int) -> None:
+    """Accept any number of held bytes."""
 
 
 class RequestReader(_MessageReader):
-    """Reads requests from a caller's connection."""
+    """Reads requests from a caller's connection.
+
+    :ivar on_hold: called with the number of bytes of an incomplete head before it waits for
+        more; may raise OverloadedError.
+    """
+
+    def __init__(self, connection: Any, max_head_bytes: int) -> None:
+        super().__init__(connection, max_head_bytes)
+        self.on_hold: Callable[[int], None] = _hold_any
 
     def _new_parser(self) -> Any:
         return httptools.HttpRequestParser(self)
@@ -196,6 +365,7 @@
         :raises TimeoutError: if one of these limits is exceeded.
         :raises MalformedMessageError: if the bytes are not a valid request.
         :raises HeadTooLargeError: if the head exceeds the limit.
+        :raises OverloadedError: if the process has no room or time for the head.
         :raises TruncatedMessageError: if the connection ends within a head.
         :raises OSError: if the connection fails.
         """
@@ -203,18 +373,26 @@
         message = self._next_head()
         if message is None:
             return None
-        framing, length = framing_of(message.headers)
         return RequestHead(
-            message.method, message.url, message.headers, framing, length, message.keep_alive
+            message.method,
+            message.url,
+            message.headers,
+            message.framing,
+            message.length,
+            message.keep_alive,
         )
 
     def _wait_for_head(
         self, idle_seconds: float, head_seconds: float, clock: Callable[[], float]
     ) -> None:
-        """Receive until a complete head, a parse error or the end of the connection."""
+        """Receive until a complete head, an error or the end of the connection."""
         deadline = clock() + head_seconds
         idle = not self.started
-        while not self._error and not (self._messages and self._messages[0].head_done):
+        while True:
+            self._parse_head()
+            room = self._head_room()
+            if self._error or self._message.head_done or room < 0:
+                return
             if idle:
                 self._connection.settimeout(idle_seconds)
             else:
@@ -222,7 +400,8 @@
                 if remaining <= 0:
                     raise TimeoutError
                 self._connection.settimeout(remaining)
-            if self._head_bytes > self._max_head_bytes or not self._receive():
+                self.on_hold(len(self._received))
+            if not self._receive(room + 1):
                 return
             if idle:
                 idle = False
@@ -263,9 +442,9 @@
         while not is_final_status(message.status):
             if not is_interim_status(message.status):
                 raise MalformedMessageError(f"{message.status:03} is no status of a response")
-            self._messages.popleft()
+            self.finish()
             message = self._next_response()
-        framing, length = framing_of(message.headers)
+        framing, length = message.framing, message.length
         self._bodiless = bodiless
         keep_alive = message.keep_alive
         if bodiless or message.status in _NO_BODY_STATUS:
@@ -273,7 +452,7 @@
             keep_alive = keep_alive and message.done
             message.done = True
         elif framing is Framing.NONE:
-            framing = Framing.UNTIL_CLOSE
+            framing = message.framing = Framing.UNTIL_CLOSE
             keep_alive = False
         self._until_close = framing is Framing.UNTIL_CLOSE
         return AnswerHead(message.status, message.headers, framing, length, keep_alive)
@@ -298,7 +477,7 @@
         except TruncatedMessageError:
             if not self._until_close:
                 raise
-            self._messages[0].done = True
+            self._message.done = True
             return b""
 
     def receive_until(self, deadline: float, clock: Callable[[], float]) -> None:
@@ -321,4 +500,4 @@
     @property
     def surplus(self) -> bool:
         """Whether bytes were received after the end of the current response."""
-        return bool(self._error) or len(self._messages) > 1
+        return bool(self._error or self._received)
--- a/src/cranklane/common/http1/writer.py
+++ b/src/cranklane/common/http1/writer.py
@@ -5,7 +5,8 @@
 from http import HTTPStatus
 
 from cranklane.common.headers import HOP_BY_HOP as HOP_BY_HOP_NAMES
-from cranklane.common.http1.message import Framing, Header
+from cranklane.common.http1.header_block import HeaderBlock
+from cranklane.common.http1.message import Framing
 
 LAST_CHUNK = b"0\r\n\r\n"
 """Ends a chunked body."""
@@ -25,26 +26,19 @@
     return b"HTTP/1.1 %d %s\r\n" % (status, _PHRASES.get(status, "Status").encode())
 
 
-def header_lines(headers: list[Header]) -> bytes:
-    """Return the encoded header lines."""
-    return b"".join([b"%s: %s\r\n" % header for header in headers])
-
-
-def end_to_end_headers(
-    headers: list[Header], without: frozenset[bytes] = frozenset()
-) -> list[Header]:
-    """Return the headers to forward.
+def end_to_end_lines(headers: HeaderBlock, without: frozenset[bytes] = frozenset()) -> bytes:
+    """Return the header lines to forward.
 
     Drops hop-by-hop headers and those named by a ``Connection`` header.
 
     :param without: lower-case names of further headers to drop.
     """
     dropped = HOP_BY_HOP | without
-    for name, value in headers:
-        if name.lower() == b"connection" and value.lower() not in (b"close", b"keep-alive"):
+    for value in headers.values(b"connection"):
+        if value.lower() not in (b"close", b"keep-alive"):
             listed = {token.strip().lower() for token in value.split(b",")}
             dropped = dropped | (listed - {b"host"})
-    return [header for header in headers if header[0].lower() not in dropped]
+    return headers.without(dropped)
 
 
 def framing_line(framing: Framing, length: int) -> bytes:
--- a/src/cranklane/errors.py
+++ b/src/cranklane/errors.py
@@ -49,5 +49,9 @@
     """A log file is corrupted before its end; using it would lose entries."""
 
 
+class OverloadedError(CranklaneError):
+    """The process lacks the memory or the time to read or keep a request, which has not run."""
+
+
 class InvariantError(CranklaneError):
     """An invariant is violated; the process stops."""
--- a/src/cranklane/outcome.py
+++ b/src/cranklane/outcome.py
@@ -99,6 +99,8 @@
     """The services of the request's call tree have no capacity for trees of its rank."""
     SLOW_PERIOD = 39
     """The worker is in a slow period that the caller did not know of."""
+    MEMORY_FULL = 40
+    """The process holds as much for clients as its memory allows."""
 
     @property
     def label(self) -> str:
--- a/src/cranklane/routes/table.py
+++ b/src/cranklane/routes/table.py
@@ -79,6 +79,7 @@
     limits: Limits = field(default_factory=Limits)
     tenants: TenantDirectory | None = None
     _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
+    _longest_prefix: int = field(init=False, repr=False, compare=False)
     _priority_steps: int = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -86,6 +87,8 @@
         for route in self.routes:
             by_host.setdefault(route.host, {})[route.prefix] = route
         object.__setattr__(self, "_by_host", by_host)
+        longest_prefix = max((len(route.prefix) for route in self.routes), default=0)
+        object.__setattr__(self, "_longest_prefix", longest_prefix)
         steps = 1 + max((route.priority for route in self.routes), default=0)
         object.__setattr__(self, "_priority_steps", steps)
 
@@ -116,7 +119,7 @@
         if routes is None:
             routes = self._by_host.get(name.partition(":")[0], {})
         # Prefixes end with a slash, so only path prefixes up to a slash can match.
-        end = path.rfind("/")
+        end = path.rfind("/", 0, self._longest_prefix)
         while end >= 0:
             route = routes.get(path[: end + 1])
             if route is not None:
--- a/src/cranklane/sidecar/ingress/answer_writer.py
+++ b/src/cranklane/sidecar/ingress/answer_writer.py
@@ -11,11 +11,13 @@
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.http1.message import Framing
 from cranklane.common.http1.writer import LAST_CHUNK, chunk, framing_line, status_line
+from cranklane.common.memory_budget import ORDINARY_BYTES
 from cranklane.errors import TruncatedAnswerError
 from cranklane.outcome import status_of
 from cranklane.runtime.interface import Runtime
 from cranklane.sidecar.admission import retry_after
 from cranklane.sidecar.ingress.caller_connection import CallerConnection
+from cranklane.sidecar.ingress.caller_connections import STREAMED_BYTES, CallerConnections
 from cranklane.sidecar.ingress.caller_request import CallerRequest
 from cranklane.sidecar.request.attempt import Reply
 from cranklane.sidecar.request.streamed_answer import StreamedAnswer
@@ -29,10 +31,16 @@
 
 
 class AnswerWriter:
-    """Writes the responses of one ingress."""
+    """Writes the responses of one ingress.
 
-    def __init__(self, runtime: Runtime, names: HeaderNames) -> None:
+    :param connections: charges what is held for responses.
+    """
+
+    def __init__(
+        self, runtime: Runtime, names: HeaderNames, connections: CallerConnections
+    ) -> None:
         self._runtime = runtime
+        self._connections = connections
         self._request_name = names.request
 
     def write_worker_answer(
@@ -52,10 +60,28 @@
             b"" if reusable else _CLOSE_LINE,
         )
         body = chunk(reply.body) if chunked else reply.body
+        data = head + body
         if reply.rest is None:
-            connection.send(head + body + LAST_CHUNK if chunked else head + body)
+            if chunked:
+                data += LAST_CHUNK
+            if len(data) > ORDINARY_BYTES:
+                self._write_large(connection, data)
+            else:
+                connection.send(data)
             return reusable
-        return self._stream(connection, reply.rest, head + body, chunked, deadline) and reusable
+        # The first part has been copied.
+        reply.body = b""
+        return self._stream(connection, reply.rest, data, chunked, deadline) and reusable
+
+    def _write_large(self, connection: CallerConnection, data: bytes) -> None:
+        """Write a response that is charged to the connection until it has been sent."""
+        connections = self._connections
+        connections.charge_response(connection, 2 * len(data))
+        connections.write(connection)
+        try:
+            connection.send(data)
+        finally:
+            connections.written(connection)
 
     def _stream(
         self,
@@ -69,11 +95,15 @@
 
         :param first_bytes: head and first bytes of the body.
         """
+        connections = self._connections
+        connections.charge_response(connection, STREAMED_BYTES)
+        connections.write(connection)
         try:
             connection.send(first_bytes)
             for data in body_stream:
                 if self._runtime.monotonic() > deadline:
                     raise TruncatedAnswerError("the caller's deadline has passed")
+                connections.write(connection)
                 connection.send(chunk(data) if chunked else data)
             if chunked:
                 connection.send(LAST_CHUNK)
@@ -81,6 +111,7 @@
             # Nothing more is written: the framing shows the caller that the response is truncated.
             return False
         finally:
+            connections.written(connection)
             body_stream.close()
         return True
 
@@ -100,7 +131,10 @@
 
     def write_read_error(self, connection: CallerConnection, status: HTTPStatus) -> None:
         """Write an error for a request that could not be read; its connection cannot be reused."""
-        connection.send(_error_answer(status, b"", reusable=False))
+        lines = b""
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            lines = retry_after.header_line(retry_after.DEFAULT_MS)
+        connection.send(_error_answer(status, lines, reusable=False))
 
 
 def _error_answer(status: int, lines: bytes, reusable: bool) -> bytes:
--- a/src/cranklane/sidecar/ingress/call_builder.py
+++ b/src/cranklane/sidecar/ingress/call_builder.py
@@ -4,7 +4,7 @@
 
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.http1.message import Framing, RequestHead
-from cranklane.common.http1.writer import end_to_end_headers, framing_line, header_lines
+from cranklane.common.http1.writer import end_to_end_lines, framing_line
 from cranklane.common.units import MILLISECONDS
 from cranklane.outcome import Reason
 from cranklane.routes.splitter import Splitter
@@ -24,7 +24,7 @@
     table = request.table
     if table.version == 0:
         return refusal(Reason.NO_CONFIGURATION, retry_after_ms=retry_after.DEFAULT_MS)
-    hosts = [value for name, value in request.head.headers if name.lower() == b"host"]
+    hosts = request.head.headers.values(b"host")
     path = path_of(request.head.target)
     if len(hosts) != 1 or path is None:
         return refusal(Reason.BAD_REQUEST)
@@ -117,7 +117,7 @@
         return b"%s %s HTTP/1.1\r\n%s%s%s%s: %s\r\n" % (
             head.method,
             head.target,
-            header_lines(end_to_end_headers(head.headers, self._overridden_headers)),
+            end_to_end_lines(head.headers, self._overridden_headers),
             framing_line(framing, length),
             identity_line(self._names, caller),
             self._names.caller,
--- a/src/cranklane/sidecar/ingress/caller_connection.py
+++ b/src/cranklane/sidecar/ingress/caller_connection.py
@@ -12,6 +12,7 @@
     RequestHead,
     TruncatedMessageError,
 )
+from cranklane.common.http1.parsing_turns import PARSE_AT_ONCE, ParsingTurns
 from cranklane.common.http1.reader import RequestReader
 from cranklane.routes.table import RouteTable
 from cranklane.runtime.interface import Runtime
@@ -27,14 +28,24 @@
 class CallerConnection:
     """A caller's connection and the request in progress on it.
 
+    :param turns: bounds the time spent on long heads.
+    :ivar has_served: whether a whole request has been read from it.
     :ivar body: buffered part of the request's body.
     :ivar body_whole: whether ``body`` is the complete body.
     """
 
-    def __init__(self, runtime: Runtime, stream: Any, table: RouteTable) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        stream: Any,
+        table: RouteTable,
+        turns: ParsingTurns = PARSE_AT_ONCE,
+    ) -> None:
         self._runtime = runtime
         self.stream = stream
         self.reader = RequestReader(stream, table.limits.max_header_bytes)
+        self.reader.turns = turns
+        self.has_served = False
         self.body = b""
         self.body_whole = True
         self._bytes_remaining = 0
@@ -80,12 +91,16 @@
 
     def discard_body(self) -> bool:
         """Read and discard a small body; return whether it was read completely."""
+        size = 0
         try:
-            self.read_body(MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_BODY_BYTES)
-        except (HeadTooLargeError, MalformedMessageError, TruncatedMessageError, OSError):
+            while data := self.reader.next_piece():
+                size += len(data)
+                if size > MAX_BUFFERED_BODY_BYTES:
+                    return False
+        except (MalformedMessageError, TruncatedMessageError, OSError):
             # The response does not depend on the body; only the connection cannot be reused.
             return False
-        return self.body_whole
+        return True
 
     def end_request(self) -> None:
         """Reset the reader for the next request."""
--- a/src/cranklane/sidecar/ingress/caller_request.py
+++ b/src/cranklane/sidecar/ingress/caller_request.py
@@ -13,6 +13,7 @@
     TruncatedMessageError,
 )
 from cranklane.common.units import MILLISECONDS
+from cranklane.errors import OverloadedError
 from cranklane.routes.table import Limits, RouteTable
 from cranklane.sidecar.ingress.caller_connection import CallerConnection
 from cranklane.sidecar.request.attempt import MAX_BUFFERED_BODY_BYTES
@@ -59,6 +60,8 @@
         return connection.next_head(idle_seconds, head_seconds)
     except HeadTooLargeError as error:
         raise UnreadableRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE) from error
+    except OverloadedError as error:
+        raise UnreadableRequestError(HTTPStatus.SERVICE_UNAVAILABLE) from error
     except MalformedMessageError as error:
         raise UnreadableRequestError(HTTPStatus.BAD_REQUEST) from error
     except TruncatedMessageError:
@@ -71,6 +74,13 @@
         raise UnreadableRequestError(HTTPStatus.REQUEST_TIMEOUT) from error
 
 
+def expected_body_bytes(head: RequestHead) -> int:
+    """Return the size of what is buffered of a request's body at most."""
+    if head.framing is Framing.LENGTH:
+        return min(head.length, MAX_BUFFERED_BODY_BYTES)
+    return MAX_BUFFERED_BODY_BYTES if head.framing is Framing.CHUNKED else 0
+
+
 def read_body(connection: CallerConnection, head: RequestHead, limits: Limits) -> None:
     """Buffer a small body, or the beginning of a large one, in the connection.
 
--- a/src/cranklane/sidecar/ingress/ingress.py
+++ b/src/cranklane/sidecar/ingress/ingress.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from random import Random
 from typing import Any, NamedTuple
@@ -14,7 +15,10 @@
 from result import Err
 
 from cranklane.common.header_names import HeaderNames
+from cranklane.common.http1.header_block import EMPTY_BLOCK
 from cranklane.common.http1.message import RequestHead
+from cranklane.common.http1.parsing_turns import ParsingTurns
+from cranklane.errors import OverloadedError
 from cranklane.outcome import Outcome, Reason
 from cranklane.routes.splitter import Splitter
 from cranklane.routes.table import RouteTable
@@ -24,9 +28,11 @@
 from cranklane.sidecar.ingress.authentication import Authentication, Caller
 from cranklane.sidecar.ingress.call_builder import CallBuilder, find_route
 from cranklane.sidecar.ingress.caller_connection import CallerConnection
+from cranklane.sidecar.ingress.caller_connections import STREAMED_BYTES, CallerConnections
 from cranklane.sidecar.ingress.caller_request import (
     CallerRequest,
     UnreadableRequestError,
+    expected_body_bytes,
     read_body,
     read_head,
 )
@@ -42,6 +48,9 @@
 
 _FIRST_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR.value
 
+COPIES_OF_HEAD = 2
+"""Copies of a request's header lines: those read or to be forwarded, and those being sent."""
+
 _DISCONNECTED_STATUS = 0
 """Status in logs and counters of a request whose caller disconnected before the response."""
 
@@ -55,6 +64,7 @@
     :ivar tickets: draws and counts the tickets of root requests.
     :ivar root_admission: refuses root requests above the admission level of their route.
     :ivar on_decision: called with the decision on each request that could be read.
+    :ivar connections: admits connections and charges what they hold.
     """
 
     table: Callable[[], RouteTable]
@@ -65,6 +75,7 @@
     tickets: TicketIssuer
     root_admission: RootAdmission
     on_decision: Callable[[Decision], None]
+    connections: CallerConnections
 
 
 class Ingress:
@@ -98,8 +109,9 @@
         self._call_builder = CallBuilder(
             names, caller_service, Splitter(Random(runtime.random.random())), self._tickets
         )
-        self._writer = AnswerWriter(runtime, names)
-        self._idle: set[CallerConnection] = set()
+        self._connections = dependencies.connections
+        self._turns = ParsingTurns(runtime.monotonic)
+        self._writer = AnswerWriter(runtime, names, self._connections)
         self.stopping = False
         self.refuses_clients = False
         self.in_flight = 0
@@ -107,7 +119,11 @@
 
     def accept(self, stream: Any, _address: Address) -> None:
         """Serve a caller's connection until it is closed."""
-        connection = CallerConnection(self._runtime, stream, self._table())
+        connection = CallerConnection(self._runtime, stream, self._table(), self._turns)
+        connection.reader.on_hold = partial(self._hold, connection)
+        if not self._connections.admit(connection):
+            connection.close()
+            return
         try:
             while self._serve_next(connection):
                 pass
@@ -115,24 +131,30 @@
             # The caller has disconnected or does not read: only its connection is affected.
             pass
         finally:
-            self._idle.discard(connection)
+            self._connections.remove(connection)
             connection.close()
 
+    def _hold(self, connection: CallerConnection, size: int) -> None:
+        """Charge a connection for what is held of a request that is not complete.
+
+        :raises OverloadedError: if there is no room for it.
+        """
+        if not self._connections.charge(connection, size):
+            raise OverloadedError("no memory for the request")
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun to arrive."""
-        for connection in list(self._idle):
+        for connection in self._connections.waiting():
             if not connection.reader.started and not self._runtime.has_input(connection.stream):
                 connection.close()
 
     def _serve_next(self, connection: CallerConnection) -> bool:
         """Serve the next request; return whether the connection can be reused."""
-        self._idle.add(connection)
+        self._connections.wait_for_request(connection)
         try:
             head = read_head(connection, self._table().limits)
         except UnreadableRequestError as error:
             return self._reject(connection, error.status)
-        finally:
-            self._idle.discard(connection)
         if head is None:
             return False
         self.in_flight += 1
@@ -172,11 +194,17 @@
             return self._refuse(connection, request, authenticated.err_value)
         caller = authenticated.ok_value
         try:
-            read_body(connection, request.head, request.table.limits)
+            self._read_body(connection, request)
         except UnreadableRequestError as error:
             self._authentication.refund(caller)
             return self._reject(connection, error.status)
+        except OverloadedError:
+            self._authentication.refund(caller)
+            full = refusal(Reason.MEMORY_FULL, retry_after_ms=retry_after.DEFAULT_MS)
+            return self._refuse(connection, request, full)
         call = self._call_builder.build(connection, request, route, caller, run)
+        # The call has its own copy of the lines to forward.
+        request.head.headers = EMPTY_BLOCK
         progress = CallProgress(call)
         if run is None:
             reply = self._dispatch_root(connection, progress, caller)
@@ -186,6 +214,21 @@
             self._authentication.refund(caller)
         return self._finish(connection, request, progress, reply)
 
+    def _read_body(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Read the body, or its first part, and charge the connection for the whole request.
+
+        :raises UnreadableRequestError: if it cannot be read.
+        :raises OverloadedError: if there is no room for it.
+        """
+        head_bytes = COPIES_OF_HEAD * len(request.head.headers.lines)
+        self._hold(connection, head_bytes + expected_body_bytes(request.head))
+        read_body(connection, request.head, request.table.limits)
+        body_bytes = len(connection.body)
+        if not connection.body_whole:
+            body_bytes += STREAMED_BYTES
+        self._hold(connection, head_bytes + body_bytes)
+        self._connections.request_read(connection)
+
     def _dispatch_root(
         self, connection: CallerConnection, progress: CallProgress, caller: Caller
     ) -> Reply:
--- a/src/cranklane/sidecar/process.py
+++ b/src/cranklane/sidecar/process.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from cranklane.common.descriptor_limits import DescriptorLimits
 from cranklane.common.header_names import HeaderNames
 from cranklane.common.logs import logger
+from cranklane.common.memory_budget import MemoryBudget
 from cranklane.common.metrics_server import MetricsServer
 from cranklane.common.planned_stop import PlannedStop
 from cranklane.common.small_http import SmallHandler, SmallHttp
@@ -17,6 +19,7 @@
 from cranklane.sidecar.capacity.worker_capacity import WorkerCapacity
 from cranklane.sidecar.control_link import ControlledState, ControlLink
 from cranklane.sidecar.ingress.authentication import Authentication
+from cranklane.sidecar.ingress.caller_connections import CallerConnections
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
 from cranklane.sidecar.ingress.ingress import Ingress, IngressDependencies
 from cranklane.sidecar.local_member import LocalMember
@@ -31,7 +34,7 @@
 from cranklane.sidecar.routing.destinations import Destinations
 from cranklane.sidecar.routing.dispatcher import Dispatcher, DispatcherDependencies
 from cranklane.sidecar.routing.peer_client import PeerClient
-from cranklane.sidecar.routing.peer_server import PeerServer
+from cranklane.sidecar.routing.peer_server import PeerLimits, PeerServer
 from cranklane.sidecar.routing.retry_budget import RetryBound, RetryBudget
 from cranklane.sidecar.routing.worker_choice import WorkerChoice
 from cranklane.sidecar.settings import SidecarSettings
@@ -71,6 +74,8 @@
         self._build_worker()
         self._build_table()
         self._build_quarantine()
+        self.client_memory = MemoryBudget.of_machine(settings.memory_mb)
+        self.descriptors = DescriptorLimits.of_process(settings.max_descriptors)
         call_tree = CallTree()
         disconnects = DisconnectWatch(runtime)
         self._build_gate(call_tree, disconnects)
@@ -137,7 +142,12 @@
             runtime, self.worker, self._names, self.gate.notices.probed, self._log
         )
         self.peer_server = PeerServer(
-            runtime, self.gate, disconnects, self.quarantine.received, self._log
+            runtime,
+            self.gate,
+            disconnects,
+            self.quarantine.received,
+            PeerLimits(self.client_memory, self.descriptors.peers),
+            self._log,
         )
 
     def _build_dispatcher(self) -> None:
@@ -171,6 +181,12 @@
         authentication = Authentication(
             self._names, self.lease, self.quota, self.decisions.refused_at_ingress
         )
+        self.caller_connections = CallerConnections(
+            self._runtime.monotonic,
+            self.client_memory,
+            self.descriptors.callers,
+            self.decisions.connection_closed,
+        )
         dependencies = IngressDependencies(
             table=lambda: self.adopted.table,
             authentication=authentication,
@@ -182,6 +198,7 @@
             ),
             root_admission=self.root_admission,
             on_decision=self.decisions.decided,
+            connections=self.caller_connections,
         )
         self.ingress = Ingress(self._runtime, self._names, self.settings.service, dependencies)
 
@@ -209,6 +226,8 @@
             run_time_factor=self.capacity.pace.factor,
             condition=self.condition,
             quarantine=self.quarantine.table,
+            client_memory=self.client_memory,
+            caller_connections=lambda: len(self.caller_connections),
             is_ready=self.is_ready,
             is_connected=lambda: self.control.connected,
         )
--- a/src/cranklane/sidecar/routing/peer_client.py
+++ b/src/cranklane/sidecar/routing/peer_client.py
@@ -37,6 +37,10 @@
 """Idle time after which a pooled connection is not reused. Well below
 ``peer_server.IDLE_TIMEOUT_SECONDS``, so that no request is sent while the server closes it."""
 
+MAX_IDLE_CONNECTIONS = 32
+"""Limit on the idle connections to one address. Under load most are in use; after a peak the others
+would keep descriptors of both machines."""
+
 UNCHECKED_IDLE_SECONDS = 0.3
 """Idle time up to which a pooled connection is reused without checking whether the peer has
 closed it. Saves a system call per request under load."""
@@ -133,7 +137,8 @@
         connection.idle_since = self._runtime.monotonic()
         idle = self._idle.setdefault(address, deque())
         idle.append(connection)
-        if connection.idle_since - idle[0].idle_since > MAX_IDLE_SECONDS:
+        expired = connection.idle_since - idle[0].idle_since > MAX_IDLE_SECONDS
+        if expired or len(idle) > MAX_IDLE_CONNECTIONS:
             idle.popleft().records.close()
 
     def _receive_answer(
--- a/src/cranklane/sidecar/routing/peer_server.py
+++ b/src/cranklane/sidecar/routing/peer_server.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
+from cranklane.common.memory_budget import ORDINARY_BYTES, MemoryBudget
 from cranklane.errors import ConnectionLostError, MalformedRecordError, TruncatedAnswerError
-from cranklane.outcome import Outcome
+from cranklane.outcome import Outcome, Reason
 from cranklane.records.connection import RecordConnection
 from cranklane.records.messages import (
     ForwardBody,
@@ -17,9 +18,10 @@
     QuarantineNews,
 )
 from cranklane.runtime.interface import Address, Runtime
+from cranklane.sidecar.admission import retry_after
 from cranklane.sidecar.admission.gate import Gate
 from cranklane.sidecar.ingress.disconnect import DisconnectWatch
-from cranklane.sidecar.request.attempt import Attempt, Reply
+from cranklane.sidecar.request.attempt import Attempt, Reply, refusal
 from cranklane.sidecar.routing.forward_records import encode_reply
 from cranklane.sidecar.routing.forwarded_body import ForwardedBody
 
@@ -31,6 +33,17 @@
 """Timeout for the first record of a connection."""
 
 
+class PeerLimits(NamedTuple):
+    """Limits on what is kept for other sidecars.
+
+    :ivar memory: what the process may hold for clients, which their requests are charged to.
+    :ivar connections: limit on their connections.
+    """
+
+    memory: MemoryBudget
+    connections: int
+
+
 class PeerServer:
     """Serves connections of other sidecars.
 
@@ -43,9 +56,12 @@
         gate: Gate,
         disconnects: DisconnectWatch,
         on_update: Callable[[QuarantineNews], QuarantineNews],
+        limits: PeerLimits,
         log: Any,
     ) -> None:
         self._on_update = on_update
+        self._limits = limits
+        self._connections = 0
         self._runtime = runtime
         self._log = log
         self._gate = gate
@@ -55,6 +71,11 @@
     def accept(self, stream: object, _address: Address) -> None:
         """Serve a connection until either side closes it."""
         records = RecordConnection(stream, HELLO_TIMEOUT_SECONDS)
+        if self._connections >= self._limits.connections:
+            # Its sidecar takes this for an unreachable machine and turns to another one.
+            records.close()
+            return
+        self._connections += 1
         try:
             records.expect(Hello)
             records.set_idle_timeout(IDLE_TIMEOUT_SECONDS)
@@ -71,6 +92,7 @@
             # Logged as an error: a protocol fault would make further requests fail too.
             self._log.error("peer_record_malformed", error=str(error))
         finally:
+            self._connections -= 1
             self._idle.discard(records)
             records.close()
 
@@ -99,6 +121,25 @@
         self, records: RecordConnection, stream: object, request: ForwardRequest
     ) -> bool:
         """Run a request, send its reply and return whether the connection can be reused."""
+        memory = self._limits.memory
+        size = len(request.lines) + len(request.body)
+        if size <= ORDINARY_BYTES:
+            return self._run(records, stream, request)
+        if not memory.fits(size):
+            records.send(encode_reply(self._refuse_for_memory()))
+            return request.whole
+        memory.charge(size)
+        try:
+            return self._run(records, stream, request)
+        finally:
+            memory.charge(-size)
+
+    def _refuse_for_memory(self) -> Reply:
+        reply = refusal(Reason.MEMORY_FULL, retry_after_ms=retry_after.DEFAULT_MS)
+        reply.load = self._gate.load
+        return reply
+
+    def _run(self, records: RecordConnection, stream: object, request: ForwardRequest) -> bool:
         body = None if request.whole else ForwardedBody(records)
         attempt = Attempt(request, body.read if body is not None else None)
         self._disconnects.add(stream, attempt.cancel)
--- a/src/cranklane/sidecar/settings.py
+++ b/src/cranklane/sidecar/settings.py
@@ -70,6 +70,17 @@
         help="whether root requests that enter here get a rank, by which their whole call trees "
         "are admitted where a service lacks capacity",
     )
+    memory_mb: int = setting(
+        whole_number(0, 1_000_000),
+        0,
+        help="memory that this process may use, in MB; a quarter of it is for what is held for "
+        "clients; 0: that of the machine",
+    )
+    max_descriptors: int = setting(
+        whole_number(0, 10_000_000),
+        0,
+        help="files and connections that this process may have open; 0: the limit of the system",
+    )
     stop_seconds: float = setting(
         seconds(0, 3600), 6.0, help="maximum duration of a planned stop, in seconds"
     )
--- a/src/cranklane/sidecar/telemetry/decision_log.py
+++ b/src/cranklane/sidecar/telemetry/decision_log.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import gevent
@@ -51,6 +52,9 @@
 PACE_LINES_PER_SECOND = 1.0
 """Rate limit of lines on slow periods, which may come and go many times a minute."""
 
+CONNECTION_LINES_PER_SECOND = 1.0
+"""Rate limit of lines on connections closed for lack of room; the counter has each."""
+
 MAX_LOGGED_RUNS = 100
 """Limit on the runs listed in the line on a worker's exit; the line always states their number."""
 
@@ -72,6 +76,7 @@
         self._success_limit = RateLimit(clock, SUCCESS_LINES_PER_SECOND)
         self._retry_limit = RateLimit(clock, RETRY_LINES_PER_SECOND)
         self._root_refusal_limit = RateLimit(clock, ROOT_REFUSAL_LINES_PER_SECOND)
+        self._connection_limit = RateLimit(clock, CONNECTION_LINES_PER_SECOND)
         self._pace_limit = RateLimit(clock, PACE_LINES_PER_SECOND)
         self._summary = RequestSummary(clock, log)
         self._slot_summary = SlotSummary(clock, log)
@@ -205,6 +210,13 @@
         if self._root_refusal_limit.allows():
             self._log.info("refused_above_level", route=route, rank=rank, level=level)
 
+    def connection_closed(self, cause: Enum) -> None:
+        """Count a connection closed for lack of room, and log some."""
+        self._metrics.connection_closed(cause)
+        if self._connection_limit.allows():
+            others = self._connection_limit.take_left_out()
+            self._log.warning("connection_closed", cause=cause.value, others=others)
+
     def worker_limit_changed(self, change: LimitChange) -> None:
         """Count and log a change of the limit on requests per second that the worker states."""
         self._metrics.worker_notice("limit" if change.rate is not None else "limit_ended")
--- a/src/cranklane/sidecar/telemetry/gauges.py
+++ b/src/cranklane/sidecar/telemetry/gauges.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cranklane.common.memory_budget import MemoryBudget
 from cranklane.runtime.restarting import FAILURES
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.slow_start import NO_WINDOW, SlowStart
@@ -24,6 +25,7 @@
     """Components whose state the gauges expose.
 
     :ivar run_time_factor: returns the relative run time that the worker states.
+    :ivar caller_connections: returns the number of open connections of callers.
     :ivar is_ready: returns whether callers may send requests.
     :ivar is_connected: returns whether a controller responds.
     """
@@ -37,6 +39,8 @@
     run_time_factor: Callable[[], float]
     condition: WorkerCondition
     quarantine: Quarantine
+    client_memory: MemoryBudget
+    caller_connections: Callable[[], int]
     is_ready: Callable[[], bool]
     is_connected: Callable[[], bool]
 
@@ -104,5 +108,9 @@
         "Unexpected exceptions of tasks, each logged as task_failed.",
         lambda: FAILURES.count,
     )
+    memory = sources.client_memory
+    add("cranklane_client_memory_bytes", "Held for clients.", lambda: memory.used_bytes)
+    add("cranklane_client_memory_limit_bytes", "Limit on it.", lambda: memory.limit_bytes)
+    add("cranklane_caller_connections", "Open ones of callers.", sources.caller_connections)
     add("cranklane_ready", "Whether callers may send requests.", sources.is_ready)
     add("cranklane_control_connected", "Whether a controller answers.", sources.is_connected)
--- a/src/cranklane/sidecar/telemetry/metrics.py
+++ b/src/cranklane/sidecar/telemetry/metrics.py
@@ -128,6 +128,11 @@
             "Slow starts of this machine's worker by what began them.",
             ("cause",),
         )
+        self._connections_closed = _Counter(
+            "cranklane_connections_closed",
+            "Connections of callers closed for lack of room, by what they did.",
+            ("cause",),
+        )
         self._left_out = _Counter(
             "cranklane_log_lines_left_out", "Decision lines that the rate left out.", ()
         )
@@ -159,6 +164,7 @@
             self._worker_notices,
             self._root_refusals,
             self._slow_starts,
+            self._connections_closed,
             self._left_out,
             self._work,
             self._slot_milliseconds,
@@ -244,6 +250,10 @@
         """
         self._slow_starts.values[(cause,)] += 1
 
+    def connection_closed(self, cause: Enum) -> None:
+        """Count a connection closed for lack of room, by its ``caller_connections.ClosedFor``."""
+        self._connections_closed.values[(cause.value,)] += 1
+
     def lines_left_out(self, count: int) -> None:
         """Count log lines omitted by the rate limits."""
         self._left_out.values[()] += count
--- a/src/cranklane/sidecar/worker/answer_notice.py
+++ b/src/cranklane/sidecar/worker/answer_notice.py
@@ -48,29 +48,15 @@
         self._rate_limit_name = names.rate_limit.lower()
         self._leaving_name = names.leaving.lower()
         self._load_name = names.load.lower()
-        # Comparing lengths first avoids lowering most names of each answer.
-        self._name_sizes = (
-            len(self._rate_limit_name),
-            len(self._leaving_name),
-            len(self._load_name),
-        )
 
     def read(self, head: AnswerHead) -> AnswerNotice:
         """Return what an answer states; ``NO_NOTICE`` if nothing."""
-        limits: list[bytes] = []
-        leaving = False
+        headers = head.headers
+        limits = headers.values(self._rate_limit_name)
+        leaving = any(value == _LEAVING for value in headers.values(self._leaving_name)[-1:])
         percent: int | None = None
-        sizes = self._name_sizes
-        for name, value in head.headers:
-            if len(name) not in sizes:
-                continue
-            lower_name = name.lower()
-            if lower_name == self._rate_limit_name:
-                limits.append(value)
-            elif lower_name == self._leaving_name:
-                leaving = value.strip() == _LEAVING
-            elif lower_name == self._load_name:
-                percent = stated_run_time_percent(value)
+        for value in headers.values(self._load_name)[-1:]:
+            percent = stated_run_time_percent(value)
         if not limits:
             if not leaving and percent is None:
                 return NO_NOTICE
--- a/src/cranklane/sidecar/worker/exchange.py
+++ b/src/cranklane/sidecar/worker/exchange.py
@@ -19,7 +19,7 @@
     MalformedMessageError,
     TruncatedMessageError,
 )
-from cranklane.common.http1.writer import LAST_CHUNK, chunk, end_to_end_headers, header_lines
+from cranklane.common.http1.writer import LAST_CHUNK, chunk, end_to_end_lines
 from cranklane.common.units import MILLISECONDS
 from cranklane.errors import TruncatedAnswerError
 from cranklane.outcome import Outcome, Reason
@@ -257,7 +257,7 @@
             status=head.status,
             framing=head.framing,
             length=head.length,
-            lines=header_lines(end_to_end_headers(head.headers)),
+            lines=end_to_end_lines(head.headers),
             body=b"".join(body_parts),
         )
         if whole:
--- a/src/cranklane_lab/standins/routed_worker.py
+++ b/src/cranklane_lab/standins/routed_worker.py
@@ -242,7 +242,7 @@
             (head.value(NAMES.request.lower()) or b"").decode(),
             head.method,
             head.target,
-            head.headers,
+            list(head.headers),
             body,
             self._runtime.monotonic(),
             state.work_time_factor,
--- a/tests/test_answer_notice.py
+++ b/tests/test_answer_notice.py
@@ -11,6 +11,7 @@
 from result import Ok
 
 from cranklane.common.header_names import HeaderNames
+from cranklane.common.http1.header_block import HeaderBlock
 from cranklane.common.http1.message import AnswerHead, Framing
 from cranklane.sidecar.worker.answer_notice import (
     AnswerNotice,
@@ -30,7 +31,7 @@
 
 
 def read(*headers):
-    head = AnswerHead(200, [(b"X", b"y"), *headers], Framing.NONE, 0, True)
+    head = AnswerHead(200, HeaderBlock.of([(b"X", b"y"), *headers]), Framing.NONE, 0, True)
     return AnswerNoticeReader(NAMES).read(head)
 
 
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from cranklane.common.header_names import HeaderNames
+from cranklane.common.http1.header_block import HeaderBlock
 from cranklane.common.http1.message import Framing, RequestHead
 from cranklane.common.secret_digest import secret_digest
 from cranklane.outcome import Reason
@@ -40,7 +41,7 @@
 
     def identify(self, key=None, request="id", table=TABLE, route=ROUTE, run=None):
         headers = [(b"Cranklane-Api-Key", key)] if key is not None else []
-        head = RequestHead(b"GET", b"/", headers, Framing.NONE, 0, True)
+        head = RequestHead(b"GET", b"/", HeaderBlock.of(headers), Framing.NONE, 0, True)
         return self.authentication.identify(head, request, table, route, run)
 
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -8,6 +8,7 @@
 import gevent
 import pytest
 
+from cranklane.common.http1.header_block import HeaderBlock
 from cranklane.sidecar.admission.slots import Slots
 from cranklane.sidecar.capacity.advertisement import NO_ADVERTISEMENT, Advertisement
 from cranklane.sidecar.capacity.destination_pace import DestinationPaces
@@ -119,7 +120,7 @@
 
 @pytest.mark.parametrize("text", [b"0", b"-250", b"999999999999", b"10001", b"often", b""])
 def test_false_figures_are_not_taken(text):
-    head = SimpleNamespace(headers=[(NAMES.load, b"1,0,8," + text)])
+    head = SimpleNamespace(headers=HeaderBlock.of([(NAMES.load, b"1,0,8," + text)]))
     assert AnswerNoticeReader(NAMES).read(head).run_time_percent is None
 
 
@@ -215,6 +216,6 @@
 
 def test_a_worker_whose_health_check_alone_states_the_figure_is_known():
     worker = StatedPace()
-    head = SimpleNamespace(headers=[(NAMES.load, b"1,0,8,250")])
+    head = SimpleNamespace(headers=HeaderBlock.of([(NAMES.load, b"1,0,8,250")]))
     notice = AnswerNoticeReader(NAMES).read(head)
     assert worker.answer(notice.run_time_percent).run_time_percent == 250
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,6 +32,8 @@
     "data-dir": "/data/x",
     "bootstrap": "true",
     "heartbeat-ms": "1500",
+    "limits.memory-mb": "300",
+    "limits.max-fds": "4100",
     "bounds.retry-budget-ratio": "0.2",
     "bounds.retry-window-s": "10",
     "bounds.budget-slack": "57",
--- a/tests/test_sidecar_rules.py
+++ b/tests/test_sidecar_rules.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cranklane.common.http1.header_block import HeaderBlock
 from cranklane.common.http1.message import (
     Framing,
     HeadTooLargeError,
@@ -14,7 +15,7 @@
     TruncatedMessageError,
 )
 from cranklane.outcome import Outcome, Reason
-from cranklane.routes.table import Limits
+from cranklane.routes.table import Limits, Route, RouteTable, Share
 from cranklane.sidecar.ingress.caller_request import (
     UnreadableRequestError,
     read_body,
@@ -206,7 +207,7 @@
 
 def head_of(framing=Framing.LENGTH, length=0, **headers):
     lines = [(name.encode(), value) for name, value in headers.items()]
-    return RequestHead(b"POST", b"/", lines, framing, length, True)
+    return RequestHead(b"POST", b"/", HeaderBlock.of(lines), framing, length, True)
 
 
 @pytest.mark.parametrize(
@@ -304,3 +305,25 @@
 def test_end_and_cause_of_requests(decision, end, cause):
     assert end_of(decision) is end
     assert cause_of(decision, end) == cause
+
+
+class CountingRoutes(dict):
+    """Routes by prefix that count the lookups."""
+
+    lookups = 0
+
+    def get(self, *arguments):
+        self.lookups += 1
+        return super().get(*arguments)
+
+
+def test_the_search_for_a_route_does_not_grow_with_the_path():
+    """Guards against a target of thousands of parts that takes as long as many requests."""
+    share = (Share("s", 1),)
+    routes = [Route(p, "h", p, True, 1000, 100, 0, 1, share) for p in ("/a/", "/a/b/c/")]
+    table = RouteTable(1, tuple(routes))
+    counting = table._by_host["h"] = CountingRoutes(table._by_host["h"])
+    assert table.find("h", "/a/b/c/" + "x/" * 8000).name == "/a/b/c/"
+    assert table.find("h", "/a/" + "x/" * 8000).name == "/a/"
+    assert table.find("h", "/a") is None
+    assert counting.lookups < 10
