HTTP servers of controllers and nodes close waiting connections when full

Cause: the limit of 10,000 connections was above the descriptors of a process, and further ones were refused however long others had been silent; a head could have a hundred lines of 16 KiB.

All header lines together have at most 64 KiB.

--- a/src/cranklane/common/http_server.py
+++ b/src/cranklane/common/http_server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 from collections.abc import Iterator
 from typing import Any
 
 from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 
+from cranklane.common.descriptor_limits import DescriptorLimits
 from cranklane.common.planned_stop import PlannedStop
 from cranklane.common.request_headers import RequestHeaders
 from cranklane.errors import TruncatedAnswerError
@@ -17,7 +19,8 @@
 """Key of the caller's connection in the WSGI environment."""
 
 MAX_CONNECTIONS = 10_000
-"""Maximum number of open connections; further ones are closed on accept."""
+"""Maximum number of open connections; fewer where there are not so many descriptors. Beyond it the
+one that has waited longest for a request is closed, or the new one if none waits."""
 
 IDLE_TIMEOUT_SECONDS = 60.0
 """Timeout for reads and writes on a connection; longer than clients keep idle ones."""
@@ -42,6 +45,7 @@
 
     def handle_one_response(self) -> None:
         self.server.idle.pop(id(self.socket), None)
+        self.server.unserved.pop(id(self.socket), None)
         self.server.requests_in_flight += 1
         try:
             super().handle_one_response()
@@ -80,6 +84,7 @@
     requests_in_flight = 0
     runtime: Runtime
     idle: dict[int, Any]
+    unserved: dict[int, Any]
 
 
 class HttpServer:
@@ -100,26 +105,47 @@
         self._server = _Server(address, application, log=None, error_log=sys.stderr)
         self._server.runtime = runtime
         self._server.idle = {}
+        self._server.unserved = {}
         self._server.set_environ()
         self._server.environ["SERVER_NAME"] = address[0]
         self._server.environ["SERVER_PORT"] = str(address[1])
         self.connections = 0
+        self._max_connections = min(MAX_CONNECTIONS, DescriptorLimits.of_process(0).callers)
         self._listener: Listener = runtime.listen(address, self._serve, shared)
         self.address = self._listener.address
 
     def _serve(self, connection: Any, address: Address) -> None:
-        if self.connections >= MAX_CONNECTIONS:
+        if self.connections >= self._max_connections and not self._close_longest_waiting():
             connection.close()
             return
         self.connections += 1
+        self._server.unserved[id(connection)] = connection
         connection.settimeout(IDLE_TIMEOUT_SECONDS)
         try:
             self._server.handle(connection, address)
         finally:
             self.connections -= 1
             self._server.idle.pop(id(connection), None)
+            self._server.unserved.pop(id(connection), None)
             connection.close()
 
+    def _close_longest_waiting(self) -> bool:
+        """Close a connection without a request in flight; return False without one.
+
+        First those on which no request has ever arrived, then idle ones, the oldest first.
+        """
+        waiting = self._server.unserved or self._server.idle
+        if not waiting:
+            return False
+        connection = waiting.pop(next(iter(waiting)))
+        try:
+            # Ends the read of its task, which a close alone does not do.
+            connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The client has closed it already.
+            pass
+        return True
+
     def stop_accepting(self) -> None:
         """Close the port; each open connection closes after its next response."""
         self._server.stopping = True
--- a/src/cranklane/common/request_headers.py
+++ b/src/cranklane/common/request_headers.py
@@ -17,6 +17,9 @@
 MAX_LINE_BYTES = 16 * 1024
 """Maximum length of a header line."""
 
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum size of all header lines together; bounds the memory of a connection."""
+
 _NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _SINGLE_VALUED_FIELDS = frozenset({"content-length", "transfer-encoding", "host", "authorization"})
@@ -38,8 +41,13 @@
     def read(cls, file: BinaryIO) -> RequestHeaders:
         """Read header fields up to the empty line."""
         headers = cls()
+        bytes_left = MAX_HEAD_BYTES
         while not headers.status:
-            line = file.readline(MAX_LINE_BYTES + 1)
+            line = file.readline(min(MAX_LINE_BYTES, bytes_left) + 1)
+            bytes_left -= len(line)
+            if bytes_left < 0:
+                headers.status = f"the header lines have more than {MAX_HEAD_BYTES} bytes"
+                break
             if line in (b"\r\n", b"\n"):
                 headers._check_length()
                 break
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,4 +1,4 @@
-"""Shutdown of a daemon in a separate process, and connections closed by another task."""
+"""Shutdown of a daemon in a separate process, and connections that are closed or never used."""
 
 from __future__ import annotations
 
@@ -11,6 +11,11 @@
 import time
 from contextlib import closing
 
+import gevent
+import pytest
+from gevent import socket as gevent_socket
+
+from cranklane.common import http_server
 from cranklane.runtime.real import RealRuntime
 from cranklane_lab.fleet.mesh_flags import as_arguments
 from cranklane_lab.fleet.processes import start
@@ -107,3 +112,30 @@
     local.close()
     peer.close()
     assert RealRuntime().has_input(local)
+
+
+@pytest.fixture
+def small_server(monkeypatch):
+    """Return an HTTP server that accepts at most three connections."""
+    monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 3)
+
+    def application(_environment, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = http_server.HttpServer(RealRuntime(), ("127.0.0.1", 0), application)
+    yield server
+    server.stop_accepting()
+
+
+def test_silent_connections_do_not_keep_others_from_an_http_server(small_server):
+    """Guards against operators and workers shut out by connections that never send a request."""
+    silent = [gevent_socket.create_connection(small_server.address) for _ in range(8)]
+    gevent.sleep(0.05)
+    with closing(gevent_socket.create_connection(small_server.address)) as connection:
+        connection.settimeout(5.0)
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert connection.recv(4096).startswith(b"HTTP/1.1 200")
+    assert small_server.connections <= 4
+    for connection in silent:
+        connection.close()
--- a/tests/test_request_headers.py
+++ b/tests/test_request_headers.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from cranklane.common.request_headers import MAX_FIELDS, MAX_LINE_BYTES, RequestHeaders
+from cranklane.common.request_headers import (
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    MAX_LINE_BYTES,
+    RequestHeaders,
+)
 
 
 def read(text: bytes) -> RequestHeaders:
@@ -52,3 +57,11 @@
 )
 def test_ambiguous_headers_are_rejected(text):
     assert read(text).status
+
+
+def test_the_size_of_all_header_lines_is_limited():
+    """Guards against connections that each hold a hundred lines of the longest size."""
+    line = b"x: " + b"y" * 10_000 + b"\r\n"
+    lines = MAX_HEAD_BYTES // len(line)
+    assert not read(line * lines + b"\r\n").status
+    assert str(MAX_HEAD_BYTES) in read(line * (lines + 2) + b"\r\n").status
