Settings of a sidecar are readable where the platform states no limits

Cause: the template asked for limits.memory-mb and limits.max-fds. Now the lines stand only if the fields do; without them the machine's memory and the system's limit hold. test_templates_use_the_limits_of_the_machine_if_present guards it.

Also: the base of the HTTP readers is a module of its own, moved as it was, and a test that silent connections do not keep a worker from its sidecar.

--- a/src/cranklane/sidecar/ingress/caller_connections.py
+++ b/src/cranklane/sidecar/ingress/caller_connections.py
@@ -1,10 +1,10 @@
 """The open connections of callers: how many there may be, and what all of them may hold.
 
-Serves under clients that send much, slowly, or do not read their responses. Whatever is
-held for a connection is charged to one budget of the process. When it is full, connections that
-wait are closed: first those that have never sent a request, then those that leave an answer
-unread, then idle ones; among these the one that has waited longest. Requests at a worker are not
-touched.
+Whatever is held for a connection is charged to one budget of the process, so that clients which
+send much or slowly, or do not read their responses, cannot use up its memory. When it is full,
+connections that wait are closed: first those that have never sent a request, then those that
+leave a response unread, then idle ones; among these the one that has waited longest. Requests at
+a worker are not touched.
 """
 
 from __future__ import annotations
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -6,7 +6,9 @@
 import pytest
 
 from cranklane.common.memory_budget import ORDINARY_BYTES
+from cranklane.common.small_http import MAX_CONNECTIONS
 from cranklane.sidecar.ingress.caller_connections import CONNECTION_BYTES
+from cranklane_lab.simulation.mesh_machines import REGISTRY_PORT
 from cranklane_lab.standins.raw_http import RawConnection
 from cranklane_lab.standins.route_tables import HOST
 from cranklane_lab.standins.routed_answers import NAMES
@@ -100,3 +102,20 @@
         return [connection.answer().headers[NAMES.request.decode().lower()] for _ in requests]
 
     assert play_limited(script) == [f"p{number}" for number in range(5)]
+
+
+def test_silent_connections_do_not_keep_the_worker_from_its_sidecar():
+    """Guards against a port whose connections are all held by clients that send nothing."""
+
+    def script(mesh):
+        machine = mesh.machines[0]
+        process = mesh.client_process("silent", machine.host)
+        registry = (machine.host, REGISTRY_PORT)
+        silent = [process.connect(registry, 1.0) for _ in range(2 * MAX_CONNECTIONS)]
+        gevent.sleep(0.1)
+        closed = process.closed_by_peer(silent)
+        return machine.worker.send_heartbeat(), len(closed)
+
+    status, closed = play_limited(script)
+    assert status == 200
+    assert closed >= MAX_CONNECTIONS
--- a/tests/test_http_reader.py
+++ b/tests/test_http_reader.py
@@ -15,8 +15,9 @@
     MalformedMessageError,
     TruncatedMessageError,
 )
+from cranklane.common.http1.message_reader import MAX_START_LINE_BYTES
 from cranklane.common.http1.parsing_turns import LONG_HEAD_LINES, PAUSE_FACTOR, ParsingTurns
-from cranklane.common.http1.reader import MAX_START_LINE_BYTES, AnswerReader, RequestReader
+from cranklane.common.http1.reader import AnswerReader, RequestReader
 
 MAX_HEAD_BYTES = 16_384
 GET = b"GET /x HTTP/1.1\r\n"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,8 +32,6 @@
     "data-dir": "/data/x",
     "bootstrap": "true",
     "heartbeat-ms": "1500",
-    "limits.memory-mb": "300",
-    "limits.max-fds": "4100",
     "bounds.retry-budget-ratio": "0.2",
     "bounds.retry-window-s": "10",
     "bounds.budget-slack": "57",
@@ -42,6 +40,8 @@
 }
 
 
+LIMIT_FIELDS = {"limits.memory-mb": "300", "limits.max-fds": "4100"}
+
 TENANT_FIELDS = {
     "bounds.strict-revoke": "true",
     "bounds.revoke-ms": "5000",
@@ -53,7 +53,7 @@
     text = (ROOT / "deploy" / name).read_text()
     # Renders a section only if its field is set, and inserts the value.
     text = re.sub(
-        r"\{\{#(bounds[^}]+)\}\}(.*?)\{\{/\1\}\}",
+        r"\{\{#((?:bounds|limits)[^}]+)\}\}(.*?)\{\{/\1\}\}",
         lambda match: match[2].replace("{{.}}", fields[match[1]]) if match[1] in fields else "",
         text,
         flags=re.DOTALL,
@@ -116,3 +116,12 @@
     for role in deploy["roles"].values():
         assert (ROOT / role["template"]).exists()
         assert role["run"].split()[:3] == ["python3", "-S", "platform/start.py"]
+
+
+def test_templates_use_the_limits_of_the_machine_if_present(tmp_path):
+    """Guards against settings that cannot be read where the platform states no limits."""
+    fields = FIELDS | LIMIT_FIELDS
+    limited = load_settings(SidecarSettings, "sidecar.toml.template", tmp_path, fields)
+    assert (limited.memory_mb, limited.max_descriptors) == (300, 4100)
+    unlimited = load_settings(SidecarSettings, "sidecar.toml.template", tmp_path)
+    assert (unlimited.memory_mb, unlimited.max_descriptors) == (0, 0)
