Connections too many between sidecars are answered, not closed

Cause: a sidecar at its limit closed a further connection of another one at once, whose first request had been sent by then. The sender has to take that for a request that may have run: 502, and none for what must not run twice.

Change: its requests are refused with memory_full, so they have not run and go to another worker.

Measured: test_a_request_on_a_connection_too_many... fails without the change (the limit was asked at the accept alone) and passes with it.

--- a/src/cranklane/sidecar/routing/peer_server.py
+++ b/src/cranklane/sidecar/routing/peer_server.py
@@ -37,7 +37,7 @@
     """Limits on what is kept for other sidecars.
 
     :ivar memory: what the process may hold for clients, which their requests are charged to.
-    :ivar connections: limit on their connections.
+    :ivar connections: number of their connections up to which requests are served.
     """
 
     memory: MemoryBudget
@@ -71,10 +71,6 @@
     def accept(self, stream: object, _address: Address) -> None:
         """Serve a connection until either side closes it."""
         records = RecordConnection(stream, HELLO_TIMEOUT_SECONDS)
-        if self._connections >= self._limits.connections:
-            # Its sidecar takes this for an unreachable machine and turns to another one.
-            records.close()
-            return
         self._connections += 1
         try:
             records.expect(Hello)
@@ -121,6 +117,10 @@
         self, records: RecordConnection, stream: object, request: ForwardRequest
     ) -> bool:
         """Run a request, send its reply and return whether the connection can be reused."""
+        if self._connections > self._limits.connections:
+            # Only a reply tells that the request has not run; a close would leave that open.
+            records.send(encode_reply(self._refuse_for_memory()))
+            return False
         memory = self._limits.memory
         size = len(request.lines) + len(request.body)
         if size <= ORDINARY_BYTES:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -90,6 +90,19 @@
     assert (answered.status, small_ran) == (200, ["i-1"])
 
 
+def test_a_request_on_a_connection_too_many_between_sidecars_is_refused_as_not_run():
+    """Guards against a close that leaves open whether the request has run."""
+
+    def script(mesh):
+        server = mesh.machines[1].sidecar.peer_server
+        server._limits = server._limits._replace(connections=0)
+        return send(mesh, head("sent", b"Content-Length: 2\r\n\r\nok"), "sent")
+
+    answer, ran = play_limited(script)
+    assert (answer.status, ran) == (503, [])
+    assert float(answer.headers["retry-after"]) > 0
+
+
 def test_what_follows_a_request_is_answered_in_its_turn():
     """Guards against answers in another order, or to bytes that are part of a body."""
 
