Requests that offer another protocol are served

Cause: since the parser gets one head at a time, its note of an Upgrade header came before the request was read, and the request got 400; before, it was served and the next one on its connection got 400. A client that is inside the limits would have been refused.

Change: the offer is ignored (RFC 9110, 7.8) and the connection closes after the response. With a body or CONNECT the answer stays 400; a body was lost before.

--- a/src/cranklane/common/http1/message_reader.py
+++ b/src/cranklane/common/http1/message_reader.py
@@ -38,6 +38,9 @@
 _EMPTY_LINE = b"\r\n\r\n"
 """Ends each head, and each chunked body with its trailers."""
 
+_NOT_SERVED_WITH_UPGRADE = (b"CONNECT", b"")
+"""Methods whose message is another protocol's from its end on; a response has none."""
+
 _EMPTY_LINE_PARTS = (b"\r\n\r", b"\r\n", b"\r", b"")
 """Beginnings of an empty line of which the rest may arrive later."""
 
@@ -78,6 +81,7 @@
         self._error: str = ""
         self._head_bytes = 0
         self._framing_bytes = 0
+        self._upgrade_requested = False
         self._ended = False
         self._deadline = inf
         self._clock: Callable[[], float] | None = None
@@ -147,7 +151,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._error = "protocol upgrades are not supported"
+            self._upgrade_requested = True
         except httptools.HttpParserError as error:
             self._error = str(error) or type(error).__name__
 
@@ -204,10 +208,23 @@
         message.framing, message.length = framing_of(message.headers)
         if message.framing is Framing.LENGTH:
             message.body_bytes_left = message.length
+        if self._upgrade_requested:
+            self._ignore_upgrade()
         if message.pieces:
             # The parser saw the end of the head before its empty line.
             self._error = "the head does not end with an empty line"
 
+    def _ignore_upgrade(self) -> None:
+        """Serve a request that offers another protocol as if it did not (RFC 9110, 7.8).
+
+        The parser does not go on after it, so it must have no body, and the connection closes.
+        """
+        message = self._message
+        if message.framing is not Framing.NONE or message.method in _NOT_SERVED_WITH_UPGRADE:
+            self._error = "protocol upgrades are not supported"
+        message.done = True
+        message.keep_alive = False
+
     def _head_room(self) -> int:
         """Return how many bytes the head may still get; negative if it is too large.
 
--- a/tests/test_http_reader.py
+++ b/tests/test_http_reader.py
@@ -136,6 +136,19 @@
         next_head(reader)
 
 
+def test_an_offer_of_another_protocol_is_ignored():
+    """Guards against 400 for requests of clients that offer a newer protocol."""
+    offer = b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+    head = next_head(reader_of(GET + offer + END))
+    assert (head.target, head.keep_alive) == (b"/x", False)
+    for data in (
+        b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"POST /x HTTP/1.1\r\n" + offer + b"Content-Length: 2\r\n\r\nok",
+    ):
+        with pytest.raises(MalformedMessageError):
+            next_head(reader_of(data))
+
+
 MESSAGES = [
     (b"GET", b"/a", [(b"Host", b"h")], b""),
     (b"POST", b"/b", [(b"Content-Length", b"9")], b"\r\n\r\nabc\r\n"),
