The limit on connections holds while many arrive at once

Cause: a listener accepts up to 100 connections before the tasks that limit their number begin.

Change: at most 16 are accepted before other tasks run.

--- a/src/cranklane/common/http1/message_reader.py
+++ b/src/cranklane/common/http1/message_reader.py
@@ -172,6 +172,8 @@
         The start line is parsed as it arrives, since it shows whether the bytes are HTTP.
         """
         while not (self._message.head_done or self._error):
+            if not self._message.begun:
+                self._skip_empty_lines()
             end = self._received.find(_EMPTY_LINE)
             if end < 0:
                 self._parse_start_line()
@@ -181,9 +183,14 @@
             if self._head_bytes > self._max_head_bytes + MAX_START_LINE_BYTES:
                 # Too large, as _head_room tells.
                 return
-            start_line_begun = self._message.begun
             self.turns.take(head, self._feed)
-            self._head_fed(head if start_line_begun else head.lstrip(_LINE_END))
+            self._head_fed(head)
+
+    def _skip_empty_lines(self) -> None:
+        """Drop empty lines before a message; they are no part of it and do not begin one."""
+        message = self._received.lstrip(_LINE_END)
+        self._head_bytes += len(self._received) - len(message)
+        self._received = message
 
     def _parse_start_line(self) -> None:
         if self._message.begun:
--- a/src/cranklane/common/http1/reader.py
+++ b/src/cranklane/common/http1/reader.py
@@ -76,6 +76,7 @@
     ) -> None:
         """Receive until a complete head, an error or the end of the connection."""
         deadline = clock() + head_seconds
+        self._parse_head()
         idle = not self.started
         while True:
             self._parse_head()
--- a/src/cranklane/runtime/stream.py
+++ b/src/cranklane/runtime/stream.py
@@ -106,6 +106,10 @@
 class StreamListener(StreamServer):
     """A server whose accepted connections are :class:`Stream` objects."""
 
+    max_accept = 16
+    """Connections accepted before other tasks run. Handlers limit their number, and begin only
+    after that."""
+
     def do_read(self) -> Any:
         """Accept a connection; return None if there is none."""
         listening = self.socket
--- a/tests/test_http_reader.py
+++ b/tests/test_http_reader.py
@@ -106,6 +106,14 @@
         next_head(reader_of(END * MAX_HEAD_BYTES))
 
 
+def test_an_empty_line_after_a_request_does_not_begin_the_next_one():
+    """Guards against 408 to an idle client that ended its last request with one line too many."""
+    reader = reader_of(GET + b"Host: h\r\n\r\n\r\n")
+    next_head(reader)
+    reader.finish()
+    assert next_head(reader) is None
+
+
 @pytest.mark.parametrize(
     "data",
     [
